feat(kernel): lay down the seams, the rule file and the virtual network

Cause: every later part needs time, randomness and network behind interfaces, and rules to act on. Change: monorepo with kernel (clock, random, network, events, plug-ins, settings), rule parser with eight rule kinds, configuration store, connect messages, and a virtual clock with an in-process network under test.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,8 @@
+export default {
+    files: ["packages/**/__tests__/**/*.spec.ts"],
+    extensions: { ts: "module" },
+    nodeArguments: ["--import=tsx"],
+    workerThreads: false,
+    concurrency: 8,
+    timeout: "10m",
+};
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Control plane: the configuration in force and who is in the fleet.
+ *
+ * @packageDocumentation
+ */
+
+export * from "./node/consulPlatform.ts";
+export * from "./node/watchRulesFile.ts";
+export * from "./shared/configurationStore.ts";
+export * from "./shared/controlEvents.ts";
+export * from "./shared/watchRules.ts";
+export * from "./types/platform.ts";
--- /dev/null
+++ b/packages/control/src/node/consulPlatform.ts
@@ -0,0 +1,126 @@
+/**
+ * The platform over Consul's HTTP interface: a key with blocking queries, and a service catalogue.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    type Address,
+    branded,
+    type DataCentreId,
+    type InstanceId,
+    ProtocolError,
+} from "@magnolialock/kernel";
+import type { Revision } from "@magnolialock/kernel";
+import { Agent, type Dispatcher, request } from "undici";
+import { z } from "zod";
+import type { Platform, PublishedInstances } from "../types/platform.ts";
+
+/** Options of {@link createConsulPlatform}. */
+export interface ConsulPlatformOptions {
+    /** Address of the service. */
+    readonly address: Address;
+    /** Key that holds the rules. */
+    readonly key: string;
+    /** Name under which the instances are listed. */
+    readonly service: string;
+}
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+/** Extra time for the answer of a blocking query, in milliseconds. */
+const ANSWER_SLACK_MS = 2_000;
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+const keyEntries = z.array(z.object({ ModifyIndex: z.number().int(), Value: z.string().nullable() })).min(1);
+const healthEntries = z.array(z.object({
+    Service: z.object({
+        ID: z.string(),
+        Address: z.string(),
+        Port: z.number().int(),
+        Meta: z.object({ role: z.enum(["entry", "agent"]), dataCentre: z.string() }),
+    }),
+    Checks: z.array(z.object({ Status: z.string() })).default([]),
+}));
+
+interface ConsulAnswer {
+    readonly status: number;
+    readonly index: number;
+    readonly json: unknown;
+}
+
+const readAnswer = async (response: Dispatcher.ResponseData): Promise<ConsulAnswer> => {
+    const length = Number(response.headers["content-length"] ?? 0);
+    if (length > MAX_ANSWER_BYTES) {
+        response.body.destroy();
+        throw new ProtocolError(`the platform's answer has ${length} bytes, more than ${MAX_ANSWER_BYTES}`);
+    }
+    const text = await response.body.text();
+    if (response.statusCode !== HTTP_OK && response.statusCode !== HTTP_NOT_FOUND) {
+        throw new ProtocolError(`the platform answered with status ${response.statusCode}`);
+    }
+    return {
+        status: response.statusCode,
+        index: Number(response.headers["x-consul-index"] ?? 0),
+        json: response.statusCode === HTTP_OK ? JSON.parse(text) : undefined,
+    };
+};
+
+const toInstances = (answer: ConsulAnswer): PublishedInstances => ({
+    index: answer.index,
+    instances: healthEntries.parse(answer.json).map(({ Service: service, Checks: checks }) => ({
+        name: branded<InstanceId>(service.ID),
+        role: service.Meta.role,
+        dataCentre: branded<DataCentreId>(service.Meta.dataCentre),
+        address: branded<Address>(`${service.Address}:${service.Port}`),
+        isLeaving: checks.some(check => check.Status !== "passing"),
+    })),
+});
+
+/**
+ * Opens the platform.
+ *
+ * @param options - address, key and service name
+ * @returns the platform; disposing it closes its connections
+ */
+export const createConsulPlatform = (options: ConsulPlatformOptions): Platform & AsyncDisposable => {
+    const dispatcher = new Agent({ connections: 4 });
+    const query = async (
+        path: string,
+        index: number | undefined,
+        waitMs: number,
+        signal: AbortSignal,
+    ): Promise<ConsulAnswer> => {
+        const wait = index === undefined ? "" : `?index=${index}&wait=${waitMs}ms`;
+        const response = await request(`http://${options.address}${path}${wait}`, {
+            dispatcher,
+            signal,
+            headersTimeout: waitMs + ANSWER_SLACK_MS,
+            bodyTimeout: waitMs + ANSWER_SLACK_MS,
+        });
+        return readAnswer(response);
+    };
+    return {
+        watchRules: async (known, waitMs, signal) => {
+            const answer = await query(`/v1/kv/${options.key}`, known, waitMs, signal);
+            if (answer.status === HTTP_NOT_FOUND) {
+                return undefined;
+            }
+            const [entry] = keyEntries.parse(answer.json);
+            if (!entry || entry.ModifyIndex === known) {
+                return undefined;
+            }
+            return {
+                revision: branded<Revision>(entry.ModifyIndex),
+                bytes: Buffer.from(entry.Value ?? "", "base64"),
+            };
+        },
+        watchInstances: async (known, waitMs, signal) => {
+            const answer = await query(`/v1/health/service/${options.service}`, known, waitMs, signal);
+            return answer.status === HTTP_NOT_FOUND || answer.index === known
+                ? undefined
+                : toInstances(answer);
+        },
+        [Symbol.asyncDispose]: () => dispatcher.close(),
+    };
+};
--- /dev/null
+++ b/packages/control/src/node/watchRulesFile.ts
@@ -0,0 +1,51 @@
+/**
+ * Task that reads rules from a local file, for sites without a platform.
+ *
+ * @packageDocumentation
+ */
+
+import { branded, contentHash, errorMessage, type Revision, type Runtime, sleep } from "@magnolialock/kernel";
+import { readFile, stat } from "node:fs/promises";
+import type { ConfigurationStore } from "../shared/configurationStore.ts";
+import { platformUnreachable } from "../shared/controlEvents.ts";
+
+/** Options of {@link watchRulesFile}. */
+export interface WatchRulesFileOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Path of the file. */
+    readonly path: string;
+    /** Store to offer revisions to. */
+    readonly store: ConfigurationStore;
+    /** Ends the task. */
+    readonly signal: AbortSignal;
+}
+
+const POLL_INTERVAL_MS = 500;
+
+/**
+ * Watches the file until the signal aborts. The revision is the file's time of change in milliseconds.
+ *
+ * @param options - path, store and signal
+ */
+export const watchRulesFile = async (options: WatchRulesFileOptions): Promise<void> => {
+    const { runtime, path, store, signal } = options;
+    let lastHash = "";
+    let lastRevision = 0;
+    while (!signal.aborted) {
+        try {
+            const bytes = await readFile(path);
+            const hash = contentHash(bytes);
+            if (hash !== lastHash) {
+                const { mtimeMs } = await stat(path);
+                lastHash = hash;
+                lastRevision = Math.max(Math.floor(mtimeMs), lastRevision + 1);
+                store.offer(branded<Revision>(lastRevision), bytes, "file");
+            }
+        }
+        catch (error) {
+            runtime.events.emit(platformUnreachable, { what: path, error: errorMessage(error) });
+        }
+        await sleep(runtime.clock, POLL_INTERVAL_MS, signal).catch(() => {});
+    }
+};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder. @packageDocumentation */
+export {};
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,28 @@
+/**
+ * Kernel of magnolialock: seams for time, randomness and network, plug-ins, events, errors and settings.
+ *
+ * @packageDocumentation
+ */
+
+export * from "./node/address.ts";
+export * from "./node/debugSink.ts";
+export * from "./node/processRuntime.ts";
+export * from "./node/settings.ts";
+export * from "./node/statsdMetrics.ts";
+export * from "./node/systemClock.ts";
+export * from "./node/tcpNetwork.ts";
+export * from "./shared/asyncQueue.ts";
+export * from "./shared/brand.ts";
+export * from "./shared/clock.ts";
+export * from "./shared/errors.ts";
+export * from "./shared/events.ts";
+export * from "./shared/findings.ts";
+export * from "./shared/hash.ts";
+export * from "./shared/hybridClock.ts";
+export * from "./shared/metrics.ts";
+export * from "./shared/network.ts";
+export * from "./shared/pauseDetector.ts";
+export * from "./shared/plugins.ts";
+export * from "./shared/random.ts";
+export * from "./shared/resourceScope.ts";
+export * from "./shared/runtime.ts";
--- /dev/null
+++ b/packages/kernel/src/node/address.ts
@@ -0,0 +1,55 @@
+/**
+ * Network addresses as settings and rules write them.
+ *
+ * @packageDocumentation
+ */
+
+import ipaddr from "ipaddr.js";
+import type { Address } from "../shared/brand.ts";
+import { branded } from "../shared/brand.ts";
+import { SettingsError } from "../shared/errors.ts";
+
+const MAX_PORT = 65_535;
+
+/**
+ * Splits an address into host and port.
+ *
+ * @param address - `ip:port` or `[ip]:port`
+ * @returns IP number without brackets, and port
+ */
+export const splitAddress = (address: Address): { readonly host: string; readonly port: number; } => {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(address.slice(colon + 1)) };
+};
+
+/**
+ * Tells whether a text is an address by IP number with a port.
+ *
+ * @param text - the text
+ * @returns true for `10.0.0.1:80` and `[::1]:80`
+ */
+export const isAddress = (text: string): boolean => {
+    const parts = /^(?:\[([0-9a-fA-F:.]+)\]|([0-9.]+)):(\d{1,5})$/.exec(text);
+    if (!parts) {
+        return false;
+    }
+    const [, v6, v4, port] = parts;
+    const isHost = v6 === undefined ? ipaddr.IPv4.isValidFourPartDecimal(v4 ?? "") : ipaddr.IPv6.isValid(v6);
+    return isHost && Number(port) <= MAX_PORT;
+};
+
+/**
+ * Checks an address.
+ *
+ * @param text - the text
+ * @returns the address
+ * @throws SettingsError that shows the right form
+ */
+export const parseAddress = (text: string): Address => {
+    if (!isAddress(text)) {
+        throw new SettingsError(
+            `"${text}" is not an address: write an IP number and a port, like 127.0.0.1:8080`,
+        );
+    }
+    return branded<Address>(text);
+};
--- /dev/null
+++ b/packages/kernel/src/node/processRuntime.ts
@@ -0,0 +1,80 @@
+/**
+ * Surroundings of a real process: system clock, sockets, event log, metrics and signals.
+ *
+ * @packageDocumentation
+ */
+
+import { randomInt } from "node:crypto";
+import type { Address } from "../shared/brand.ts";
+import { errorMessage, SettingsError } from "../shared/errors.ts";
+import { EventLog } from "../shared/events.ts";
+import { noMetrics } from "../shared/metrics.ts";
+import { createRandomSource } from "../shared/random.ts";
+import { ResourceScope } from "../shared/resourceScope.ts";
+import type { Runtime } from "../shared/runtime.ts";
+import { createDebugSink } from "./debugSink.ts";
+import { ExitCode } from "./settings.ts";
+import { createStatsdMetrics } from "./statsdMetrics.ts";
+import { createSystemClock } from "./systemClock.ts";
+import { createTcpNetwork } from "./tcpNetwork.ts";
+
+/** Options of {@link createProcessRuntime}. */
+export interface ProcessRuntimeOptions {
+    /** Name of the process. */
+    readonly instance: string;
+    /** Address of a StatsD server; no metrics without it. */
+    readonly statsd?: Address | undefined;
+    /** Seed of the random numbers; drawn by default. */
+    readonly seed?: number;
+}
+
+const MAX_SEED = 2 ** 31 - 1;
+
+/**
+ * Creates the surroundings of a real process.
+ *
+ * @param options - name, metrics address and seed
+ * @returns the runtime and its owner; disposing it closes sockets
+ */
+export const createProcessRuntime = (options: ProcessRuntimeOptions): Runtime & AsyncDisposable => {
+    const scope = new ResourceScope();
+    const clock = createSystemClock();
+    const network = scope.use(createTcpNetwork());
+    const metrics = options.statsd
+        ? scope.use(createStatsdMetrics(options.statsd, { instance: options.instance }))
+        : noMetrics;
+    return {
+        clock,
+        network,
+        metrics,
+        random: createRandomSource(options.seed ?? randomInt(MAX_SEED)),
+        events: new EventLog({ clock, instance: options.instance, sinks: [createDebugSink()] }),
+        [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
+    };
+};
+
+/**
+ * Waits for the first signal that asks the process to stop.
+ *
+ * @returns the name of the signal
+ */
+export const waitForStopSignal = (): Promise<NodeJS.Signals> =>
+    new Promise(resolve => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+    });
+
+/**
+ * Runs the main function of a program and turns errors into exit codes.
+ *
+ * @param main - the program; returns its exit code
+ */
+export const runProgram = async (main: () => Promise<number>): Promise<void> => {
+    try {
+        process.exitCode = await main();
+    }
+    catch (error) {
+        process.stderr.write(`${errorMessage(error)}\n`);
+        process.exitCode = error instanceof SettingsError ? ExitCode.Usage : ExitCode.Failure;
+    }
+};
--- /dev/null
+++ b/packages/kernel/src/node/tcpNetwork.ts
@@ -0,0 +1,132 @@
+/**
+ * Network over real sockets: connect over HTTP/2 for calls, UDP for datagrams.
+ *
+ * @packageDocumentation
+ */
+
+import type { Transport } from "@connectrpc/connect";
+import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createSocket } from "node:dgram";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import { isIPv6 } from "node:net";
+import type { Address } from "../shared/brand.ts";
+import { branded } from "../shared/brand.ts";
+import type { DatagramSocket, Network, ServiceBinding } from "../shared/network.ts";
+import { splitAddress } from "./address.ts";
+
+/** Largest message that a peer may send, in bytes. */
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+/** Streams that one connection carries at once. */
+const MAX_CONCURRENT_STREAMS = 10_000;
+/** Idle connections are closed after this time, in milliseconds. */
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
+/** An unanswered HTTP/2 ping ends the connection after this time, in milliseconds. */
+const PING_TIMEOUT_MS = 3_000;
+/** Time between pings while calls are open, in milliseconds. */
+const PING_INTERVAL_MS = 5_000;
+
+const baseUrlOf = (address: Address): string => `http://${address}`;
+
+const listenOn = (server: Http2Server, address: Address): Promise<void> =>
+    new Promise((resolve, reject) => {
+        const { host, port } = splitAddress(address);
+        server.once("error", reject);
+        server.listen(port, host, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+
+const closeServer = (server: Http2Server, sessions: ReadonlySet<ServerHttp2Session>): Promise<void> =>
+    new Promise(resolve => {
+        server.close(() => resolve());
+        for (const session of sessions) {
+            session.close();
+        }
+    });
+
+const serveBindings = async (
+    address: Address,
+    bindings: readonly ServiceBinding[],
+): Promise<AsyncDisposable> => {
+    const handler = connectNodeAdapter({
+        routes: router => {
+            for (const { service, implementation } of bindings) {
+                router.service(service, implementation);
+            }
+        },
+        readMaxBytes: MAX_MESSAGE_BYTES,
+        writeMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const server = createServer({ settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS } }, handler);
+    const sessions = new Set<ServerHttp2Session>();
+    server.on("session", session => {
+        sessions.add(session);
+        session.once("close", () => sessions.delete(session));
+        session.on("error", () => session.destroy());
+    });
+    await listenOn(server, address);
+    return { [Symbol.asyncDispose]: () => closeServer(server, sessions) };
+};
+
+const openSocket = (
+    address: Address,
+    onDatagram: (from: Address, bytes: Uint8Array) => void,
+): Promise<DatagramSocket> =>
+    new Promise((resolve, reject) => {
+        const { host, port } = splitAddress(address);
+        const socket = createSocket(isIPv6(host) ? "udp6" : "udp4");
+        socket.on("message", (bytes, from) =>
+            onDatagram(branded<Address>(`${from.address}:${from.port}`), bytes));
+        socket.once("error", reject);
+        socket.bind(port, host, () => {
+            socket.off("error", reject);
+            socket.on("error", () => {});
+            resolve({
+                send: (to, bytes) => {
+                    const target = splitAddress(to);
+                    socket.send(bytes, target.port, target.host, () => {});
+                },
+                [Symbol.asyncDispose]: () =>
+                    new Promise(closed => socket.close(() => closed())),
+            });
+        });
+    });
+
+/**
+ * Creates the network that real processes use.
+ *
+ * @returns the network; disposing it ends its outgoing connections
+ */
+export const createTcpNetwork = (): Network & AsyncDisposable => {
+    const peers = new Map<
+        Address,
+        { readonly transport: Transport; readonly sessions: Http2SessionManager; }
+    >();
+    const openPeer = (address: Address): Transport => {
+        const sessions = new Http2SessionManager(baseUrlOf(address), {
+            idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
+            pingIntervalMs: PING_INTERVAL_MS,
+            pingTimeoutMs: PING_TIMEOUT_MS,
+        });
+        const transport = createConnectTransport({
+            baseUrl: baseUrlOf(address),
+            httpVersion: "2",
+            sessionManager: sessions,
+            readMaxBytes: MAX_MESSAGE_BYTES,
+        });
+        peers.set(address, { transport, sessions });
+        return transport;
+    };
+    return {
+        transportTo: address => peers.get(address)?.transport ?? openPeer(address),
+        listen: serveBindings,
+        openDatagramSocket: openSocket,
+        [Symbol.asyncDispose]: async () => {
+            for (const { sessions } of peers.values()) {
+                sessions.abort();
+            }
+            peers.clear();
+        },
+    };
+};
--- /dev/null
+++ b/packages/kernel/src/shared/asyncQueue.ts
@@ -0,0 +1,110 @@
+/**
+ * Unbounded queue between tasks, read as an async iterable.
+ *
+ * @packageDocumentation
+ */
+
+import Denque from "denque";
+
+/** One writer side and one reader side; the reader waits while the queue is empty. */
+export class AsyncQueue<T> implements AsyncIterableIterator<T, undefined> {
+    private readonly items = new Denque<T>();
+    private readonly readers = new Denque<{
+        resolve: (result: IteratorResult<T, undefined>) => void;
+        reject: (error: unknown) => void;
+    }>();
+    private ended = false;
+    private failure: { readonly error: unknown; } | undefined;
+    private returned: (() => void) | undefined;
+
+    /**
+     * @param onReturn - called when the reader stops early
+     */
+    public constructor(onReturn?: () => void) {
+        this.returned = onReturn;
+    }
+
+    /** Number of items that wait. */
+    public get size(): number {
+        return this.items.length;
+    }
+
+    /** Whether `close` or `fail` was called. */
+    public get isClosed(): boolean {
+        return this.ended;
+    }
+
+    /**
+     * Adds an item; ignored after the end.
+     *
+     * @param item - the item
+     */
+    public push(item: T): void {
+        if (this.ended) {
+            return;
+        }
+        const reader = this.readers.shift();
+        if (reader) {
+            reader.resolve({ value: item, done: false });
+            return;
+        }
+        this.items.push(item);
+    }
+
+    /** Ends the queue after the items that wait. */
+    public close(): void {
+        this.ended = true;
+        for (let reader = this.readers.shift(); reader; reader = this.readers.shift()) {
+            reader.resolve({ value: undefined, done: true });
+        }
+    }
+
+    /**
+     * Ends the queue with an error after the items that wait.
+     *
+     * @param error - what the reader gets
+     */
+    public fail(error: unknown): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        const reader = this.readers.shift();
+        if (reader) {
+            reader.reject(error);
+            this.close();
+            return;
+        }
+        this.failure = { error };
+    }
+
+    /** {@inheritDoc AsyncIterableIterator.next} */
+    public next(): Promise<IteratorResult<T, undefined>> {
+        if (this.items.length > 0) {
+            return Promise.resolve({ value: this.items.shift() as T, done: false });
+        }
+        if (this.failure) {
+            const { error } = this.failure;
+            this.failure = undefined;
+            return Promise.reject(error);
+        }
+        if (this.ended) {
+            return Promise.resolve({ value: undefined, done: true });
+        }
+        return new Promise((resolve, reject) => this.readers.push({ resolve, reject }));
+    }
+
+    /** Stops reading; what waits is dropped. */
+    public return(): Promise<IteratorResult<T, undefined>> {
+        this.items.clear();
+        this.close();
+        this.returned?.();
+        this.returned = undefined;
+        return Promise.resolve({ value: undefined, done: true });
+    }
+
+    /** The queue is its own iterator. */
+    public [Symbol.asyncIterator](): this {
+        return this;
+    }
+}
--- /dev/null
+++ b/packages/kernel/src/shared/brand.ts
@@ -0,0 +1,41 @@
+/**
+ * Branded identifiers. A brand stops one kind of identifier from being passed where another is expected.
+ *
+ * @packageDocumentation
+ */
+
+declare const brand: unique symbol;
+
+/** A `Base` value that carries the compile-time name `Name`. */
+export type Brand<Base, Name extends string> = Base & { readonly [brand]: Name; };
+
+/** Name of one process of the system, unique in the fleet. */
+export type InstanceId = Brand<string, "InstanceId">;
+/** Identifier of one life of a process; a restarted process gets a new one. */
+export type IncarnationId = Brand<string, "IncarnationId">;
+/** Name of a data centre. */
+export type DataCentreId = Brand<string, "DataCentreId">;
+/** Name of a client account. */
+export type ClientAccountId = Brand<string, "ClientAccountId">;
+/** Name of a backend server. */
+export type BackendServerId = Brand<string, "BackendServerId">;
+/** Name of a service that callers use. */
+export type ServiceName = Brand<string, "ServiceName">;
+/** Name of a group of ranks. */
+export type GroupName = Brand<string, "GroupName">;
+/** Identifier of one caller's request, the same over all its attempts. */
+export type RequestId = Brand<string, "RequestId">;
+/** Revision of the configuration, as numbered by the platform. */
+export type Revision = Brand<number, "Revision">;
+/** Network address `ip:port`. */
+export type Address = Brand<string, "Address">;
+
+/**
+ * Marks a plain value with the brand that the calling context expects.
+ *
+ * @param value - the plain value
+ * @returns the same value, branded
+ */
+export const branded = <T extends Brand<string | number, string>>(
+    value: T extends string ? string : number,
+): T => value as unknown as T;
--- /dev/null
+++ b/packages/kernel/src/shared/clock.ts
@@ -0,0 +1,87 @@
+/**
+ * Time as the tasks see it. Real processes use the system clock, tests a virtual one.
+ *
+ * @packageDocumentation
+ */
+
+import { AbortedError } from "./errors.ts";
+
+/** A pending timer; disposing it cancels it. */
+export interface Timer extends Disposable {
+    /** Cancels the timer; has no effect once it has fired. */
+    cancel(): void;
+}
+
+/** Source of time and timers. */
+export interface Clock {
+    /** Monotonic time in milliseconds; only differences have a meaning. */
+    nowMs(): number;
+    /** Wall-clock time in milliseconds since the Unix epoch; may jump. */
+    wallMs(): number;
+    /**
+     * Calls back once after a delay.
+     *
+     * @param delayMs - delay in milliseconds
+     * @param callback - what to call
+     * @returns the pending timer
+     */
+    setTimer(delayMs: number, callback: () => void): Timer;
+}
+
+/**
+ * Waits for a time.
+ *
+ * @param clock - source of time
+ * @param delayMs - how long to wait, in milliseconds
+ * @param signal - ends the wait early
+ * @returns a promise that resolves after the delay
+ * @throws AbortedError when the signal aborts first
+ */
+export const sleep = (clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> =>
+    new Promise((resolve, reject) => {
+        if (signal?.aborted) {
+            reject(new AbortedError("the wait was aborted"));
+            return;
+        }
+        const onAbort = (): void => {
+            timer.cancel();
+            reject(new AbortedError("the wait was aborted"));
+        };
+        const timer = clock.setTimer(delayMs, () => {
+            signal?.removeEventListener("abort", onAbort);
+            resolve();
+        });
+        signal?.addEventListener("abort", onAbort, { once: true });
+    });
+
+/**
+ * Derives a signal that aborts after a delay or together with a parent signal.
+ *
+ * @param clock - source of time
+ * @param timeoutMs - delay in milliseconds
+ * @param parent - signal to follow
+ * @returns the signal; disposing it cancels the timer
+ */
+export const timeoutSignal = (
+    clock: Clock,
+    timeoutMs: number,
+    parent?: AbortSignal,
+): { readonly signal: AbortSignal; } & Disposable => {
+    const controller = new AbortController();
+    const onParentAbort = (): void => controller.abort(parent?.reason);
+    const timer = clock.setTimer(
+        timeoutMs,
+        () => controller.abort(new AbortedError(`timed out after ${timeoutMs} ms`)),
+    );
+    if (parent?.aborted) {
+        onParentAbort();
+    }
+    parent?.addEventListener("abort", onParentAbort, { once: true });
+    return {
+        signal: controller.signal,
+        [Symbol.dispose]: () => {
+            timer.cancel();
+            parent?.removeEventListener("abort", onParentAbort);
+        },
+    };
+};
--- /dev/null
+++ b/packages/rules/src/shared/fields.ts
@@ -0,0 +1,174 @@
+/**
+ * Readers of field values that rule kinds share.
+ *
+ * @packageDocumentation
+ */
+
+import { type Address, branded, isAddress } from "@magnolialock/kernel";
+import type { DefinableKind } from "../types/definable.ts";
+import type { FieldDefinition, FieldResult } from "./ruleKind.ts";
+
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+const MILLISECONDS_PER_UNIT: Readonly<Record<string, number>> = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 };
+
+const value = <T>(result: T): FieldResult<T> => ({ kind: "value", value: result });
+const problem = (message: string): FieldResult<never> => ({ kind: "problem", message });
+
+const parseName = <T extends string>(text: string): FieldResult<T> =>
+    NAME_PATTERN.test(text)
+        ? value(text as T)
+        : problem(`"${text}" is not a name: use lower-case letters, digits and "-", starting with a letter`);
+
+/**
+ * A name that the rule defines.
+ *
+ * @returns the field
+ */
+export const nameField = <T extends string>(): FieldDefinition<T> => ({
+    placeholder: "NAME",
+    parse: parseName<T>,
+});
+
+/**
+ * A name that another rule defines.
+ *
+ * @param kind - what it names
+ * @returns the field
+ */
+export const referenceField = <T extends string>(kind: DefinableKind): FieldDefinition<T> => ({
+    placeholder: kind.toUpperCase(),
+    parse: parseName<T>,
+    references: kind,
+});
+
+/**
+ * Several names of one kind, separated by commas.
+ *
+ * @param kind - what they name
+ * @returns the field
+ */
+export const referenceListField = <T extends string>(kind: DefinableKind): FieldDefinition<readonly T[]> => ({
+    placeholder: `${kind.toUpperCase()},…`,
+    references: kind,
+    parse: text => {
+        const names = text.split(",");
+        const wrong = names.find(name => !NAME_PATTERN.test(name));
+        if (wrong !== undefined) {
+            return problem(`"${wrong}" is not a name: separate names with commas and no blanks`);
+        }
+        if (new Set(names).size < names.length) {
+            return problem("a name stands twice in the list: remove one of them");
+        }
+        return value(names as T[]);
+    },
+});
+
+/**
+ * A whole number within bounds.
+ *
+ * @param options - bounds and default
+ * @returns the field
+ */
+export const integerField = (
+    options: { readonly min: number; readonly max: number; readonly defaultValue?: number; },
+): FieldDefinition<number> => ({
+    placeholder: "N",
+    ...(options.defaultValue === undefined ? {} : { defaultValue: options.defaultValue }),
+    parse: text => {
+        if (!/^\d{1,15}$/.test(text)) {
+            return problem(`"${text}" is not a whole number: write digits only`);
+        }
+        const number = Number(text);
+        return number < options.min || number > options.max
+            ? problem(`${text} is out of range: use ${options.min} to ${options.max}`)
+            : value(number);
+    },
+});
+
+/**
+ * A time with its unit.
+ *
+ * @param options - bounds and default, in milliseconds
+ * @returns the field, in milliseconds
+ */
+export const durationField = (
+    options: { readonly minMs: number; readonly maxMs: number; readonly defaultValueMs?: number; },
+): FieldDefinition<number> => ({
+    placeholder: "30s",
+    ...(options.defaultValueMs === undefined ? {} : { defaultValue: options.defaultValueMs }),
+    parse: text => {
+        const parts = /^(\d{1,9})(ms|s|m|h)$/.exec(text);
+        if (!parts) {
+            return problem(`"${text}" is not a time: write a whole number with ms, s, m or h, like 30s`);
+        }
+        const durationMs = Number(parts[1]) * (MILLISECONDS_PER_UNIT[parts[2] ?? ""] ?? Number.NaN);
+        return durationMs < options.minMs || durationMs > options.maxMs
+            ? problem(`${text} is out of range: use ${options.minMs}ms to ${options.maxMs}ms`)
+            : value(durationMs);
+    },
+});
+
+/**
+ * A rate per second.
+ *
+ * @param options - bounds
+ * @returns the field, per second
+ */
+export const rateField = (
+    options: { readonly min: number; readonly max: number; },
+): FieldDefinition<number> => ({
+    placeholder: "20/s",
+    parse: text => {
+        const parts = /^(\d{1,9})\/s$/.exec(text);
+        if (!parts) {
+            return problem(`"${text}" is not a rate: write a whole number with /s, like 20/s`);
+        }
+        const rate = Number(parts[1]);
+        return rate < options.min || rate > options.max
+            ? problem(`${text} is out of range: use ${options.min}/s to ${options.max}/s`)
+            : value(rate);
+    },
+});
+
+/**
+ * One of a few words.
+ *
+ * @param choices - the words
+ * @returns the field
+ */
+export const choiceField = <const T extends string>(choices: readonly T[]): FieldDefinition<T> => ({
+    placeholder: choices.join("|"),
+    parse: text => {
+        const choice = choices.find(candidate => candidate === text);
+        return choice === undefined
+            ? problem(`"${text}" is unknown: use ${choices.join(" or ")}`)
+            : value(choice);
+    },
+});
+
+/**
+ * An IP number with a port.
+ *
+ * @returns the field
+ */
+export const addressField = (): FieldDefinition<Address> => ({
+    placeholder: "IP:PORT",
+    parse: text =>
+        isAddress(text)
+            ? value(branded<Address>(text))
+            : problem(`"${text}" is not an address: write an IP number and a port, like 10.0.0.5:7100`),
+});
+
+/**
+ * A text of a given form.
+ *
+ * @param options - form, how to write it and an example
+ * @returns the field
+ */
+export const patternField = (
+    options: { readonly pattern: RegExp; readonly placeholder: string; readonly advice: string; },
+): FieldDefinition<string> => ({
+    placeholder: options.placeholder,
+    parse: text =>
+        options.pattern.test(text) ? value(text) : problem(`"${text}" does not fit: ${options.advice}`),
+});
--- /dev/null
+++ b/packages/rules/src/shared/findCall.ts
@@ -0,0 +1,36 @@
+/**
+ * Which rule a call falls under.
+ *
+ * @packageDocumentation
+ */
+
+import type { ServiceName } from "@magnolialock/kernel";
+import type { CallRule, RuleSet } from "../types/ruleSet.ts";
+
+const SAFE_METHODS: readonly string[] = ["GET", "HEAD"];
+
+const isPathMatch = (pattern: string, path: string): boolean =>
+    pattern.endsWith("*") ? path.startsWith(pattern.slice(0, -1)) : pattern === path;
+
+/**
+ * Finds the rule of a call. A call without a rule is repeatable only if its service is a model or its method is safe.
+ *
+ * @param rules - rules in force
+ * @param service - service of the call
+ * @param method - HTTP method
+ * @param path - path below the service, without query
+ * @returns the first rule that matches, or the default
+ */
+export const findCall = (rules: RuleSet, service: ServiceName, method: string, path: string): CallRule => {
+    const rule = rules.calls.find(candidate =>
+        candidate.service === service && candidate.method === method && isPathMatch(candidate.path, path)
+    );
+    const isModel = rules.services.get(service)?.kind === "model";
+    return rule ?? {
+        service,
+        method,
+        path,
+        priority: "interactive",
+        isRepeatable: isModel || SAFE_METHODS.includes(method),
+    };
+};
--- /dev/null
+++ b/packages/rules/src/shared/kinds/drainKind.ts
@@ -0,0 +1,22 @@
+/**
+ * Rule kind `drain`.
+ *
+ * @packageDocumentation
+ */
+
+import type { BackendServerId } from "@magnolialock/kernel";
+import { referenceField } from "../fields.ts";
+import { defineRuleKind } from "../ruleKind.ts";
+
+/** Drains a backend server; removing the line brings it back. */
+export const drainKind = defineRuleKind({
+    name: "drain",
+    summary: "Drains a backend server: it finishes what it runs and gets no new work.",
+    example: "drain redator-3 # Ana: new disk",
+    positional: { server: referenceField<BackendServerId>("server") },
+    fields: {},
+    apply: ({ server }, builder, place) => {
+        builder.requireUnique("drain", server, place);
+        builder.drainingServers.add(server);
+    },
+});
--- /dev/null
+++ b/packages/rules/src/shared/kinds/outKind.ts
@@ -0,0 +1,22 @@
+/**
+ * Rule kind `out`.
+ *
+ * @packageDocumentation
+ */
+
+import type { DataCentreId } from "@magnolialock/kernel";
+import { referenceField } from "../fields.ts";
+import { defineRuleKind } from "../ruleKind.ts";
+
+/** Takes a data centre out; removing the line brings it back. */
+export const outKind = defineRuleKind({
+    name: "out",
+    summary: "Takes a data centre out: it gets no new work. Remove the line to bring it back.",
+    example: "out recife # Ana: power work until 14:00",
+    positional: { dataCentre: referenceField<DataCentreId>("data-centre") },
+    fields: {},
+    apply: ({ dataCentre }, builder, place) => {
+        builder.requireUnique("out", dataCentre, place);
+        builder.outDataCentres.add(dataCentre);
+    },
+});
--- /dev/null
+++ b/packages/rules/src/shared/kinds/serviceKind.ts
@@ -0,0 +1,28 @@
+/**
+ * Rule kind `service`.
+ *
+ * @packageDocumentation
+ */
+
+import type { ServiceName } from "@magnolialock/kernel";
+import { choiceField, durationField, nameField } from "../fields.ts";
+import { defineRuleKind } from "../ruleKind.ts";
+
+const MAX_DEADLINE_MS = 3_600_000;
+const DEFAULT_DEADLINE_MS = 30_000;
+
+/** Defines a service that callers use. */
+export const serviceKind = defineRuleKind({
+    name: "service",
+    summary: "Defines a service; callers reach it by its name, the first part of the path.",
+    example: "service redator kind=model deadline=60s # Ana: drafts",
+    defines: "service",
+    positional: { name: nameField<ServiceName>() },
+    fields: {
+        kind: choiceField(["model", "plain"]),
+        deadline: durationField({ minMs: 1, maxMs: MAX_DEADLINE_MS, defaultValueMs: DEFAULT_DEADLINE_MS }),
+    },
+    apply: ({ name, kind, deadline }, builder) => {
+        builder.services.set(name, { name, kind, deadlineMs: deadline });
+    },
+});
--- /dev/null
+++ b/packages/rules/src/shared/ruleSetBuilder.ts
@@ -0,0 +1,157 @@
+/**
+ * Collects rules and findings while a file is parsed.
+ *
+ * @packageDocumentation
+ */
+
+import type {
+    BackendServerId,
+    ClientAccountId,
+    DataCentreId,
+    Finding,
+    GroupName,
+    ServiceName,
+} from "@magnolialock/kernel";
+import { didYouMean } from "@magnolialock/kernel";
+import type { DefinableKind, WordPlace } from "../types/definable.ts";
+import type {
+    AccountRule,
+    CallRule,
+    DataCentreRule,
+    GroupRule,
+    RuleSet,
+    ServerRule,
+    ServiceRule,
+} from "../types/ruleSet.ts";
+
+interface Reference extends WordPlace {
+    readonly kind: DefinableKind;
+    readonly name: string;
+}
+
+/** Rules in the making. */
+export class RuleSetBuilder {
+    /** Data centres by name. */
+    public readonly dataCentres = new Map<DataCentreId, DataCentreRule>();
+    /** Services by name. */
+    public readonly services = new Map<ServiceName, ServiceRule>();
+    /** Backend servers by name. */
+    public readonly servers = new Map<BackendServerId, ServerRule>();
+    /** Client accounts by name. */
+    public readonly accounts = new Map<ClientAccountId, AccountRule>();
+    /** Calls in the order of the file. */
+    public readonly calls: CallRule[] = [];
+    /** Groups of ranks by name. */
+    public readonly groups = new Map<GroupName, GroupRule>();
+    /** Data centres that are out. */
+    public readonly outDataCentres = new Set<DataCentreId>();
+    /** Backend servers that are draining. */
+    public readonly drainingServers = new Set<BackendServerId>();
+    /** Findings so far. */
+    public readonly findings: Finding[] = [];
+    private readonly definitions = new Map<string, WordPlace>();
+    private readonly uniqueValues = new Map<string, WordPlace>();
+    private readonly references: Reference[] = [];
+
+    /** @param source - name of the file, for findings */
+    public constructor(private readonly source: string) {}
+
+    /**
+     * Reports a finding.
+     *
+     * @param place - where
+     * @param message - what is wrong and what to write instead
+     */
+    public report(place: WordPlace, message: string): void {
+        this.findings.push({ source: this.source, line: place.line, column: place.column, message });
+    }
+
+    /**
+     * Notes that a rule defines a name.
+     *
+     * @param kind - what it defines
+     * @param name - the name
+     * @param place - where
+     */
+    public define(kind: DefinableKind, name: string, place: WordPlace): void {
+        const key = `${kind} ${name}`;
+        const earlier = this.definitions.get(key);
+        if (earlier) {
+            this.report(
+                place,
+                `${kind} "${name}" is already defined in line ${earlier.line}: remove one of them`,
+            );
+            return;
+        }
+        this.definitions.set(key, place);
+    }
+
+    /**
+     * Requires that a value occurs once.
+     *
+     * @param what - what the value is, for the message
+     * @param value - the value
+     * @param place - where
+     */
+    public requireUnique(what: string, value: string, place: WordPlace): void {
+        const key = `${what}\u0000${value}`;
+        const earlier = this.uniqueValues.get(key);
+        if (earlier) {
+            this.report(
+                place,
+                `${what} ${value} is already used in line ${earlier.line}: use another or remove one`,
+            );
+            return;
+        }
+        this.uniqueValues.set(key, place);
+    }
+
+    /**
+     * Notes that a rule refers to a name; checked at the end of the file.
+     *
+     * @param kind - what it refers to
+     * @param name - the name
+     * @param place - where
+     */
+    public refer(kind: DefinableKind, name: string, place: WordPlace): void {
+        this.references.push({ kind, name, ...place });
+    }
+
+    /** Checks all references against the definitions. */
+    public checkReferences(): void {
+        const namesByKind = new Map<string, string[]>();
+        for (const key of this.definitions.keys()) {
+            const [kind = "", name = ""] = key.split(" ");
+            namesByKind.set(kind, [...(namesByKind.get(kind) ?? []), name].slice(-MAX_SUGGESTION_CANDIDATES));
+        }
+        for (const { kind, name, line, column } of this.references) {
+            if (!this.definitions.has(`${kind} ${name}`)) {
+                const hint = didYouMean(name, namesByKind.get(kind) ?? []);
+                this.report(
+                    { line, column },
+                    `no ${kind} is named "${name}"${hint}: add a line "${kind} ${name} …" or correct the name`,
+                );
+            }
+        }
+    }
+
+    /**
+     * Finishes the rules.
+     *
+     * @returns the frozen rules
+     */
+    public build(): RuleSet {
+        return Object.freeze({
+            dataCentres: this.dataCentres,
+            services: this.services,
+            servers: this.servers,
+            accounts: this.accounts,
+            calls: this.calls,
+            groups: this.groups,
+            outDataCentres: this.outDataCentres,
+            drainingServers: this.drainingServers,
+        });
+    }
+}
+
+const MAX_SUGGESTION_CANDIDATES = 200;
