feat: serve a request end to end through entry, agent and stand-ins

Change: entry (HTTP front, attempts, resume, policies), agent (admission, tickets, recall, drain), control (store, platform over Consul's protocol, file), lab (engine, plain and platform stand-ins, virtual fleet), check. Conclusion: the thin path stands; the decisions under load and faults grow from here.

--- a/ava.config.js
+++ b/ava.config.js
@@ -3,6 +3,6 @@
     extensions: { ts: "module" },
     nodeArguments: ["--import=tsx"],
     workerThreads: false,
-    concurrency: 8,
+    concurrency: 5,
     timeout: "10m",
 };
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,13 @@
-/** Placeholder. @packageDocumentation */
-export {};
+/**
+ * The agent beside a backend server.
+ *
+ * @packageDocumentation
+ */
+
+export * from "./node/httpBackend.ts";
+export * from "./shared/agent.ts";
+export * from "./shared/agentContext.ts";
+export * from "./shared/agentEvents.ts";
+export * from "./shared/refusedError.ts";
+export * from "./shared/ticket.ts";
+export * from "./types/backend.ts";
--- /dev/null
+++ b/packages/agent/src/node/httpBackend.ts
@@ -0,0 +1,188 @@
+/**
+ * Backend server over HTTP: an OpenAI-style model engine or a plain service.
+ *
+ * @packageDocumentation
+ */
+
+import { type Address, errorMessage, isAborted, ProtocolError } from "@magnolialock/kernel";
+import { createParser } from "eventsource-parser";
+import { Agent, type Dispatcher, errors } from "undici";
+import { z } from "zod";
+import {
+    type Backend,
+    BackendBrokenError,
+    type BackendEvent,
+    type BackendLoad,
+    BackendRefusedError,
+    type BackendRequest,
+} from "../types/backend.ts";
+
+/** Options of {@link createHttpBackend}. */
+export interface HttpBackendOptions {
+    /** Address of the backend server. */
+    readonly address: Address;
+    /** Most connections to it. */
+    readonly maxConnections?: number;
+}
+
+const DEFAULT_MAX_CONNECTIONS = 1_024;
+const CONNECT_TIMEOUT_MS = 2_000;
+const FIRST_ERROR_STATUS = 400;
+/** Header by which a backend server says that a refused call did not start. */
+const NOT_STARTED_HEADER = "x-not-started";
+
+const completionChunk = z.object({
+    choices: z.array(z.object({ text: z.string(), finish_reason: z.string().nullable().optional() })).min(1),
+});
+const loadAnswer = z.object({
+    running: z.number().int(),
+    waiting: z.number().int(),
+    process_id: z.string().optional(),
+    cached_prefixes: z.array(z.string()).default([]),
+});
+
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+const flattenHeaders = (
+    headers: Record<string, string | string[] | undefined>,
+): (readonly [string, string])[] =>
+    Object.entries(headers).flatMap(([name, value]) => {
+        if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) {
+            return [];
+        }
+        return (Array.isArray(value) ? value : [value]).map(single => [name, single] as const);
+    });
+
+const didNotConnect = (error: unknown): boolean =>
+    error instanceof errors.ConnectTimeoutError
+    || (error instanceof Error && "code" in error && error.code === "ECONNREFUSED");
+
+const withResume = (request: BackendRequest): Uint8Array | string => {
+    if (request.resumeFromToken === 0) {
+        return request.body;
+    }
+    const body = JSON.parse(Buffer.from(request.body).toString()) as Record<string, unknown>;
+    return JSON.stringify({
+        ...body,
+        resume_from_token: request.resumeFromToken,
+        resumed_text: request.resumedText,
+    });
+};
+
+/** Reads the server-sent events of a completion. */
+async function* readCompletion(body: AsyncIterable<Uint8Array>): AsyncGenerator<BackendEvent> {
+    let texts: string[] = [];
+    let finishReason: string | undefined;
+    let isDone = false;
+    const parser = createParser({
+        onEvent: ({ data }) => {
+            if (data === "[DONE]") {
+                isDone = true;
+                return;
+            }
+            const [choice] = completionChunk.parse(JSON.parse(data)).choices;
+            if (choice && choice.text !== "") {
+                texts.push(choice.text);
+            }
+            finishReason = choice?.finish_reason ?? finishReason;
+        },
+    });
+    const decoder = new TextDecoder();
+    for await (const bytes of body) {
+        parser.feed(decoder.decode(bytes, { stream: true }));
+        if (texts.length > 0) {
+            yield { kind: "tokens", texts };
+            texts = [];
+        }
+    }
+    if (!isDone) {
+        throw new ProtocolError("the engine's stream ended without its end mark");
+    }
+    yield { kind: "end", finishReason: finishReason ?? "stop" };
+}
+
+async function* readPlainBody(body: AsyncIterable<Uint8Array>): AsyncGenerator<BackendEvent> {
+    for await (const bytes of body) {
+        yield { kind: "body", bytes };
+    }
+    yield { kind: "end", finishReason: "" };
+}
+
+/**
+ * Opens a backend server.
+ *
+ * @param options - address and connections
+ * @returns the backend server; disposing it closes its connections
+ */
+export const createHttpBackend = (options: HttpBackendOptions): Backend & AsyncDisposable => {
+    const dispatcher = new Agent({
+        connections: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
+        pipelining: 1,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    const origin = `http://${options.address}`;
+
+    const send = async (request: BackendRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> => {
+        try {
+            const hasBody = request.method !== "GET" && request.method !== "HEAD";
+            return await dispatcher.request({
+                origin,
+                path: request.path,
+                method: request.method as Dispatcher.HttpMethod,
+                headers: [
+                    ...request.headers.filter(([name]) => !HOP_BY_HOP_HEADERS.has(name)).flat(),
+                    "x-request-id",
+                    request.requestId,
+                ],
+                body: hasBody ? withResume(request) : undefined,
+                signal,
+            });
+        }
+        catch (error) {
+            if (isAborted(error)) {
+                throw error;
+            }
+            const ErrorClass = didNotConnect(error) ? BackendRefusedError : BackendBrokenError;
+            throw new ErrorClass(`the backend server failed: ${errorMessage(error)}`, { cause: error });
+        }
+    };
+
+    async function* run(request: BackendRequest, signal: AbortSignal): AsyncGenerator<BackendEvent> {
+        const response = await send(request, signal);
+        if (response.headers[NOT_STARTED_HEADER] !== undefined) {
+            await response.body.dump();
+            throw new BackendRefusedError(`the backend server refused with status ${response.statusCode}`);
+        }
+        yield { kind: "head", status: response.statusCode, headers: flattenHeaders(response.headers) };
+        try {
+            const isTokens = request.isModel && response.statusCode < FIRST_ERROR_STATUS
+                && String(response.headers["content-type"]).startsWith("text/event-stream");
+            yield* isTokens ? readCompletion(response.body) : readPlainBody(response.body);
+        }
+        catch (error) {
+            throw new BackendBrokenError(`the answer broke: ${errorMessage(error)}`, { cause: error });
+        }
+    }
+
+    const readLoad = async (signal: AbortSignal): Promise<BackendLoad> => {
+        const response = await dispatcher.request({ origin, path: "/load", method: "GET", signal });
+        const load = loadAnswer.parse(await response.body.json());
+        return {
+            running: load.running,
+            waiting: load.waiting,
+            processId: load.process_id,
+            cachedPrefixes: load.cached_prefixes,
+        };
+    };
+
+    return { run, readLoad, [Symbol.asyncDispose]: () => dispatcher.close() };
+};
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,7 @@
-/** Placeholder. @packageDocumentation */
-export {};
+/**
+ * The operators' program.
+ *
+ * @packageDocumentation
+ */
+
+export * from "./node/command.ts";
--- /dev/null
+++ b/packages/cli/src/node/cliMain.ts
@@ -0,0 +1,11 @@
+/**
+ * Program `magnolialock`, the operators' command line.
+ *
+ * @packageDocumentation
+ */
+
+import "./commands/check.ts";
+import { runCommandLine, runProgram } from "@magnolialock/kernel";
+import { commands } from "./command.ts";
+
+await runProgram(() => runCommandLine({ programName: "magnolialock", commands }));
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -4,7 +4,9 @@
  * @packageDocumentation
  */
 
+export * from "./node/configurationFeed.ts";
 export * from "./node/consulPlatform.ts";
+export * from "./node/processSettings.ts";
 export * from "./node/watchRulesFile.ts";
 export * from "./shared/configurationStore.ts";
 export * from "./shared/controlEvents.ts";
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,19 @@
-/** Placeholder. @packageDocumentation */
-export {};
+/**
+ * The entry: callers' side of the load balancer.
+ *
+ * @packageDocumentation
+ */
+
+import "./shared/policies/adaptive.ts";
+import "./shared/policies/leastOutstanding.ts";
+import "./shared/policies/random.ts";
+import "./shared/policies/roundRobin.ts";
+
+export * from "./node/httpFront.ts";
+export * from "./node/httpServer.ts";
+export * from "./shared/agentPeer.ts";
+export * from "./shared/entry.ts";
+export * from "./shared/entryContext.ts";
+export * from "./shared/entryEvents.ts";
+export * from "./shared/routingPolicy.ts";
+export * from "./types/caller.ts";
--- /dev/null
+++ b/packages/entry/src/shared/agentDirectory.ts
@@ -0,0 +1,93 @@
+/**
+ * All agents that the configuration names.
+ *
+ * @packageDocumentation
+ */
+
+import type { AcceptedConfiguration, ConfigurationStore } from "@magnolialock/control";
+import type { BackendServerId, Runtime, ServiceName } from "@magnolialock/kernel";
+import type { RuleSet } from "@magnolialock/rules";
+import { AgentPeer } from "./agentPeer.ts";
+
+/** Options of an {@link AgentDirectory}. */
+export interface AgentDirectoryOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Name of the entry. */
+    readonly entry: string;
+    /** Configuration in force. */
+    readonly configuration: ConfigurationStore;
+}
+
+/** Keeps one peer for each backend server of the configuration. */
+export class AgentDirectory implements Disposable {
+    private readonly runtime: Runtime;
+    private readonly entry: string;
+    private readonly peers = new Map<BackendServerId, AgentPeer>();
+    private readonly subscription: Disposable;
+    private rules: RuleSet | undefined;
+
+    /** @param options - surroundings and configuration */
+    public constructor(options: AgentDirectoryOptions) {
+        this.runtime = options.runtime;
+        this.entry = options.entry;
+        this.subscription = options.configuration.onChange(configuration => this.update(configuration));
+    }
+
+    /**
+     * Lists the agents of a service that may get new work.
+     *
+     * @param service - the service
+     * @returns peers whose server is neither draining nor in a data centre that is out
+     */
+    public candidates(service: ServiceName): AgentPeer[] {
+        const { rules } = this;
+        if (!rules) {
+            return [];
+        }
+        return [...this.peers.values()].filter(({ rule }) =>
+            rule.service === service
+            && !rules.drainingServers.has(rule.name)
+            && !rules.outDataCentres.has(rule.dataCentre)
+        );
+    }
+
+    /**
+     * Finds the agent beside a backend server.
+     *
+     * @param server - the backend server
+     * @returns the peer, or undefined
+     */
+    public find(server: BackendServerId): AgentPeer | undefined {
+        return this.peers.get(server);
+    }
+
+    /** Ends all watches. */
+    public [Symbol.dispose](): void {
+        this.subscription[Symbol.dispose]();
+        for (const peer of this.peers.values()) {
+            peer[Symbol.dispose]();
+        }
+        this.peers.clear();
+    }
+
+    private update({ rules }: AcceptedConfiguration): void {
+        this.rules = rules;
+        for (const [name, peer] of this.peers) {
+            const rule = rules.servers.get(name);
+            if (!rule || rule.agent !== peer.rule.agent) {
+                peer[Symbol.dispose]();
+                this.peers.delete(name);
+                continue;
+            }
+            peer.rule = rule;
+        }
+        for (const rule of rules.servers.values()) {
+            if (!this.peers.has(rule.name)) {
+                const peer = new AgentPeer({ runtime: this.runtime, entry: this.entry, rule });
+                this.peers.set(rule.name, peer);
+                void peer.watch();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/shared/entry.ts
@@ -0,0 +1,116 @@
+/**
+ * The entry: takes callers' requests and finds backend servers for them.
+ *
+ * @packageDocumentation
+ */
+
+import type { ConfigurationStore } from "@magnolialock/control";
+import { type DataCentreId, type InstanceId, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
+import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
+import { AgentDirectory } from "./agentDirectory.ts";
+import type { EntryContext } from "./entryContext.ts";
+import { entryDraining, entryStarted, entryStopped } from "./entryEvents.ts";
+import { routingPolicies } from "./routingPolicy.ts";
+import { serveRequest } from "./serveRequest.ts";
+
+/** Options of {@link createEntry}. */
+export interface EntryOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Name of the entry. */
+    readonly instance: InstanceId;
+    /** Data centre of the entry. */
+    readonly dataCentre: DataCentreId;
+    /** Configuration in force. */
+    readonly configuration: ConfigurationStore;
+    /** Name of the routing policy. */
+    readonly policy?: string;
+    /** Longest time that a stop waits for running requests, in milliseconds. */
+    readonly drainTimeoutMs?: number;
+}
+
+/** A running entry. */
+export interface Entry extends AsyncDisposable {
+    /** State, for tests and reports. */
+    readonly context: EntryContext;
+    /** Requests that run. */
+    readonly running: number;
+    /** Whether it takes requests: it has a configuration and is not stopping. */
+    readonly isReady: boolean;
+    /**
+     * Serves one request.
+     *
+     * @param request - the request
+     * @param signal - aborts when the caller is gone
+     * @param consume - gets the answer's pieces; the last is `end` or `failed`
+     */
+    serve(request: CallerRequest, signal: AbortSignal, consume: (event: AnswerEvent) => void): Promise<void>;
+    /** Refuses new requests, finishes what runs, and ends. */
+    stop(): Promise<void>;
+}
+
+const DEFAULT_POLICY = "adaptive";
+const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
+const DRAIN_POLL_MS = 20;
+
+/**
+ * Starts an entry.
+ *
+ * @param options - surroundings, identity, configuration and policy
+ * @returns the entry
+ */
+export const createEntry = (options: EntryOptions): Entry => {
+    const { runtime } = options;
+    const scope = new ResourceScope();
+    const agents = scope.use(
+        new AgentDirectory({ runtime, entry: options.instance, configuration: options.configuration }),
+    );
+    const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
+    const context: EntryContext = { ...options, agents, policy };
+    const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
+    let running = 0;
+    let isStopping = false;
+    runtime.events.emit(entryStarted, { dataCentre: options.dataCentre, policy: policy.name });
+
+    const serve: Entry["serve"] = async (request, signal, consume) => {
+        if (isStopping) {
+            const message = "the entry is stopping: send the request again, to another entry";
+            consume({
+                kind: "failed",
+                failure: { code: "stopping", ran: "not run", message, retryAfterMs: 0 },
+            });
+            return;
+        }
+        running++;
+        try {
+            await serveRequest(context, request, signal, consume);
+        }
+        finally {
+            running--;
+        }
+    };
+
+    const stop = async (): Promise<void> => {
+        isStopping = true;
+        runtime.events.emit(entryDraining, { running });
+        const endMs = runtime.clock.nowMs() + drainTimeoutMs;
+        while (running > 0 && runtime.clock.nowMs() < endMs) {
+            await sleep(runtime.clock, DRAIN_POLL_MS);
+        }
+        await scope[Symbol.asyncDispose]();
+        runtime.events.emit(entryStopped, { unfinished: running });
+    };
+
+    return {
+        context,
+        serve,
+        stop,
+        get running() {
+            return running;
+        },
+        get isReady() {
+            return !isStopping && options.configuration.current !== undefined;
+        },
+        [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
+    };
+};
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./node/address.ts";
+export * from "./node/commandLine.ts";
 export * from "./node/debugSink.ts";
 export * from "./node/processRuntime.ts";
 export * from "./node/settings.ts";
@@ -14,6 +15,7 @@
 export * from "./shared/asyncQueue.ts";
 export * from "./shared/brand.ts";
 export * from "./shared/clock.ts";
+export * from "./shared/deferred.ts";
 export * from "./shared/errors.ts";
 export * from "./shared/events.ts";
 export * from "./shared/findings.ts";
@@ -26,3 +28,5 @@
 export * from "./shared/random.ts";
 export * from "./shared/resourceScope.ts";
 export * from "./shared/runtime.ts";
+export * from "./shared/seededFaults.ts";
+export * from "./shared/version.ts";
--- /dev/null
+++ b/packages/lab/src/node/commands/standIn.ts
@@ -0,0 +1,85 @@
+/**
+ * Command `stand-in`: runs one stand-in as a process.
+ *
+ * @packageDocumentation
+ */
+
+import { listenHttp } from "@magnolialock/entry";
+import {
+    createRandomSource,
+    createSystemClock,
+    ExitCode,
+    parseAddress,
+    waitForStopSignal,
+} from "@magnolialock/kernel";
+import type { Hono } from "hono";
+import { match } from "ts-pattern";
+import { EngineModel } from "../../shared/standIns/engineModel.ts";
+import { PlainModel } from "../../shared/standIns/plainModel.ts";
+import { PlatformModel } from "../../shared/standIns/platformModel.ts";
+import { labCommands } from "../labCommands.ts";
+import { createEngineServer } from "../standIns/engineServer.ts";
+import { createPlainServer } from "../standIns/plainServer.ts";
+import { createPlatformServer } from "../standIns/platformServer.ts";
+
+const STAND_INS = ["engine", "plain", "platform"] as const;
+
+interface StandInOptions {
+    readonly seed: number;
+    readonly cold: number;
+    readonly warm: number;
+    readonly startCold: boolean;
+}
+
+const createApp = (kind: typeof STAND_INS[number], options: StandInOptions): Hono => {
+    const clock = createSystemClock();
+    const random = createRandomSource(options.seed);
+    return match(kind)
+        .with("engine", () =>
+            createEngineServer(
+                new EngineModel({
+                    clock,
+                    random,
+                    coldLimit: options.cold,
+                    warmLimit: options.warm,
+                    startsWarm: !options.startCold,
+                }),
+            ))
+        .with("plain", () => createPlainServer(new PlainModel({ clock, random, isCold: options.startCold })))
+        .with("platform", () => createPlatformServer(new PlatformModel({ clock })))
+        .exhaustive();
+};
+
+/** Runs a stand-in until it is told to stop. */
+export const standInCommand = labCommands.register({
+    name: "stand-in",
+    usage: "stand-in <kind>",
+    description: "Run a stand-in of a model engine, a plain service or the platform",
+    builder: yargs =>
+        yargs
+            .positional("kind", { choices: STAND_INS, demandOption: true, describe: "what to stand in for" })
+            .option("listen", { type: "string", demandOption: true, describe: "address to listen on" })
+            .option("seed", { type: "number", default: 1, describe: "seed of the random numbers" })
+            .option("cold", { type: "number", default: 2, describe: "calls that it bears at once when cold" })
+            .option("warm", {
+                type: "number",
+                default: 16,
+                describe: "calls that it bears at once when warm",
+            })
+            .option("start-cold", { type: "boolean", default: false, describe: "start in cold start" }),
+    run: async args => {
+        const app = createApp(args["kind"] as typeof STAND_INS[number], {
+            seed: Number(args["seed"]),
+            cold: Number(args["cold"]),
+            warm: Number(args["warm"]),
+            startCold: Boolean(args["startCold"]),
+        });
+        await using _listener = await listenHttp({
+            app,
+            address: parseAddress(String(args["listen"])),
+            protocol: "http1",
+        });
+        await waitForStopSignal();
+        return ExitCode.Success;
+    },
+});
--- /dev/null
+++ b/packages/lab/src/node/labMain.ts
@@ -0,0 +1,11 @@
+/**
+ * Program `magnolialock-lab`: stand-ins, load and experiments.
+ *
+ * @packageDocumentation
+ */
+
+import "./commands/standIn.ts";
+import { runCommandLine, runProgram } from "@magnolialock/kernel";
+import { labCommands } from "./labCommands.ts";
+
+await runProgram(() => runCommandLine({ programName: "magnolialock-lab", commands: labCommands }));
--- /dev/null
+++ b/packages/lab/src/node/standIns/engineServer.ts
@@ -0,0 +1,87 @@
+/**
+ * HTTP interface of the engine stand-in: OpenAI-style completions with server-sent events.
+ *
+ * @packageDocumentation
+ */
+
+import { AsyncQueue } from "@magnolialock/kernel";
+import { Hono } from "hono";
+import { streamSSE } from "hono/streaming";
+import { z } from "zod";
+import type { EngineModel } from "../../shared/standIns/engineModel.ts";
+
+const MAX_TOKENS = 100_000;
+
+const completionRequest = z.object({
+    prompt: z.string(),
+    max_tokens: z.number().int().min(1).max(MAX_TOKENS).default(16),
+    resume_from_token: z.number().int().min(0).default(0),
+});
+
+type EnginePiece = { readonly kind: "tokens"; readonly texts: readonly string[]; } | {
+    readonly kind: "end";
+};
+
+/**
+ * Creates the interface.
+ *
+ * @param engine - the stand-in
+ * @returns a hono application
+ */
+export const createEngineServer = (engine: EngineModel): Hono => {
+    const app = new Hono();
+    app.get("/load", context =>
+        context.json({
+            running: engine.reportedRunning,
+            waiting: 0,
+            process_id: engine.processId,
+            cached_prefixes: engine.prefixes,
+        }));
+    app.post("/stand-in/:action", context => {
+        const { action } = context.req.param();
+        if (action === "turn-cold") {
+            engine.turnCold();
+        }
+        else if (action === "restart") {
+            engine.restart();
+        }
+        else {
+            return context.text("use turn-cold or restart\n", 404);
+        }
+        return context.text("done\n");
+    });
+    app.post("/v1/completions", async context => {
+        const parsed = completionRequest.safeParse(await context.req.json().catch(() => undefined));
+        if (!parsed.success) {
+            return context.json({ error: { message: z.prettifyError(parsed.error) } }, 400);
+        }
+        const { prompt, max_tokens: totalTokens, resume_from_token: resumeFromToken } = parsed.data;
+        const requestId = context.req.header("x-request-id") ?? "";
+        const pieces = new AsyncQueue<EnginePiece>();
+        const cancel = engine.submit({ requestId, prompt, totalTokens, resumeFromToken }, {
+            onTokens: texts => pieces.push({ kind: "tokens", texts }),
+            onEnd: () => {
+                pieces.push({ kind: "end" });
+                pieces.close();
+            },
+            onBroken: error => pieces.fail(error),
+        });
+        return streamSSE(context, async stream => {
+            stream.onAbort(cancel);
+            for await (const piece of pieces) {
+                if (piece.kind === "end") {
+                    await stream.writeSSE({
+                        data: JSON.stringify({ choices: [{ index: 0, text: "", finish_reason: "length" }] }),
+                    });
+                    await stream.writeSSE({ data: "[DONE]" });
+                    continue;
+                }
+                const chunks = piece.texts.map(text =>
+                    `data: ${JSON.stringify({ choices: [{ index: 0, text, finish_reason: undefined }] })}\n\n`
+                );
+                await stream.write(chunks.join(""));
+            }
+        });
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/lab/src/node/standIns/plainServer.ts
@@ -0,0 +1,41 @@
+/**
+ * HTTP interface of the plain stand-in. It counts its runs by request.
+ *
+ * @packageDocumentation
+ */
+
+import { Hono } from "hono";
+import type { PlainModel } from "../../shared/standIns/plainModel.ts";
+
+/**
+ * Creates the interface.
+ *
+ * @param service - the stand-in
+ * @returns a hono application
+ */
+export const createPlainServer = (service: PlainModel): Hono => {
+    const app = new Hono();
+    app.get("/load", context => context.json({ running: service.running, waiting: 0 }));
+    app.get("/stand-in/runs", context => {
+        const counts = new Map<string, number>();
+        for (const { requestId } of service.runs) {
+            counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+        }
+        return context.json(Object.fromEntries(counts));
+    });
+    app.post("/stand-in/restart", context => {
+        service.restart();
+        return context.text("done\n");
+    });
+    app.all("*", async context => {
+        const url = new URL(context.req.url);
+        const body = await service.call({
+            requestId: context.req.header("x-request-id") ?? "",
+            method: context.req.method,
+            path: `${url.pathname}${url.search}`,
+            body: await context.req.text(),
+        });
+        return context.body(body, 200, { "content-type": "application/json" });
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/lab/src/node/standIns/platformServer.ts
@@ -0,0 +1,82 @@
+/**
+ * HTTP interface of the platform stand-in, as Consul's: a key with blocking queries, and a service catalogue.
+ *
+ * @packageDocumentation
+ */
+
+import { type Revision, splitAddress } from "@magnolialock/kernel";
+import { branded } from "@magnolialock/kernel";
+import { type Context, Hono } from "hono";
+import type { PlatformModel } from "../../shared/standIns/platformModel.ts";
+
+const DEFAULT_WAIT_MS = 300_000;
+
+const readQuery = (context: Context): { readonly index: number | undefined; readonly waitMs: number; } => {
+    const index = context.req.query("index");
+    const wait = /^(\d+)ms$/.exec(context.req.query("wait") ?? "")?.[1];
+    return {
+        index: index === undefined ? undefined : Number(index),
+        waitMs: wait === undefined ? DEFAULT_WAIT_MS : Number(wait),
+    };
+};
+
+const failureText = "the platform is down\n";
+
+/**
+ * Creates the interface.
+ *
+ * @param platform - the stand-in
+ * @returns a hono application
+ */
+export const createPlatformServer = (platform: PlatformModel): Hono => {
+    const app = new Hono();
+    app.onError((_error, context) => context.text(failureText, 500));
+    app.get("/v1/kv/*", async context => {
+        const { index, waitMs } = readQuery(context);
+        const { signal } = context.req.raw;
+        const known = index === undefined ? undefined : branded<Revision>(index);
+        const published = await platform.watchRules(known, waitMs, signal)
+            ?? await platform.watchRules(undefined, 0, signal);
+        if (!published) {
+            return context.text("", 404, { "x-consul-index": "1" });
+        }
+        context.header("x-consul-index", String(published.revision));
+        return context.json([{
+            ModifyIndex: published.revision,
+            Value: Buffer.from(published.bytes).toString("base64"),
+        }]);
+    });
+    app.put("/v1/kv/*", async context => {
+        platform.publish(new Uint8Array(await context.req.arrayBuffer()));
+        return context.json(true);
+    });
+    app.get("/v1/health/service/:name", async context => {
+        const { index, waitMs } = readQuery(context);
+        const { signal } = context.req.raw;
+        const published = await platform.watchInstances(index, waitMs, signal)
+            ?? await platform.watchInstances(undefined, 0, signal);
+        context.header("x-consul-index", String(published?.index ?? 1));
+        return context.json((published?.instances ?? []).map(instance => {
+            const { host, port } = splitAddress(instance.address);
+            return {
+                Service: {
+                    ID: instance.name,
+                    Address: host,
+                    Port: port,
+                    Meta: { role: instance.role, dataCentre: instance.dataCentre },
+                },
+                Checks: [{ Status: instance.isLeaving ? "critical" : "passing" }],
+            };
+        }));
+    });
+    app.get("/stand-in/calls", context => context.json({ calls: platform.callTimesMs.length }));
+    app.post("/stand-in/mode/:mode", context => {
+        const { mode } = context.req.param();
+        if (mode !== "up" && mode !== "down") {
+            return context.text("use up or down\n", 404);
+        }
+        platform.mode = mode;
+        return context.text("done\n");
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -0,0 +1,262 @@
+/**
+ * A fleet of real entries and agents on the virtual clock, before stand-ins of engines, services and platform.
+ *
+ * @packageDocumentation
+ */
+
+import { type Agent, createAgent } from "@magnolialock/agent";
+import { ConfigurationStore, type Platform, watchRules } from "@magnolialock/control";
+import { type AnswerEvent, type CallerRequest, createEntry, type Entry } from "@magnolialock/entry";
+import {
+    type Address,
+    type BackendServerId,
+    branded,
+    createDeferred,
+    createRandomSource,
+    type DataCentreId,
+    type EventSink,
+    type InstanceId,
+    type RandomSource,
+} from "@magnolialock/kernel";
+import {
+    createVirtualRuntime,
+    LinkTable,
+    VirtualClock,
+    VirtualNetwork,
+    type VirtualRuntime,
+} from "@magnolialock/test-support";
+import { EngineModel, type EngineModelOptions } from "../standIns/engineModel.ts";
+import { createEngineBackend, createPlainBackend } from "../standIns/modelBackends.ts";
+import { PlainModel } from "../standIns/plainModel.ts";
+import { PlatformModel } from "../standIns/platformModel.ts";
+import {
+    type FleetChanges,
+    fleetRules,
+    type FleetServer,
+    fleetServers,
+    type FleetShape,
+} from "./fleetRules.ts";
+
+/** Options of {@link VirtualFleet}. */
+export interface VirtualFleetOptions {
+    /** Size of the fleet. */
+    readonly shape: FleetShape;
+    /** Seed of all random numbers. */
+    readonly seed: number;
+    /** Name of the routing policy. */
+    readonly policy?: string;
+    /** Speeds of the engines. */
+    readonly engine?: Partial<EngineModelOptions>;
+    /** Where all processes log. */
+    readonly sinks?: readonly EventSink[];
+}
+
+/** One backend server with its agent. */
+export interface FleetBackend {
+    /** Its rule. */
+    readonly server: FleetServer;
+    /** The engine, for model services. */
+    readonly engine: EngineModel | undefined;
+    /** The service, for plain services. */
+    readonly plain: PlainModel | undefined;
+    /** Surroundings of the agent's present life. */
+    runtime: VirtualRuntime;
+    /** The agent's present life. */
+    agent: Agent;
+}
+
+/** One entry. */
+export interface FleetEntry {
+    /** Its name. */
+    readonly name: string;
+    /** Its data centre. */
+    readonly dataCentre: string;
+    /** Surroundings of its present life. */
+    runtime: VirtualRuntime;
+    /** Its present life. */
+    entry: Entry;
+}
+
+/** Lets a process see a promise's outcome only while it runs. */
+const seenBy = <T>(runtime: VirtualRuntime, promise: Promise<T>): Promise<T> => {
+    const deferred = createDeferred<T>();
+    promise.then(
+        value => runtime.process.run(() => deferred.resolve(value)),
+        (error: unknown) => runtime.process.run(() => deferred.reject(error)),
+    );
+    return deferred.promise;
+};
+
+/** A fleet in one process. */
+export class VirtualFleet {
+    /** Clock of the fleet. */
+    public readonly clock = new VirtualClock();
+    /** Source of random numbers. */
+    public readonly random: RandomSource;
+    /** Links between processes. */
+    public readonly links: LinkTable;
+    /** Network between processes. */
+    public readonly network: VirtualNetwork;
+    /** The platform. */
+    public readonly platform: PlatformModel;
+    /** Backend servers and agents by server name. */
+    public readonly backends = new Map<string, FleetBackend>();
+    /** Entries by name. */
+    public readonly entries = new Map<string, FleetEntry>();
+    private readonly options: VirtualFleetOptions;
+
+    private constructor(options: VirtualFleetOptions) {
+        this.options = options;
+        this.random = createRandomSource(options.seed);
+        this.links = new LinkTable({ random: this.random.fork("links") });
+        this.network = new VirtualNetwork({ clock: this.clock, links: this.links });
+        this.platform = new PlatformModel({ clock: this.clock });
+    }
+
+    /**
+     * Starts a fleet and publishes its rules.
+     *
+     * @param options - size, seed and policy
+     * @returns the fleet
+     */
+    public static async start(options: VirtualFleetOptions): Promise<VirtualFleet> {
+        const fleet = new VirtualFleet(options);
+        fleet.publish();
+        for (const server of fleetServers(options.shape)) {
+            await fleet.addBackend(server);
+        }
+        for (const dataCentre of options.shape.dataCentres) {
+            for (let index = 1; index <= options.shape.entriesPerDataCentre; index++) {
+                fleet.startEntry(`entry-${dataCentre}-${index}`, dataCentre);
+            }
+        }
+        return fleet;
+    }
+
+    /**
+     * Publishes the fleet's rules.
+     *
+     * @param changes - operators' changes
+     */
+    public publish(changes: FleetChanges = {}): void {
+        this.platform.publish(Buffer.from(fleetRules(this.options.shape, changes)));
+    }
+
+    /**
+     * Replaces an agent by a new life; its backend server goes on.
+     *
+     * @param serverName - name of the backend server
+     */
+    public async replaceAgent(serverName: string): Promise<void> {
+        const backend = this.backends.get(serverName);
+        if (backend) {
+            this.network.kill(backend.runtime.endpoint);
+            Object.assign(backend, await this.startAgent(backend.server, backend.engine, backend.plain));
+        }
+    }
+
+    /**
+     * Replaces an entry by a new life.
+     *
+     * @param name - its name
+     */
+    public replaceEntry(name: string): void {
+        const old = this.entries.get(name);
+        if (old) {
+            this.network.kill(old.runtime.endpoint);
+            this.startEntry(name, old.dataCentre);
+        }
+    }
+
+    /**
+     * Sends a caller's request to an entry.
+     *
+     * @param entryName - the entry
+     * @param request - the request
+     * @param consume - gets the answer's pieces
+     * @param signal - aborts when the caller gives up
+     */
+    public async call(
+        entryName: string,
+        request: CallerRequest,
+        consume: (event: AnswerEvent) => void,
+        signal: AbortSignal = new AbortController().signal,
+    ): Promise<void> {
+        const target = this.entries.get(entryName);
+        await target?.entry.serve(request, signal, consume);
+    }
+
+    private platformFor(runtime: VirtualRuntime): Platform {
+        return {
+            watchRules: (...args) => seenBy(runtime, this.platform.watchRules(...args)),
+            watchInstances: (...args) => seenBy(runtime, this.platform.watchInstances(...args)),
+        };
+    }
+
+    private startRuntime(name: string, dataCentre: string): VirtualRuntime {
+        return createVirtualRuntime({
+            name,
+            dataCentre,
+            network: this.network,
+            random: this.random,
+            sinks: this.options.sinks,
+        });
+    }
+
+    private startConfiguration(runtime: VirtualRuntime): ConfigurationStore {
+        const store = new ConfigurationStore({ events: runtime.events });
+        const { signal } = new AbortController();
+        void watchRules({ runtime, store, signal, platform: this.platformFor(runtime) });
+        return store;
+    }
+
+    private async addBackend(server: FleetServer): Promise<void> {
+        const { shape } = this.options;
+        const isModel = server.service === shape.modelService;
+        const limits = isModel ? shape.modelLimits : shape.plainLimits;
+        const common = { clock: this.clock, random: this.random.fork(`backend ${server.name}`) };
+        const engine = isModel
+            ? new EngineModel({
+                ...common,
+                coldLimit: limits.cold,
+                warmLimit: limits.warm,
+                ...this.options.engine,
+            })
+            : undefined;
+        const plain = isModel ? undefined : new PlainModel(common);
+        const life = await this.startAgent(server, engine, plain);
+        this.backends.set(server.name, { server, engine, plain, ...life });
+    }
+
+    private async startAgent(
+        server: FleetServer,
+        engine: EngineModel | undefined,
+        plain: PlainModel | undefined,
+    ): Promise<{ readonly runtime: VirtualRuntime; readonly agent: Agent; }> {
+        const runtime = this.startRuntime(`agent-${server.name}`, server.dataCentre);
+        const deliver = (action: () => void): void => runtime.process.run(action);
+        const backend = engine
+            ? createEngineBackend(engine, deliver)
+            : createPlainBackend(plain as PlainModel, deliver);
+        const agent = await createAgent({
+            runtime,
+            backend,
+            server: branded<BackendServerId>(server.name),
+            listen: branded<Address>(server.agent),
+            configuration: this.startConfiguration(runtime),
+        });
+        return { runtime, agent };
+    }
+
+    private startEntry(name: string, dataCentre: string): void {
+        const runtime = this.startRuntime(name, dataCentre);
+        const entry = createEntry({
+            runtime,
+            instance: branded<InstanceId>(name),
+            dataCentre: branded<DataCentreId>(dataCentre),
+            configuration: this.startConfiguration(runtime),
+            policy: this.options.policy,
+        });
+        this.entries.set(name, { name, dataCentre, runtime, entry });
+    }
+}
--- /dev/null
+++ b/packages/lab/src/shared/standIns/plainModel.ts
@@ -0,0 +1,111 @@
+/**
+ * Stand-in of a plain service, with calls that may not be repeated.
+ *
+ * @packageDocumentation
+ */
+
+import { type Clock, MagnolialockError, type RandomSource, sleep } from "@magnolialock/kernel";
+
+/** One call. */
+export interface PlainRequest {
+    /** Identifier of the caller's request. */
+    readonly requestId: string;
+    /** HTTP method. */
+    readonly method: string;
+    /** Path with query. */
+    readonly path: string;
+    /** Body as text. */
+    readonly body: string;
+}
+
+/** One run, as the service saw it. */
+export interface PlainRun {
+    /** Identifier of the caller's request. */
+    readonly requestId: string;
+    /** When, in milliseconds. */
+    readonly atMs: number;
+    /** Calls that run, with this one. */
+    readonly running: number;
+    /** Whether the service was cold. */
+    readonly isCold: boolean;
+}
+
+/** Options of a {@link PlainModel}. */
+export interface PlainModelOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+    /** Mean service time, in milliseconds. */
+    readonly serviceMs?: number;
+    /** Whether it starts cold. */
+    readonly isCold?: boolean;
+}
+
+const DEFAULT_SERVICE_MS = 8;
+const COLD_SLOWDOWN = 5;
+
+/** The process died while it ran the call; the run counts. */
+export const PlainServiceDiedError = MagnolialockError.subclass("PlainServiceDiedError");
+
+/** A plain service that counts its runs by request. */
+export class PlainModel {
+    /** All runs, for oracles. */
+    public readonly runs: PlainRun[] = [];
+    /** Whether it is in cold start. */
+    public isCold: boolean;
+    private readonly clock: Clock;
+    private readonly random: RandomSource;
+    private readonly serviceMs: number;
+    private life = new AbortController();
+    private runningCount = 0;
+
+    /** @param options - clock and service time */
+    public constructor(options: PlainModelOptions) {
+        this.clock = options.clock;
+        this.random = options.random;
+        this.serviceMs = options.serviceMs ?? DEFAULT_SERVICE_MS;
+        this.isCold = options.isCold ?? false;
+    }
+
+    /** Calls that run. */
+    public get running(): number {
+        return this.runningCount;
+    }
+
+    /**
+     * Runs a call.
+     *
+     * @param request - the call
+     * @returns the body of the answer
+     * @throws PlainServiceDiedError when the service dies meanwhile
+     */
+    public async call(request: PlainRequest): Promise<string> {
+        const { signal } = this.life;
+        this.runningCount++;
+        this.runs.push({
+            requestId: request.requestId,
+            atMs: this.clock.nowMs(),
+            running: this.runningCount,
+            isCold: this.isCold,
+        });
+        const factor = (this.isCold ? COLD_SLOWDOWN : 1) * (0.5 + this.random.nextFloat());
+        try {
+            await sleep(this.clock, this.serviceMs * factor, signal);
+        }
+        catch (error) {
+            throw new PlainServiceDiedError("the service died", { cause: error });
+        }
+        finally {
+            this.runningCount--;
+        }
+        return JSON.stringify({ request_id: request.requestId, path: request.path, body: request.body });
+    }
+
+    /** Dies and starts again, cold; running calls break. */
+    public restart(): void {
+        this.life.abort();
+        this.life = new AbortController();
+        this.isCold = true;
+    }
+}
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -8,7 +8,7 @@
 const programs = {
     "magnolialock-entry": "packages/entry/src/node/entryMain.ts",
     "magnolialock-agent": "packages/agent/src/node/agentMain.ts",
-    "magnolialock": "packages/cli/src/node/cliMain.ts",
+    magnolialock: "packages/cli/src/node/cliMain.ts",
     "magnolialock-lab": "packages/lab/src/node/labMain.ts",
 };
 
@@ -24,8 +24,9 @@
         format: "esm",
         target: "node20",
         external: ["unix-dgram"],
+        define: { "process.env.MAGNOLIALOCK_TEST_BUILD": '"false"' },
         banner: {
-            js: "#!/usr/bin/env node\nimport { createRequire as __createRequire } from \"node:module\";"
+            js: '#!/usr/bin/env node\nimport { createRequire as __createRequire } from "node:module";'
                 + "const require = __createRequire(import.meta.url);",
         },
     });
