feat(lab): add pauses, restarts and cuts of data centres to the virtual fleet

Cause: experiments, scenarios and fuzzing need the same faults by name. Change: VirtualFleet has pause, wake, restartEntry, restartAgent and cutOff (links and platform); createAgent has hasAdmissionControl, which experiments switch off as a baseline.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -33,6 +33,8 @@
     readonly backend: Backend;
     /** Longest time that a stop waits for running work, in milliseconds. */
     readonly drainTimeoutMs?: number;
+    /** Whether calls wait for a slot; only experiments that measure what admission brings switch it off. */
+    readonly hasAdmissionControl?: boolean;
 }
 
 /** A running agent. */
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -25,6 +25,8 @@
     readonly configuration: ConfigurationStore;
     /** The backend server. */
     readonly backend: Backend;
+    /** Whether calls wait for a slot; only experiments that measure what admission brings switch it off. */
+    readonly hasAdmissionControl?: boolean;
 }
 
 /** State of one agent. */
@@ -56,7 +58,7 @@
         this.backend = options.backend;
         this.admission = new AdmissionQueue({
             clock: options.runtime.clock,
-            limit: () => this.rule?.warmLimit ?? 0,
+            limit: () => options.hasAdmissionControl === false ? Infinity : this.rule?.warmLimit ?? 0,
             queueLimit: () => this.rule?.queueLimit ?? 0,
         });
     }
--- a/packages/lab/src/shared/fleet/virtualFleet.ts
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -17,10 +17,12 @@
     type EventSink,
     type InstanceId,
     type RandomSource,
+    UnreachableError,
 } from "@magnolialock/kernel";
 import {
     createVirtualRuntime,
     LinkTable,
+    type ProcessClock,
     VirtualClock,
     VirtualNetwork,
     type VirtualRuntime,
@@ -47,6 +49,8 @@
     readonly policy?: string;
     /** Speeds of the engines. */
     readonly engine?: Partial<EngineModelOptions>;
+    /** Whether the agents control admission; experiments switch it off to measure what it brings. */
+    readonly hasAdmissionControl?: boolean;
     /** Where all processes log. */
     readonly sinks?: readonly EventSink[];
 }
@@ -104,6 +108,7 @@
     /** Entries by name. */
     public readonly entries = new Map<string, FleetEntry>();
     private readonly options: VirtualFleetOptions;
+    private readonly platformCuts = new Set<string>();
 
     private constructor(options: VirtualFleetOptions) {
         this.options = options;
@@ -168,6 +173,80 @@
         }
     }
 
+    /**
+     * Stops an entry as SIGTERM does and starts a new life in its place once it has ended.
+     *
+     * @param name - its name
+     */
+    public async restartEntry(name: string): Promise<void> {
+        const old = this.entries.get(name);
+        if (old) {
+            await old.entry.stop();
+            this.replaceEntry(name);
+        }
+    }
+
+    /**
+     * Stops an agent as SIGTERM does and starts a new life in its place once it has ended.
+     *
+     * @param serverName - name of the backend server
+     */
+    public async restartAgent(serverName: string): Promise<void> {
+        await this.backends.get(serverName)?.agent.stop();
+        await this.replaceAgent(serverName);
+    }
+
+    /**
+     * Finds a process by its name: an entry, a backend server's agent by the server's name.
+     *
+     * @param name - its name
+     * @returns its clock
+     * @throws RangeError when there is none
+     */
+    public processOf(name: string): ProcessClock {
+        const runtime = this.entries.get(name)?.runtime ?? this.backends.get(name)?.runtime;
+        if (!runtime) {
+            throw new RangeError(`the fleet has no process "${name}"`);
+        }
+        return runtime.process;
+    }
+
+    /**
+     * Pauses a process as SIGSTOP does.
+     *
+     * @param name - name of the entry or of the agent's backend server
+     */
+    public pause(name: string): void {
+        this.processOf(name).pause();
+    }
+
+    /**
+     * Wakes a paused process.
+     *
+     * @param name - name of the entry or of the agent's backend server
+     */
+    public wake(name: string): void {
+        this.processOf(name).wake();
+    }
+
+    /**
+     * Cuts a data centre off from the others and from the platform.
+     *
+     * @param dataCentre - its name
+     * @returns a function that heals the cut
+     */
+    public cutOff(dataCentre: string): () => void {
+        const healLinks = this.links.cut(
+            endpoint => endpoint.dataCentre === dataCentre,
+            endpoint => endpoint.dataCentre !== dataCentre,
+        );
+        this.platformCuts.add(dataCentre);
+        return () => {
+            healLinks();
+            this.platformCuts.delete(dataCentre);
+        };
+    }
+
     /**
      * Sends a caller's request to an entry.
      *
@@ -188,9 +267,25 @@
 
     private platformFor(runtime: VirtualRuntime): Platform {
         return {
-            watchRules: (...args) => seenBy(runtime, this.platform.watchRules(...args)),
-            watchInstances: (...args) => seenBy(runtime, this.platform.watchInstances(...args)),
+            watchRules: (...args) =>
+                seenBy(runtime, this.acrossCut(runtime, this.platform.watchRules(...args))),
+            watchInstances: (...args) =>
+                seenBy(runtime, this.acrossCut(runtime, this.platform.watchInstances(...args))),
+        };
+    }
+
+    /** Fails a call to the platform from a data centre that is cut off, at its start or at its end. */
+    private async acrossCut<T>(runtime: VirtualRuntime, answer: Promise<T>): Promise<T> {
+        const requireLink = (): void => {
+            if (this.platformCuts.has(runtime.endpoint.dataCentre)) {
+                throw new UnreachableError("the platform is cut off");
+            }
         };
+        answer.catch(() => {});
+        requireLink();
+        const value = await answer;
+        requireLink();
+        return value;
     }
 
     private startRuntime(name: string, dataCentre: string): VirtualRuntime {
@@ -244,6 +339,7 @@
             server: branded<BackendServerId>(server.name),
             listen: branded<Address>(server.agent),
             configuration: this.startConfiguration(runtime),
+            hasAdmissionControl: this.options.hasAdmissionControl,
         });
         return { runtime, agent };
     }
