feat(lab): measure outage and overload on a virtual fleet

Cause: the decisions under load and faults need a measure before they change. Engines can fall over above a factor of their limit, and plain services warm up.

--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 
+import "./commands/outage.ts";
+import "./commands/overload.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { labCommands } from "./labCommands.ts";
--- /dev/null
+++ b/packages/lab/src/shared/oracle/attemptCounter.ts
@@ -0,0 +1,31 @@
+/**
+ * Counts requests and attempts from the events of the entries.
+ *
+ * @packageDocumentation
+ */
+
+import { attemptSent, requestReceived } from "@magnolialock/entry";
+import type { EventRecord, EventSink } from "@magnolialock/kernel";
+
+/** Event sink that counts. */
+export class AttemptCounter implements EventSink {
+    /** {@inheritDoc @magnolialock/kernel#Plugin.name} */
+    public readonly name = "attempt-counter";
+    private requests = 0;
+    private attempts = 0;
+
+    /** {@inheritDoc @magnolialock/kernel#EventSink.write} */
+    public write({ definition }: EventRecord): void {
+        if (definition === attemptSent) {
+            this.attempts++;
+        }
+        if (definition === requestReceived) {
+            this.requests++;
+        }
+    }
+
+    /** Attempts for each request. */
+    public get amplification(): number {
+        return this.requests === 0 ? 1 : this.attempts / this.requests;
+    }
+}
--- a/packages/lab/src/shared/standIns/engineModel.ts
+++ b/packages/lab/src/shared/standIns/engineModel.ts
@@ -66,6 +66,8 @@
     readonly startsWarm?: boolean;
     /** Age of the load report, in milliseconds. */
     readonly reportLagMs?: number;
+    /** The engine dies when it runs more than its limit times this factor; by default it only slows down. */
+    readonly overloadFactor?: number;
 }
 
 interface Sequence {
@@ -84,6 +86,7 @@
     completionsToWarm: 4,
     startsWarm: true,
     reportLagMs: 500,
+    overloadFactor: Infinity,
 };
 const COLD_SLOWDOWN = 4;
 const PREFIX_CHARACTERS = 64;
@@ -173,6 +176,9 @@
         });
         this.noteLoad();
         this.schedule();
+        if (this.isOverloaded) {
+            this.options.clock.setTimer(0, () => this.restart());
+        }
         return () => {
             this.sequences.delete(sequence);
             this.noteLoad();
@@ -207,6 +213,11 @@
         }
     }
 
+    private get isOverloaded(): boolean {
+        const { coldLimit, warmLimit, overloadFactor } = this.options;
+        return this.running > (this.isCold ? coldLimit : warmLimit) * overloadFactor;
+    }
+
     private prefillMsOf(prompt: string): number {
         const prefix = prompt.slice(0, PREFIX_CHARACTERS);
         const isCached = this.cachedPrefixes.delete(prefix);
--- a/packages/lab/src/shared/standIns/plainModel.ts
+++ b/packages/lab/src/shared/standIns/plainModel.ts
@@ -40,10 +40,13 @@
     readonly serviceMs?: number;
     /** Whether it starts cold. */
     readonly isCold?: boolean;
+    /** Calls that it must finish after a start before it is warm. */
+    readonly completionsToWarm?: number;
 }
 
 const DEFAULT_SERVICE_MS = 8;
 const COLD_SLOWDOWN = 5;
+const DEFAULT_COMPLETIONS_TO_WARM = 20;
 
 /** The process died while it ran the call; the run counts. */
 export const PlainServiceDiedError = MagnolialockError.subclass("PlainServiceDiedError");
@@ -57,8 +60,10 @@
     private readonly clock: Clock;
     private readonly random: RandomSource;
     private readonly serviceMs: number;
+    private readonly completionsToWarm: number;
     private life = new AbortController();
     private runningCount = 0;
+    private completionsSinceCold = 0;
 
     /** @param options - clock and service time */
     public constructor(options: PlainModelOptions) {
@@ -66,6 +71,7 @@
         this.random = options.random;
         this.serviceMs = options.serviceMs ?? DEFAULT_SERVICE_MS;
         this.isCold = options.isCold ?? false;
+        this.completionsToWarm = options.completionsToWarm ?? DEFAULT_COMPLETIONS_TO_WARM;
     }
 
     /** Calls that run. */
@@ -99,6 +105,7 @@
         finally {
             this.runningCount--;
         }
+        this.noteCompletion();
         return JSON.stringify({ request_id: request.requestId, path: request.path, body: request.body });
     }
 
@@ -107,5 +114,13 @@
         this.life.abort();
         this.life = new AbortController();
         this.isCold = true;
+        this.completionsSinceCold = 0;
+    }
+
+    private noteCompletion(): void {
+        this.completionsSinceCold++;
+        if (this.completionsSinceCold >= this.completionsToWarm) {
+            this.isCold = false;
+        }
     }
 }
