--- a/packages/entry/src/shared/serveRequest.ts
+++ b/packages/entry/src/shared/serveRequest.ts
@@ -8,7 +8,13 @@
 import { formatTicket, parseTicket } from "@magnolialock/agent";
 import { branded, type IncarnationId, sleep, timeoutSignal } from "@magnolialock/kernel";
 import { Priority, RefusalReason, type RunRequest, RunRequestSchema } from "@magnolialock/protocol";
-import { type CallRule, findCall, type PriorityClass, type RuleSet } from "@magnolialock/rules";
+import {
+    type CallRule,
+    findCall,
+    PRIORITY_CLASSES,
+    type PriorityClass,
+    type RuleSet,
+} from "@magnolialock/rules";
 import { match } from "ts-pattern";
 import type { AnswerEvent, CallerRequest, Failure } from "../types/caller.ts";
 import type { AgentPeer } from "./agentPeer.ts";
@@ -32,6 +38,10 @@
     batch: Priority.BATCH,
 };
 
+/** A caller may ask for a less urgent class than the rules give, never for a more urgent one. */
+const lessUrgent = (ruled: PriorityClass, asked: PriorityClass | undefined): PriorityClass =>
+    asked !== undefined && PRIORITY_CLASSES.indexOf(asked) > PRIORITY_CLASSES.indexOf(ruled) ? asked : ruled;
+
 /** A request with everything that its attempts share. */
 class ServedRequest {
     public readonly deliveredTexts: string[] = [];
@@ -64,7 +74,7 @@
             clientAccount: caller.account,
             accountWeight: this.rules.accounts.get(caller.account)?.weight ?? 1,
             service: caller.service,
-            priority: PRIORITIES[call.priority],
+            priority: PRIORITIES[lessUrgent(call.priority, caller.priority)],
             remainingMs: Math.floor(this.remainingMs),
             isRepeatable: call.isRepeatable,
             ticket: this.ticket,
--- a/packages/entry/src/types/caller.ts
+++ b/packages/entry/src/types/caller.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ClientAccountId, RequestId, ServiceName } from "@magnolialock/kernel";
+import type { PriorityClass } from "@magnolialock/rules";
 
 /** One request of a caller. */
 export interface CallerRequest {
@@ -23,11 +24,13 @@
     /** Body. */
     readonly body: Uint8Array;
     /** Time that the caller waits, in milliseconds; undefined takes the service's deadline. */
-    readonly timeoutMs?: number;
+    readonly timeoutMs?: number | undefined;
     /** Ticket from an earlier try of the same request. */
-    readonly ticket?: string;
+    readonly ticket?: string | undefined;
     /** The caller's own key for a request that may not be repeated. */
-    readonly idempotencyKey?: string;
+    readonly idempotencyKey?: string | undefined;
+    /** Class that the caller asks for; it never makes a call more urgent than the rules do. */
+    readonly priority?: PriorityClass | undefined;
 }
 
 /** Whether a failed request ran. */
@@ -36,6 +39,7 @@
 /** Stable codes of failures. */
 export type FailureCode =
     | "bad-request"
+    | "too-large"
     | "unauthorized"
     | "unknown-service"
     | "rate-limited"
