--- a/playground/shared/localFleet.ts
+++ b/playground/shared/localFleet.ts
@@ -9,14 +9,9 @@
     fleetServers,
     type FleetShape,
 } from "@magnolialock/lab";
-import { type ChildProcess, spawn } from "node:child_process";
-import { createServer } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
+import { freePorts, ProcessGroup, waitUntilReady } from "./processes.ts";
 
 const HOST = "127.0.0.1";
-const READY_TIMEOUT_MS = 15_000;
-const READY_POLL_MS = 50;
-const STOP_TIMEOUT_MS = 10_000;
 
 /** Options of {@link startLocalFleet}. */
 export interface LocalFleetOptions {
@@ -58,64 +53,6 @@
     publish(changes: FleetChanges): Promise<void>;
 }
 
-/** Reserves free ports by binding them for a moment. */
-const freePorts = async (count: number): Promise<number[]> => {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-        return server;
-    }));
-    const ports = servers.map(server => (server.address() as { readonly port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-};
-
-const waitUntilReady = async (url: string): Promise<void> => {
-    const endMs = Date.now() + READY_TIMEOUT_MS;
-    while (Date.now() < endMs) {
-        const isReady = await fetch(url).then(response => response.ok, () => false);
-        if (isReady) {
-            return;
-        }
-        await delay(READY_POLL_MS);
-    }
-    throw new Error(`${url} is not ready after ${READY_TIMEOUT_MS} ms`);
-};
-
-/** Starts processes and ends exactly those. */
-class ProcessGroup implements AsyncDisposable {
-    private readonly processes: ChildProcess[] = [];
-
-    public constructor(private readonly showLogs: boolean) {}
-
-    public get size(): number {
-        return this.processes.length;
-    }
-
-    public start(program: string, args: readonly string[]): ChildProcess {
-        const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
-            stdio: ["ignore", this.showLogs ? "inherit" : "ignore", this.showLogs ? "inherit" : "ignore"],
-        });
-        this.processes.push(child);
-        return child;
-    }
-
-    public async [Symbol.asyncDispose](): Promise<void> {
-        await Promise.all(this.processes.map(child => this.stop(child)));
-    }
-
-    private async stop(child: ChildProcess): Promise<void> {
-        if (child.exitCode !== null || child.signalCode !== null) {
-            return;
-        }
-        const exited = new Promise(resolve => child.once("exit", resolve));
-        child.kill("SIGTERM");
-        const timer = setTimeout(() => child.kill("SIGKILL"), STOP_TIMEOUT_MS);
-        await exited;
-        clearTimeout(timer);
-    }
-}
-
 /**
  * Starts a fleet: the platform, one stand-in and one agent for each backend server, and the entries.
  *
@@ -124,7 +61,7 @@
  */
 export const startLocalFleet = async (options: LocalFleetOptions): Promise<LocalFleet> => {
     const { shape, seed } = options;
-    const group = new ProcessGroup(options.showLogs ?? false);
+    const group = new ProcessGroup({ showLogs: options.showLogs ?? false });
     const serverCount = shape.modelReplicas + shape.plainReplicas;
     const entryCount = shape.dataCentres.length * shape.entriesPerDataCentre;
     const ports = await freePorts(1 + serverCount * 2 + entryCount * 2);
