feat(rules): let a service line tell the longest time of a warm server

Cause: an agent has to tell a warm backend server from a cold one, and nothing in its own view gives the absolute speed. A learned reference is wrong beside a server that never was warm in the agent's life. Change: service lines take warm-time=..., between two tokens for models, for the whole answer for plain services; the lab's fleet rules set it (50 ms and 16 ms). Without it agents learn the time from the best seen. Conclusion: a written time is the only proof that holds for a fresh agent; learning stays as the fallback.

--- a/packages/lab/src/shared/fleet/fleetRules.ts
+++ b/packages/lab/src/shared/fleet/fleetRules.ts
@@ -121,8 +121,8 @@
     const limitsOf = (service: string) => service === modelService ? shape.modelLimits : shape.plainLimits;
     const lines = [
         ...shape.dataCentres.map(name => `data-centre ${name} region=nordeste`),
-        `service ${modelService} kind=model deadline=60s`,
-        `service ${plainService} kind=plain deadline=5s`,
+        `service ${modelService} kind=model deadline=60s warm-time=50ms`,
+        `service ${plainService} kind=plain deadline=5s warm-time=16ms`,
         ...fleetServers(shape, agentAddress).map(({ name, service, dataCentre, agent }) => {
             const { cold, warm } = limitsOf(service);
             return `server ${name} service=${service} data-centre=${dataCentre} agent=${agent} cold=${cold} warm=${warm}`;
--- a/packages/rules/src/types/ruleSet.ts
+++ b/packages/rules/src/types/ruleSet.ts
@@ -35,6 +35,11 @@
     readonly kind: "model" | "plain";
     /** Deadline of a call that names none, in milliseconds. */
     readonly deadlineMs: number;
+    /**
+     * Longest time that a warm server takes, in milliseconds: between two tokens of a model service, for the whole
+     * answer of a plain service. Undefined where the rules tell none; agents then learn it.
+     */
+    readonly warmTimeMs: number | undefined;
 }
 
 /** A backend server and what it bears. */
