feat(agent): number tickets by issuer

Change: the format is t2.<server>.<incarnation>.<issuer>.<counter>; TicketIssuer mints it. The entry holds a TicketIssuer in its context. For the owners of packages/entry: mint through context.tickets only. Conclusion: the old nonce is gone; a nonce with a time was ruled out, for clocks of entries may jump.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -5,19 +5,12 @@
  */
 
 import type { ConfigurationStore } from "@magnolialock/control";
-import {
-    type Address,
-    type BackendServerId,
-    branded,
-    type IncarnationId,
-    ResourceScope,
-    type Runtime,
-    sleep,
-} from "@magnolialock/kernel";
+import { type Address, type BackendServerId, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
 import type { Backend } from "../types/backend.ts";
 import { AgentContext } from "./agentContext.ts";
 import { agentDraining, agentStarted, agentStopped } from "./agentEvents.ts";
 import { createAgentService } from "./agentService.ts";
+import { newIncarnation } from "./incarnation.ts";
 
 /** Options of {@link createAgent}. */
 export interface AgentOptions {
@@ -46,13 +39,6 @@
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const DRAIN_POLL_MS = 20;
 
-const newIncarnation = (runtime: Runtime): IncarnationId =>
-    branded<IncarnationId>(
-        `${Math.floor(runtime.clock.wallMs()).toString(36)}-${
-            runtime.random.nextInt(0, 0x7fffffff).toString(36)
-        }`,
-    );
-
 /**
  * Starts an agent.
  *
--- a/packages/agent/src/shared/ticket.ts
+++ b/packages/agent/src/shared/ticket.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 
-import { type BackendServerId, branded, type IncarnationId } from "@magnolialock/kernel";
+import { type BackendServerId, branded, type IncarnationId, type Runtime } from "@magnolialock/kernel";
+import { newIncarnation } from "./incarnation.ts";
 
 /** Contents of a ticket. */
 export interface Ticket {
@@ -12,11 +13,14 @@
     readonly server: BackendServerId;
     /** Life of the agent that may run it. */
     readonly incarnation: IncarnationId;
-    /** Part that makes the ticket unique. */
-    readonly nonce: string;
+    /** Life of the process that minted the ticket. */
+    readonly issuer: string;
+    /** Number of the ticket among those of its issuer, from 1. */
+    readonly counter: number;
 }
 
-const TICKET_PATTERN = /^t1\.([a-z0-9-]+)\.([A-Za-z0-9-]+)\.([A-Za-z0-9-]+)$/;
+const MAX_INSTANCE_CHARACTERS = 48;
+const TICKET_PATTERN = /^t2\.([a-z0-9-]+)\.([A-Za-z0-9-]+)\.([A-Za-z0-9-]{1,80})\.([1-9][0-9]{0,14})$/;
 
 /**
  * Writes a ticket.
@@ -25,7 +29,7 @@
  * @returns its text
  */
 export const formatTicket = (ticket: Ticket): string =>
-    `t1.${ticket.server}.${ticket.incarnation}.${ticket.nonce}`;
+    `t2.${ticket.server}.${ticket.incarnation}.${ticket.issuer}.${ticket.counter}`;
 
 /**
  * Reads a ticket.
@@ -38,10 +42,38 @@
     if (!parts) {
         return undefined;
     }
-    const [, server = "", incarnation = "", nonce = ""] = parts;
+    const [, server = "", incarnation = "", issuer = "", counter = ""] = parts;
     return {
         server: branded<BackendServerId>(server),
         incarnation: branded<IncarnationId>(incarnation),
-        nonce,
+        issuer,
+        counter: Number(counter),
     };
 };
+
+/** Mints tickets whose counters rise, so that agents can forget old ones by a low-water mark. */
+export class TicketIssuer {
+    private readonly issuer: string;
+    private counter = 0;
+
+    /**
+     * @param runtime - clock and random numbers that make the issuer unique
+     * @param instance - name of the process
+     */
+    public constructor(runtime: Runtime, instance: string) {
+        const name = instance.replace(/[^A-Za-z0-9-]/g, "-").slice(0, MAX_INSTANCE_CHARACTERS);
+        this.issuer = `${name}-${newIncarnation(runtime)}`;
+    }
+
+    /**
+     * Mints a ticket.
+     *
+     * @param server - backend server that may run the request
+     * @param incarnation - life of the agent that may run it
+     * @returns the text of the ticket
+     */
+    public mint(server: BackendServerId, incarnation: IncarnationId): string {
+        this.counter++;
+        return formatTicket({ server, incarnation, issuer: this.issuer, counter: this.counter });
+    }
+}
--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { TicketIssuer } from "@magnolialock/agent";
 import type { ConfigurationStore } from "@magnolialock/control";
 import { type DataCentreId, type InstanceId, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
 import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
@@ -66,7 +67,8 @@
         new AgentDirectory({ runtime, entry: options.instance, configuration: options.configuration }),
     );
     const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
-    const context: EntryContext = { ...options, agents, policy };
+    const tickets = new TicketIssuer(runtime, options.instance);
+    const context: EntryContext = { ...options, agents, policy, tickets };
     const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
     let running = 0;
     let isStopping = false;
--- a/packages/entry/src/shared/entryContext.ts
+++ b/packages/entry/src/shared/entryContext.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { TicketIssuer } from "@magnolialock/agent";
 import type { ConfigurationStore } from "@magnolialock/control";
 import type { DataCentreId, InstanceId, Runtime } from "@magnolialock/kernel";
 import type { AgentDirectory } from "./agentDirectory.ts";
@@ -23,4 +24,6 @@
     readonly agents: AgentDirectory;
     /** Chooses the agent of an attempt. */
     readonly policy: RoutingPolicy;
+    /** Mints tickets of requests that may not be repeated. */
+    readonly tickets: TicketIssuer;
 }
--- a/packages/entry/src/shared/serveRequest.ts
+++ b/packages/entry/src/shared/serveRequest.ts
@@ -5,7 +5,7 @@
  */
 
 import { create } from "@bufbuild/protobuf";
-import { formatTicket, parseTicket } from "@magnolialock/agent";
+import { parseTicket } from "@magnolialock/agent";
 import { branded, type IncarnationId, sleep, timeoutSignal } from "@magnolialock/kernel";
 import { Priority, RefusalReason, type RunRequest, RunRequestSchema } from "@magnolialock/protocol";
 import { type CallRule, findCall, type PriorityClass, type RuleSet } from "@magnolialock/rules";
@@ -102,14 +102,7 @@
         if (incarnation === undefined) {
             return false;
         }
-        const nonce = `${this.context.instance}-${
-            this.context.runtime.random.nextInt(0, 0x7fffffff).toString(36)
-        }`;
-        this.ticket = formatTicket({
-            server: peer.rule.name,
-            incarnation: branded<IncarnationId>(incarnation),
-            nonce: `${nonce}-${this.context.runtime.events.hybridClock.tick().wallMs.toString(36)}`,
-        });
+        this.ticket = this.context.tickets.mint(peer.rule.name, branded<IncarnationId>(incarnation));
         return true;
     }
 
