feat(control): record when the configuration was last confirmed current

Cause: a process that was paused must not act on a configuration that may be outdated. Change: ConfigurationStore has confirmedAtMs, confirm(atMs) and onConfirmed(listener); times are on the process's monotonic clock, and are those of the question, not of the answer. Blocking watches last 5 s instead of 30 s, so that a quiet platform still confirms. Seeded fault control.accept-lower-revision. Conclusion: agents can refuse after a detected pause until store.confirmedAtMs is at or after the wake-up. A platform that fell back to an older value confirms nothing.

--- a/packages/control/src/node/watchRulesFile.ts
+++ b/packages/control/src/node/watchRulesFile.ts
@@ -34,6 +34,7 @@
     let lastRevision = 0;
     while (!signal.aborted) {
         try {
+            const askedAtMs = runtime.clock.nowMs();
             const bytes = await readFile(path);
             const hash = contentHash(bytes);
             if (hash !== lastHash) {
@@ -42,6 +43,7 @@
                 lastRevision = Math.max(Math.floor(mtimeMs), lastRevision + 1);
                 store.offer(branded<Revision>(lastRevision), bytes, "file");
             }
+            store.confirm(askedAtMs);
         }
         catch (error) {
             runtime.events.emit(platformUnreachable, { what: path, error: errorMessage(error) });
--- /dev/null
+++ b/packages/control/src/shared/__tests__/configurationStore.spec.ts
@@ -0,0 +1,46 @@
+import { branded, EventLog, type Revision, seedFaults } from "@magnolialock/kernel";
+import { VirtualClock } from "@magnolialock/test-support";
+import test from "ava";
+import { ConfigurationStore } from "../configurationStore.ts";
+
+const revision = (value: number): Revision => branded<Revision>(value);
+const good = (name: string): Uint8Array => Buffer.from(`data-centre ${name} region=nordeste # ana\n`);
+const bad = Buffer.from("nonsense\n");
+
+const createStore = (): ConfigurationStore =>
+    new ConfigurationStore({ events: new EventLog({ clock: new VirtualClock(), instance: "test" }) });
+
+test.serial("a lower revision never replaces a higher one", t => {
+    const store = createStore();
+    t.is(store.offer(revision(9), good("recife"), "test"), "accepted");
+    t.is(store.offer(revision(7), good("natal"), "test"), "old");
+    t.is(Number(store.current?.revision), 9);
+});
+
+test.serial("the seeded fault lets a lower revision in, so the test above can fail", t => {
+    using _fault = seedFaults(["control.accept-lower-revision"]);
+    const store = createStore();
+    store.offer(revision(9), good("recife"), "test");
+    t.is(store.offer(revision(7), good("natal"), "test"), "accepted");
+});
+
+test.serial("a rejected revision leaves the accepted one in force", t => {
+    const store = createStore();
+    store.offer(revision(9), good("recife"), "test");
+    t.is(store.offer(revision(10), bad, "test"), "rejected");
+    t.is(Number(store.current?.revision), 9);
+    t.is(Number(store.rejected?.revision), 10);
+    t.true((store.rejected?.findings.length ?? 0) > 0);
+});
+
+test.serial("a confirmation only moves forward and is announced once", t => {
+    const store = createStore();
+    const seen: number[] = [];
+    using _subscription = store.onConfirmed(atMs => seen.push(atMs));
+    store.confirm(100);
+    store.confirm(50);
+    store.confirm(100);
+    store.confirm(120);
+    t.deepEqual(seen, [100, 120]);
+    t.is(store.confirmedAtMs, 120);
+});
--- a/packages/control/src/shared/configurationStore.ts
+++ b/packages/control/src/shared/configurationStore.ts
@@ -4,8 +4,15 @@
  * @packageDocumentation
  */
 
-import { contentHash, type EventLog, type Finding, formatFinding, type Revision } from "@magnolialock/kernel";
-import { parseRules, type RuleSet } from "@magnolialock/rules";
+import {
+    contentHash,
+    type EventLog,
+    type Finding,
+    formatFinding,
+    isFaultSeeded,
+    type Revision,
+} from "@magnolialock/kernel";
+import { type ParsedRules, parseRules, type RuleSet } from "@magnolialock/rules";
 import { configurationAccepted, configurationRejected } from "./controlEvents.ts";
 
 /** A configuration that every instance accepts. */
@@ -34,22 +41,34 @@
 /** Called after each change of the configuration in force. */
 export type ConfigurationListener = (configuration: AcceptedConfiguration) => void;
 
+/** Called after each confirmation, with its time on the process's monotonic clock in milliseconds. */
+export type ConfirmationListener = (confirmedAtMs: number) => void;
+
+/** Parser of rule files: a pure function of the bytes, so its results can be shared. */
+export type RulesParser = (bytes: Uint8Array, contentHash: string) => ParsedRules;
+
 /** Options of a {@link ConfigurationStore}. */
 export interface ConfigurationStoreOptions {
     /** Event log of the process. */
     readonly events: EventLog;
+    /** Parser of rule files. */
+    readonly parse?: RulesParser;
 }
 
 /** Holds the newest accepted configuration and the newest rejected one. */
 export class ConfigurationStore {
     private readonly events: EventLog;
+    private readonly parse: RulesParser;
     private readonly listeners = new Set<ConfigurationListener>();
+    private readonly confirmationListeners = new Set<ConfirmationListener>();
+    private confirmedMs: number | undefined;
     private accepted: AcceptedConfiguration | undefined;
     private newestRejected: RejectedConfiguration | undefined;
 
-    /** @param options - event log */
+    /** @param options - event log and parser */
     public constructor(options: ConfigurationStoreOptions) {
         this.events = options.events;
+        this.parse = options.parse ?? (bytes => parseRules(bytes));
     }
 
     /** Configuration in force, if any. */
@@ -62,6 +81,41 @@
         return this.newestRejected;
     }
 
+    /**
+     * Time of the newest evidence that no revision above the known ones existed, on the process's monotonic clock
+     * in milliseconds; undefined before the first evidence. The evidence is an answer of the platform or of
+     * several peers to a question that was sent at this time or later.
+     */
+    public get confirmedAtMs(): number | undefined {
+        return this.confirmedMs;
+    }
+
+    /**
+     * Records evidence that the known revisions are the newest.
+     *
+     * @param atMs - when the question was sent, on the process's monotonic clock in milliseconds
+     */
+    public confirm(atMs: number): void {
+        if (this.confirmedMs !== undefined && atMs <= this.confirmedMs) {
+            return;
+        }
+        this.confirmedMs = atMs;
+        for (const listener of [...this.confirmationListeners]) {
+            listener(atMs);
+        }
+    }
+
+    /**
+     * Listens for confirmations that are newer than the last one.
+     *
+     * @param listener - what to call
+     * @returns disposing it ends the calls
+     */
+    public onConfirmed(listener: ConfirmationListener): Disposable {
+        this.confirmationListeners.add(listener);
+        return { [Symbol.dispose]: () => void this.confirmationListeners.delete(listener) };
+    }
+
     /**
      * Offers a revision. Parsing is a pure function of the bytes, so all instances decide alike.
      *
@@ -71,16 +125,17 @@
      * @returns what became of it
      */
     public offer(revision: Revision, bytes: Uint8Array, source: string): OfferOutcome {
-        if (this.accepted && revision <= this.accepted.revision) {
+        if (this.isOld(revision)) {
             return "old";
         }
-        const parsed = parseRules(bytes);
+        const hash = contentHash(bytes);
+        const parsed = this.parse(bytes, hash);
         if (parsed.kind === "rejected") {
             this.reject({ revision, findings: parsed.findings }, source);
             return "rejected";
         }
-        this.accepted = { revision, contentHash: contentHash(bytes), bytes, rules: parsed.rules };
-        this.events.emit(configurationAccepted, { revision, contentHash: this.accepted.contentHash, source });
+        this.accepted = { revision, contentHash: hash, bytes, rules: parsed.rules };
+        this.events.emit(configurationAccepted, { revision, contentHash: hash, source });
         for (const listener of [...this.listeners]) {
             listener(this.accepted);
         }
@@ -101,6 +156,11 @@
         return { [Symbol.dispose]: () => void this.listeners.delete(listener) };
     }
 
+    private isOld(revision: Revision): boolean {
+        return this.accepted !== undefined && revision <= this.accepted.revision
+            && !isFaultSeeded("control.accept-lower-revision");
+    }
+
     private reject(rejected: RejectedConfiguration, source: string): void {
         if (this.newestRejected && rejected.revision <= this.newestRejected.revision) {
             return;
--- a/packages/control/src/shared/watchRules.ts
+++ b/packages/control/src/shared/watchRules.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { errorMessage, isAborted, type Runtime, sleep } from "@magnolialock/kernel";
+import { errorMessage, isAborted, type Revision, type Runtime, sleep } from "@magnolialock/kernel";
 import type { Platform } from "../types/platform.ts";
 import type { ConfigurationStore } from "./configurationStore.ts";
 import { platformUnreachable } from "./controlEvents.ts";
@@ -22,7 +22,7 @@
 }
 
 /** Longest wait of one watch, in milliseconds. */
-const WATCH_WAIT_MS = 30_000;
+const WATCH_WAIT_MS = 5_000;
 /** Shortest and longest time between failed reads, in milliseconds. */
 const MIN_BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 5_000;
@@ -35,14 +35,19 @@
 export const watchRules = async (options: WatchRulesOptions): Promise<void> => {
     const { runtime, platform, store, signal } = options;
     let backoffMs = MIN_BACKOFF_MS;
-    let known;
+    let known: Revision | undefined;
     while (!signal.aborted) {
         try {
+            const askedAtMs = runtime.clock.nowMs();
             const published = await platform.watchRules(known, WATCH_WAIT_MS, signal);
             if (published) {
                 known = published.revision;
                 store.offer(published.revision, published.bytes, "platform");
             }
+            // A platform that fell back to an older value is no evidence.
+            if (known !== undefined && known >= (store.current?.revision ?? 0)) {
+                store.confirm(askedAtMs);
+            }
             backoffMs = MIN_BACKOFF_MS;
         }
         catch (error) {
