feat(agent): report how many entries watch the agent

Cause: entries share the limits of client accounts and need to know how many they are. Change: AgentState.watching_entries counts the entries with a watch; an entry with two watches counts once.

--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -12,6 +12,7 @@
 import { AdmissionQueue } from "./admissionQueue.ts";
 import { RefusedError } from "./refusedError.ts";
 import { RequestJournal } from "./requestJournal.ts";
+import { WatchingEntries } from "./watchingEntries.ts";
 
 /** Options of an {@link AgentContext}. */
 export interface AgentContextOptions {
@@ -45,6 +46,8 @@
     public readonly admission: AdmissionQueue;
     /** What became of requests that may not be repeated. */
     public readonly journal = new RequestJournal();
+    /** Entries that watch this agent. */
+    public readonly watchingEntries = new WatchingEntries();
     /** Reason given when the backend server itself refused. */
     public readonly backendRefusedReason = RefusalReason.BACKEND_REFUSED;
     private isStopping = false;
--- a/packages/agent/src/shared/agentService.ts
+++ b/packages/agent/src/shared/agentService.ts
@@ -128,6 +128,7 @@
     running: context.admission.running,
     queued: context.admission.queued,
     isDraining: context.isDraining,
+    watchingEntries: context.watchingEntries.count,
     sequence,
 });
 
@@ -137,6 +138,7 @@
     signal: AbortSignal,
 ): AsyncGenerator<MessageInitShape<typeof AgentStateSchema>> {
     const periodMs = Math.max(request.periodMs, MIN_REPORT_PERIOD_MS);
+    using _watch = context.watchingEntries.enter(request.entry);
     for (let sequence = 0n; !signal.aborted; sequence++) {
         yield describeState(context, sequence);
         await sleep(context.runtime.clock, periodMs, signal).catch(() => {});
