feat(entry): route by cost, retry within a budget, recall before answering

Change: costs of way, queue and prefix choose the agent, with bounded-load rendezvous hashing, ejection by own traffic and a ramp for returned servers; retries take from a tenth of the successes; requests that may not be repeated follow a chain of tickets and are recalled when the answer is missing; status reads are hedged; events that are not the attempt's own are dropped and counted; account limits are shared by the entries; a paused entry expires its views; a stop answers what is left at the end of the drain.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -11,6 +11,7 @@
 
 export * from "./node/httpFront.ts";
 export * from "./node/httpServer.ts";
+export * from "./shared/accountLimiter.ts";
 export * from "./shared/agentPeer.ts";
 export * from "./shared/entry.ts";
 export * from "./shared/entryContext.ts";
--- a/packages/entry/src/shared/agentDirectory.ts
+++ b/packages/entry/src/shared/agentDirectory.ts
@@ -5,8 +5,8 @@
  */
 
 import type { AcceptedConfiguration, ConfigurationStore } from "@magnolialock/control";
-import type { BackendServerId, Runtime, ServiceName } from "@magnolialock/kernel";
-import type { RuleSet } from "@magnolialock/rules";
+import { type BackendServerId, isFaultSeeded, type Runtime, type ServiceName } from "@magnolialock/kernel";
+import type { RuleSet, ServerRule } from "@magnolialock/rules";
 import { AgentPeer } from "./agentPeer.ts";
 
 /** Options of an {@link AgentDirectory}. */
@@ -19,6 +19,10 @@
     readonly configuration: ConfigurationStore;
 }
 
+const isInService = (rules: RuleSet, { name, dataCentre }: ServerRule): boolean =>
+    isFaultSeeded("entry.ignore-out")
+    || !rules.drainingServers.has(name) && !rules.outDataCentres.has(dataCentre);
+
 /** Keeps one peer for each backend server of the configuration. */
 export class AgentDirectory implements Disposable {
     private readonly runtime: Runtime;
@@ -38,17 +42,15 @@
      * Lists the agents of a service that may get new work.
      *
      * @param service - the service
-     * @returns peers whose server is neither draining nor in a data centre that is out
+     * @returns peers whose server is neither draining nor leaving nor in a data centre that is out
      */
     public candidates(service: ServiceName): AgentPeer[] {
         const { rules } = this;
         if (!rules) {
             return [];
         }
-        return [...this.peers.values()].filter(({ rule }) =>
-            rule.service === service
-            && !rules.drainingServers.has(rule.name)
-            && !rules.outDataCentres.has(rule.dataCentre)
+        return [...this.peers.values()].filter(peer =>
+            peer.rule.service === service && isInService(rules, peer.rule) && !peer.state?.isDraining
         );
     }
 
@@ -62,6 +64,16 @@
         return this.peers.get(server);
     }
 
+    /** Agents that the configuration names. */
+    public all(): AgentPeer[] {
+        return [...this.peers.values()];
+    }
+
+    /** Treats everything that agents have reported as expired. */
+    public expireViews(): void {
+        this.peers.forEach(peer => peer.renew());
+    }
+
     /** Ends all watches. */
     public [Symbol.dispose](): void {
         this.subscription[Symbol.dispose]();
@@ -72,6 +84,7 @@
     }
 
     private update({ rules }: AcceptedConfiguration): void {
+        const previous = this.rules;
         this.rules = rules;
         for (const [name, peer] of this.peers) {
             const rule = rules.servers.get(name);
@@ -80,6 +93,9 @@
                 this.peers.delete(name);
                 continue;
             }
+            if (previous && !isInService(previous, peer.rule) && isInService(rules, rule)) {
+                peer.beginRamp();
+            }
             peer.rule = rule;
         }
         for (const rule of rules.servers.values()) {
--- a/packages/entry/src/shared/attempt.ts
+++ b/packages/entry/src/shared/attempt.ts
@@ -4,110 +4,35 @@
  * @packageDocumentation
  */
 
-import { ConnectError } from "@connectrpc/connect";
-import { branded, type RequestId } from "@magnolialock/kernel";
-import { type Refused, type RunEvent, type RunRequest } from "@magnolialock/protocol";
-import type { AnswerEvent } from "../types/caller.ts";
+import { errorMessage, type Runtime } from "@magnolialock/kernel";
+import type { RunRequest } from "@magnolialock/protocol";
 import type { AgentPeer } from "./agentPeer.ts";
+import { type AnswerConsumer, AnswerReader, type AttemptOutcome } from "./answerReader.ts";
 
-/** How an attempt ended. */
-export type AttemptOutcome =
-    | { readonly kind: "answered"; }
-    | { readonly kind: "refused"; readonly refused: Refused; }
-    | { readonly kind: "unknown"; readonly message: string; }
-    | { readonly kind: "unreachable"; readonly message: string; };
-
-/** Takes the pieces of an answer in order. */
-export type AnswerConsumer = (event: AnswerEvent) => void;
-
-const isOwn = (event: RunEvent, request: RunRequest): boolean =>
-    branded<RequestId>(event.requestId) === request.requestId && event.attempt === request.attempt;
-
-/** Checks order and completeness of one attempt's events. */
-class AnswerReader {
-    public outcome: AttemptOutcome | undefined;
-    private nextSequence = 0;
-    private nextToken: number;
-    private bodyBytes = 0;
-
-    public constructor(private readonly request: RunRequest, private readonly consume: AnswerConsumer) {
-        this.nextToken = request.resumeFromToken;
-    }
-
-    public read(event: RunEvent): void {
-        if (!isOwn(event, this.request) || event.sequence < this.nextSequence) {
-            return;
-        }
-        this.nextSequence = event.sequence + 1;
-        const payload = event.event;
-        switch (payload.case) {
-            case "head":
-                this.consume({
-                    kind: "head",
-                    status: payload.value.status,
-                    headers: payload.value.headers.map(({ name, value }) => [name, value] as const),
-                });
-                break;
-            case "tokens":
-                this.readTokens(payload.value.firstToken, payload.value.texts);
-                break;
-            case "body":
-                this.bodyBytes += payload.value.bytes.length;
-                this.consume({ kind: "body", bytes: payload.value.bytes });
-                break;
-            case "end":
-                this.readEnd(payload.value.totalTokens, payload.value.bodyBytes, payload.value.finishReason);
-                break;
-            case "refused":
-                this.outcome = { kind: "refused", refused: payload.value };
-                break;
-            case "unknown":
-                this.outcome = { kind: "unknown", message: payload.value.message };
-                break;
-            case "admitted":
-            case undefined:
-                break;
-        }
-    }
-
-    private readTokens(firstToken: number, texts: readonly string[]): void {
-        if (firstToken !== this.nextToken) {
-            this.outcome = { kind: "unknown", message: `token ${this.nextToken} is missing` };
-            return;
-        }
-        this.nextToken += texts.length;
-        this.consume({ kind: "tokens", texts });
-    }
-
-    private readEnd(totalTokens: number, bodyBytes: bigint, finishReason: string): void {
-        if (totalTokens !== this.nextToken || Number(bodyBytes) !== this.bodyBytes) {
-            this.outcome = { kind: "unknown", message: "the answer is shorter than its end says" };
-            return;
-        }
-        this.consume({ kind: "end", finishReason });
-        this.outcome = { kind: "answered" };
-    }
+/** Options of {@link runAttempt}. */
+export interface AttemptOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Agent to call. */
+    readonly peer: AgentPeer;
+    /** The attempt. */
+    readonly request: RunRequest;
+    /** Gives the attempt up. */
+    readonly signal: AbortSignal;
+    /** Gets the pieces of the answer. */
+    readonly consume: AnswerConsumer;
 }
 
-/**
- * Runs one attempt.
- *
- * @param peer - agent to call
- * @param request - the attempt
- * @param signal - gives the attempt up
- * @param consume - gets the pieces of the answer
- * @returns how it ended
- */
-export const runAttempt = async (
-    peer: AgentPeer,
-    request: RunRequest,
-    signal: AbortSignal,
-    consume: AnswerConsumer,
-): Promise<AttemptOutcome> => {
-    const reader = new AnswerReader(request, consume);
-    peer.ownRunning++;
+const readAnswer = async (options: AttemptOptions, onEvent: () => void): Promise<AttemptOutcome> => {
+    const { peer, request, runtime, signal } = options;
+    const reader = new AnswerReader(options);
+    const sentMs = runtime.clock.nowMs();
     try {
         for await (const event of peer.session.run(request, signal)) {
+            onEvent();
+            if (event.event.case === "admitted") {
+                peer.noteRoundTrip(runtime.clock.nowMs() - sentMs - event.event.value.queuedMs);
+            }
             reader.read(event);
             if (reader.outcome) {
                 return reader.outcome;
@@ -116,9 +41,26 @@
         return { kind: "unreachable", message: "the agent's answer ended early" };
     }
     catch (error) {
-        return { kind: "unreachable", message: ConnectError.from(error).message };
+        return { kind: "unreachable", message: errorMessage(error) };
+    }
+};
+
+/**
+ * Runs one attempt.
+ *
+ * @param options - agent, attempt and who gets the answer
+ * @returns how it ended
+ */
+export const runAttempt = async (options: AttemptOptions): Promise<AttemptOutcome> => {
+    const { peer, signal } = options;
+    const tracked = peer.beginAttempt();
+    let outcome: AttemptOutcome | undefined;
+    try {
+        outcome = await readAnswer(options, () => tracked.noteEvent());
+        return outcome;
     }
     finally {
-        peer.ownRunning--;
+        const isFailure = outcome?.kind === "unreachable" || outcome?.kind === "unknown";
+        tracked.end(isFailure && !signal.aborted ? "failed" : "ended");
     }
 };
--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -6,11 +6,21 @@
 
 import { TicketIssuer } from "@magnolialock/agent";
 import type { ConfigurationStore } from "@magnolialock/control";
-import { type DataCentreId, type InstanceId, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
+import {
+    type DataCentreId,
+    type InstanceId,
+    PauseDetector,
+    ResourceScope,
+    type Runtime,
+    sleep,
+} from "@magnolialock/kernel";
 import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
+import { AccountLimiter, type EntryCount } from "./accountLimiter.ts";
 import { AgentDirectory } from "./agentDirectory.ts";
 import type { EntryContext } from "./entryContext.ts";
-import { entryDraining, entryStarted, entryStopped } from "./entryEvents.ts";
+import { entryDraining, entryPaused, entryStarted, entryStopped } from "./entryEvents.ts";
+import { LiveEntryCount } from "./liveEntryCount.ts";
+import { RetryBudget } from "./retryBudget.ts";
 import { routingPolicies } from "./routingPolicy.ts";
 import { serveRequest } from "./serveRequest.ts";
 
@@ -26,6 +36,8 @@
     readonly configuration: ConfigurationStore;
     /** Name of the routing policy. */
     readonly policy?: string;
+    /** How many entries share the limits of client accounts; by default what the agents report. */
+    readonly entryCount?: EntryCount;
     /** Longest time that a stop waits for running requests, in milliseconds. */
     readonly drainTimeoutMs?: number;
 }
@@ -68,7 +80,30 @@
     );
     const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
     const tickets = new TicketIssuer(runtime, options.instance);
-    const context: EntryContext = { ...options, agents, policy, tickets };
+    const pauseDetector = scope.use(
+        new PauseDetector({
+            clock: runtime.clock,
+            onPause: gapMs => {
+                runtime.events.emit(entryPaused, { gapMs: Math.round(gapMs) });
+                agents.expireViews();
+            },
+        }),
+    );
+    const stopping = new AbortController();
+    const entryCount = options.entryCount ?? new LiveEntryCount(agents);
+    const context: EntryContext = {
+        ...options,
+        agents,
+        policy,
+        tickets,
+        pauseDetector,
+        stopSignal: stopping.signal,
+        accountLimiter: new AccountLimiter({ clock: runtime.clock, entryCount }),
+        retryBudgets: {
+            urgent: new RetryBudget({ clock: runtime.clock }),
+            ordinary: new RetryBudget({ clock: runtime.clock }),
+        },
+    };
     const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
     let running = 0;
     let isStopping = false;
@@ -85,7 +120,7 @@
         }
         running++;
         try {
-            await serveRequest(context, request, signal, consume);
+            await serveRequest(context, request, AbortSignal.any([signal, stopping.signal]), consume);
         }
         finally {
             running--;
@@ -99,8 +134,12 @@
         while (running > 0 && runtime.clock.nowMs() < endMs) {
             await sleep(runtime.clock, DRAIN_POLL_MS);
         }
+        const unfinished = running;
+        stopping.abort();
+        // The tasks that were given up answer their callers before their peers go away.
+        await sleep(runtime.clock, 0);
         await scope[Symbol.asyncDispose]();
-        runtime.events.emit(entryStopped, { unfinished: running });
+        runtime.events.emit(entryStopped, { unfinished });
     };
 
     return {
--- a/packages/entry/src/shared/entryContext.ts
+++ b/packages/entry/src/shared/entryContext.ts
@@ -6,8 +6,10 @@
 
 import type { TicketIssuer } from "@magnolialock/agent";
 import type { ConfigurationStore } from "@magnolialock/control";
-import type { DataCentreId, InstanceId, Runtime } from "@magnolialock/kernel";
+import type { DataCentreId, InstanceId, PauseDetector, Runtime } from "@magnolialock/kernel";
+import type { AccountLimiter } from "./accountLimiter.ts";
 import type { AgentDirectory } from "./agentDirectory.ts";
+import type { RetryBudget } from "./retryBudget.ts";
 import type { RoutingPolicy } from "./routingPolicy.ts";
 
 /** State of one entry. */
@@ -26,4 +28,12 @@
     readonly policy: RoutingPolicy;
     /** Mints tickets of requests that may not be repeated. */
     readonly tickets: TicketIssuer;
+    /** Limits of the client accounts. */
+    readonly accountLimiter: AccountLimiter;
+    /** Retries that may be made: of bookings and status reads, and of all other requests. */
+    readonly retryBudgets: { readonly urgent: RetryBudget; readonly ordinary: RetryBudget; };
+    /** Notices that the process was paused. */
+    readonly pauseDetector: PauseDetector;
+    /** Aborts when the longest drain of a stop is over. */
+    readonly stopSignal: AbortSignal;
 }
--- a/packages/entry/src/shared/entryEvents.ts
+++ b/packages/entry/src/shared/entryEvents.ts
@@ -85,3 +85,27 @@
     level: "info",
     summary: "The state of an agent can be read.",
 });
+
+/** An event of an answer was dropped. */
+export const answerDropped = defineEvent({
+    number: 3030,
+    name: "entry.answer.dropped",
+    level: "warning",
+    summary: "An agent sent a late, duplicated or crossed piece of an answer; it was dropped.",
+});
+
+/** A recall has learnt what became of a request. */
+export const requestRecalled = defineEvent({
+    number: 3031,
+    name: "entry.request.recalled",
+    level: "info",
+    summary: "An attempt got no answer and its agent said what became of the request.",
+});
+
+/** The entry was paused. */
+export const entryPaused = defineEvent({
+    number: 3040,
+    name: "entry.process.paused",
+    level: "warning",
+    summary: "The process did not run for a while; its views of the agents are expired.",
+});
--- a/packages/entry/src/shared/routingPolicy.ts
+++ b/packages/entry/src/shared/routingPolicy.ts
@@ -15,6 +15,8 @@
     readonly random: RandomSource;
     /** Key of the prompt's prefix; empty if unknown. */
     readonly prefixKey: string;
+    /** Size of the request's body, which tells how long a prompt takes to compute. */
+    readonly bodyBytes: number;
 }
 
 /** Chooses among candidates that may get new work. */
--- a/packages/lab/src/shared/fleet/virtualFleet.ts
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -262,7 +262,13 @@
         signal: AbortSignal = new AbortController().signal,
     ): Promise<void> {
         const target = this.entries.get(entryName);
-        await target?.entry.serve(request, signal, consume);
+        if (!target) {
+            return;
+        }
+        const { runtime, entry } = target;
+        const served = createDeferred<void>();
+        runtime.process.run(() => entry.serve(request, signal, consume).then(served.resolve, served.reject));
+        await served.promise;
     }
 
     private platformFor(runtime: VirtualRuntime): Platform {
