feat(agent): hold admission, warmth, pauses and at-most-once in the agent

Cause: the agent admitted up to the warm limit whatever the state of its backend server, kept every answer for ever, and did not notice its own pauses. Judging warmth by whole completions only was ruled out: a draft takes seconds, and tokens show the speed every 25 ms.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -4,28 +4,35 @@
  * @packageDocumentation
  */
 
-import type { ConfigurationStore } from "@magnolialock/control";
-import { type Address, type BackendServerId, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
-import type { Backend } from "../types/backend.ts";
-import { AgentContext } from "./agentContext.ts";
-import { agentDraining, agentStarted, agentStopped } from "./agentEvents.ts";
+import {
+    AbortedError,
+    type Address,
+    errorMessage,
+    ResourceScope,
+    type Runtime,
+    sleep,
+} from "@magnolialock/kernel";
+import { AgentContext, type AgentContextOptions } from "./agentContext.ts";
+import {
+    agentAddressTaken,
+    agentDraining,
+    agentHandedOver,
+    agentStarted,
+    agentStopped,
+} from "./agentEvents.ts";
 import { createAgentService } from "./agentService.ts";
 import { newIncarnation } from "./incarnation.ts";
+import { watchLoad } from "./watchLoad.ts";
+import { watchMetrics } from "./watchMetrics.ts";
 
 /** Options of {@link createAgent}. */
-export interface AgentOptions {
-    /** Surroundings of the process. */
-    readonly runtime: Runtime;
-    /** Backend server that the agent stands beside. */
-    readonly server: BackendServerId;
+export interface AgentOptions extends Omit<AgentContextOptions, "incarnation"> {
     /** Address to listen on. */
     readonly listen: Address;
-    /** Configuration in force. */
-    readonly configuration: ConfigurationStore;
-    /** The backend server. */
-    readonly backend: Backend;
     /** Longest time that a stop waits for running work, in milliseconds. */
     readonly drainTimeoutMs?: number;
+    /** Gives up the wait for the address. */
+    readonly signal?: AbortSignal;
 }
 
 /** A running agent. */
@@ -38,6 +45,55 @@
 
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const DRAIN_POLL_MS = 20;
+/** Time for the last answers to reach the entries when calls were cut short, in milliseconds. */
+const LAST_ANSWERS_MS = 500;
+/** Time between two attempts to listen on a taken address, in milliseconds. */
+const LISTEN_RETRY_MS = 200;
+
+const isAddressTaken = (error: unknown): boolean =>
+    (error instanceof Error && "code" in error && error.code === "EADDRINUSE")
+    || errorMessage(error).includes("EADDRINUSE");
+
+/** Listens; while another process has the address, waits until it is free. */
+const listenWhenFree = async (options: AgentOptions, context: AgentContext): Promise<AsyncDisposable> => {
+    const { network, clock, events } = options.runtime;
+    for (let attempt = 1;; attempt++) {
+        try {
+            return await network.listen(options.listen, [createAgentService(context)]);
+        }
+        catch (error) {
+            if (!isAddressTaken(error)) {
+                throw error;
+            }
+            if (attempt === 1) {
+                events.emit(agentAddressTaken, { address: options.listen });
+            }
+        }
+        await sleep(clock, LISTEN_RETRY_MS, options.signal);
+    }
+};
+
+/** Waits until nothing runs or the time is over. */
+const waitUntilIdle = async (runtime: Runtime, context: AgentContext, timeoutMs: number): Promise<void> => {
+    const endMs = runtime.clock.nowMs() + timeoutMs;
+    while (context.admission.running > 0 && runtime.clock.nowMs() < endMs) {
+        await sleep(runtime.clock, DRAIN_POLL_MS);
+    }
+};
+
+/** Finishes what runs; what is left after the longest time is ended, so that entries resume it elsewhere. */
+const drain = async (runtime: Runtime, context: AgentContext, timeoutMs: number): Promise<void> => {
+    context.beginStop();
+    runtime.events.emit(agentDraining, { running: context.admission.running, timeoutMs });
+    await waitUntilIdle(runtime, context, timeoutMs);
+    const unfinished = context.admission.running;
+    if (unfinished > 0) {
+        runtime.events.emit(agentHandedOver, { unfinished });
+        context.ending.abort(new AbortedError("the agent has stopped before the call ended"));
+        await waitUntilIdle(runtime, context, LAST_ANSWERS_MS);
+    }
+    runtime.events.emit(agentStopped, { unfinished });
+};
 
 /**
  * Starts an agent.
@@ -47,22 +103,26 @@
  */
 export const createAgent = async (options: AgentOptions): Promise<Agent> => {
     const { runtime } = options;
-    const context = new AgentContext({ ...options, incarnation: newIncarnation(runtime) });
     const scope = new ResourceScope();
-    scope.use(options.configuration.onChange(() => context.admission.admitWaiting()));
-    scope.use(await runtime.network.listen(options.listen, [createAgentService(context)]));
+    const context = scope.use(new AgentContext({ ...options, incarnation: newIncarnation(runtime) }));
+    const tasks = new AbortController();
+    scope.defer(() => tasks.abort());
+    scope.use(options.configuration.onChange(() => context.noteConfiguration()));
+    try {
+        scope.use(await listenWhenFree(options, context));
+    }
+    catch (error) {
+        await scope[Symbol.asyncDispose]();
+        throw error;
+    }
+    context.inherited.begin();
+    void watchLoad(context, tasks.signal);
+    void watchMetrics(context, tasks.signal);
     runtime.events.emit(agentStarted, { server: options.server, incarnation: context.incarnation });
-    const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
-
     const stop = async (): Promise<void> => {
-        context.beginStop();
-        runtime.events.emit(agentDraining, { running: context.admission.running });
-        const endMs = runtime.clock.nowMs() + drainTimeoutMs;
-        while (context.admission.running > 0 && runtime.clock.nowMs() < endMs) {
-            await sleep(runtime.clock, DRAIN_POLL_MS);
-        }
+        await drain(runtime, context, options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS);
+        context.endReports();
         await scope[Symbol.asyncDispose]();
-        runtime.events.emit(agentStopped, { unfinished: context.admission.running });
     };
     return { context, stop, [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose]() };
 };
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -7,11 +7,20 @@
 import type { ConfigurationStore } from "@magnolialock/control";
 import type { BackendServerId, IncarnationId, Runtime, ServiceName } from "@magnolialock/kernel";
 import { RefusalReason, type RunRequest } from "@magnolialock/protocol";
-import type { ServerRule } from "@magnolialock/rules";
+import type { ServerRule, ServiceRule } from "@magnolialock/rules";
 import type { Backend } from "../types/backend.ts";
 import { AdmissionQueue } from "./admissionQueue.ts";
+import { RunningCalls } from "./callMeter.ts";
+import type { ConfigurationFreshness } from "./configurationFreshness.ts";
+import { InheritedLoad } from "./inheritedLoad.ts";
+import { LatencyLimit } from "./latencyLimit.ts";
 import { RefusedError } from "./refusedError.ts";
 import { RequestJournal } from "./requestJournal.ts";
+import { ServiceSpeed } from "./serviceSpeed.ts";
+import { ServiceTimes } from "./serviceTimes.ts";
+import { StartGate } from "./startGate.ts";
+import { StateFeed } from "./stateFeed.ts";
+import { WarmthLease } from "./warmthLease.ts";
 
 /** Options of an {@link AgentContext}. */
 export interface AgentContextOptions {
@@ -25,10 +34,22 @@
     readonly configuration: ConfigurationStore;
     /** The backend server. */
     readonly backend: Backend;
+    /** Tells whether the configuration may be acted on; by default follows the store's confirmations. */
+    readonly freshness?: ConfigurationFreshness | undefined;
+    /** Asks for a confirmation of the configuration after a pause. */
+    readonly requestConfirmation?: (() => void) | undefined;
 }
 
+/** Completions at warm speed that prove a cold server warm, by a written and by a learned warm time. */
+const PROOFS_BY_WRITTEN_TIME = 3;
+const PROOFS_BY_LEARNED_TIME = 16;
+/** Longest call while the rules name no service, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 60_000;
+
+const QUEUE_TIME_SMOOTHING = 0.2;
+
 /** State of one agent. */
-export class AgentContext {
+export class AgentContext implements Disposable {
     /** Surroundings of the process. */
     public readonly runtime: Runtime;
     /** Backend server that the agent stands beside. */
@@ -39,13 +60,34 @@
     public readonly configuration: ConfigurationStore;
     /** The backend server. */
     public readonly backend: Backend;
+    /** Checks before every start. */
+    public readonly gate: StartGate;
+    /** Measured service times. */
+    public readonly serviceTimes = new ServiceTimes();
+    /** Speed of a warm server. */
+    public readonly speed: ServiceSpeed;
+    /** Belief that the backend server is warm. */
+    public readonly lease: WarmthLease;
+    /** Limit by measured latency. */
+    public readonly latencyLimit: LatencyLimit;
+    /** Calls of the last incarnation. */
+    public readonly inherited: InheritedLoad;
+    /** Running calls and their measurements. */
+    public readonly calls: RunningCalls;
     /** Calls that run and wait. */
     public readonly admission: AdmissionQueue;
     /** What became of requests that may not be repeated. */
-    public readonly journal = new RequestJournal();
-    /** Reason given when the backend server itself refused. */
-    public readonly backendRefusedReason = RefusalReason.BACKEND_REFUSED;
-    private isStopping = false;
+    public readonly journal: RequestJournal;
+    /** Wakes the tasks that report the state. */
+    public readonly stateFeed: StateFeed;
+    /** Aborts when the longest time of a stop is over. */
+    public readonly ending = new AbortController();
+    /** Aborts when the reports to entries end. */
+    public readonly reportsEnd = new AbortController();
+    /** Prompt prefixes in the backend server's cache, by its last report. */
+    public cachedPrefixes: readonly string[] = [];
+    private smoothedQueueMs = 0;
+    private reportedState = "";
 
     /** @param options - surroundings, identity and backend server */
     public constructor(options: AgentContextOptions) {
@@ -54,10 +96,40 @@
         this.incarnation = options.incarnation;
         this.configuration = options.configuration;
         this.backend = options.backend;
+        const { clock, events } = options.runtime;
+        const onChange = (): void => this.noteLimitChange();
+        this.stateFeed = new StateFeed(clock);
+        this.journal = new RequestJournal({ clock });
+        this.gate = new StartGate({ ...options, onPause: () => this.notePause() });
+        this.speed = new ServiceSpeed(() => this.serviceRule?.warmTimeMs);
+        this.lease = new WarmthLease({
+            clock,
+            events,
+            onChange,
+            limits: () => ({ coldLimit: this.rule?.coldLimit ?? 0, warmLimit: this.rule?.warmLimit ?? 0 }),
+            proofsNeeded: () => this.speed.isWritten ? PROOFS_BY_WRITTEN_TIME : PROOFS_BY_LEARNED_TIME,
+        });
+        this.latencyLimit = new LatencyLimit({ clock, warmTimeMs: () => this.speed.warmTimeMs });
+        this.inherited = new InheritedLoad({
+            clock,
+            events,
+            onChange,
+            boundMs: () => this.serviceRule?.deadlineMs ?? DEFAULT_DEADLINE_MS,
+        });
+        this.calls = new RunningCalls({
+            clock,
+            speed: this.speed,
+            lease: this.lease,
+            latencyLimit: this.latencyLimit,
+            serviceTimes: this.serviceTimes,
+        });
         this.admission = new AdmissionQueue({
-            clock: options.runtime.clock,
-            limit: () => this.rule?.warmLimit ?? 0,
+            clock,
+            serviceTimes: this.serviceTimes,
+            limit: () => this.limit,
             queueLimit: () => this.rule?.queueLimit ?? 0,
+            checkStart: () => this.gate.check(),
+            onChange: () => this.noteStateChange(),
         });
     }
 
@@ -66,21 +138,46 @@
         return this.configuration.current?.rules.servers.get(this.server);
     }
 
-    /** Whether new work is refused. */
-    public get isDraining(): boolean {
-        const rules = this.configuration.current?.rules;
-        const { rule } = this;
-        return this.isStopping
-            || (rules !== undefined && rule !== undefined
-                && (rules.drainingServers.has(this.server) || rules.outDataCentres.has(rule.dataCentre)));
+    /** Rule of the backend server's service, if the configuration knows it. */
+    public get serviceRule(): ServiceRule | undefined {
+        const service = this.rule?.service;
+        return service === undefined ? undefined : this.configuration.current?.rules.services.get(service);
+    }
+
+    /** Own calls that may run at once now. */
+    public get limit(): number {
+        this.calls.checkSilence();
+        const borne = this.latencyLimit.under(this.lease.limit);
+        return Math.max(0, borne - this.inherited.count);
+    }
+
+    /** Recent time in the queue, in milliseconds. */
+    public get queueMs(): number {
+        return this.smoothedQueueMs;
+    }
+
+    /**
+     * Notes how long a started call waited.
+     *
+     * @param queuedMs - time in the queue, in milliseconds
+     */
+    public noteQueueTime(queuedMs: number): void {
+        this.smoothedQueueMs += QUEUE_TIME_SMOOTHING * (queuedMs - this.smoothedQueueMs);
     }
 
     /** Refuses new work from now on, for good. */
     public beginStop(): void {
-        this.isStopping = true;
+        this.gate.beginStop();
         this.admission.refuseWaiting(
             new RefusedError("the agent is stopping", { props: { reason: RefusalReason.DRAINING } }),
         );
+        this.noteStateChange();
+    }
+
+    /** Ends the reports to entries, so that their connections can close. */
+    public endReports(): void {
+        this.reportsEnd.abort();
+        this.stateFeed.announce();
     }
 
     /**
@@ -105,10 +202,55 @@
                 props: { reason: RefusalReason.NOT_READY },
             });
         }
-        if (this.isDraining) {
-            throw new RefusedError("the backend server is draining", {
-                props: { reason: RefusalReason.DRAINING },
-            });
+        this.gate.check();
+    }
+
+    /** Acts on a new configuration: what may no longer start is refused at once. */
+    public noteConfiguration(): void {
+        if (this.gate.isDraining) {
+            this.admission.refuseWaiting(
+                new RefusedError("the backend server is draining", {
+                    props: { reason: RefusalReason.DRAINING },
+                }),
+            );
+        }
+        this.noteLimitChange();
+    }
+
+    /** Ends the detection of pauses. */
+    public [Symbol.dispose](): void {
+        this.gate[Symbol.dispose]();
+    }
+
+    private notePause(): void {
+        this.lease.fall("pause");
+        this.admission.refuseWaiting(
+            new RefusedError("the agent was paused while the call waited", {
+                props: { reason: RefusalReason.NOT_READY, retryAfterMs: this.admission.retryAfterMs() },
+            }),
+        );
+        this.noteStateChange();
+    }
+
+    private noteLimitChange(): void {
+        this.admission.refuseLate();
+        this.admission.admitWaiting();
+        this.noteStateChange();
+    }
+
+    /** Wakes the reports when something changed that entries should know at once. */
+    private noteStateChange(): void {
+        const { gate, configuration } = this;
+        const state = [
+            this.lease.warmth,
+            this.limit,
+            gate.isDraining,
+            gate.isFresh,
+            configuration.current?.revision ?? 0,
+        ].join(" ");
+        if (state !== this.reportedState) {
+            this.reportedState = state;
+            this.stateFeed.announce();
         }
     }
 }
--- /dev/null
+++ b/packages/agent/src/shared/stateFeed.ts
@@ -0,0 +1,46 @@
+/**
+ * Tells the tasks that report the agent's state when it has changed.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock } from "@magnolialock/kernel";
+
+/** Wakes waiting tasks at changes. */
+export class StateFeed {
+    private readonly waiters = new Set<() => void>();
+    private readonly clock: Clock;
+
+    /** @param clock - source of time */
+    public constructor(clock: Clock) {
+        this.clock = clock;
+    }
+
+    /** Wakes all waiting tasks. */
+    public announce(): void {
+        for (const wake of [...this.waiters]) {
+            wake();
+        }
+    }
+
+    /**
+     * Waits for the next change.
+     *
+     * @param timeoutMs - longest wait, in milliseconds
+     * @param signal - ends the wait early
+     * @returns a promise that resolves in all three cases
+     */
+    public waitForChange(timeoutMs: number, signal: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            const wake = (): void => {
+                timer.cancel();
+                this.waiters.delete(wake);
+                signal.removeEventListener("abort", wake);
+                resolve();
+            };
+            const timer = this.clock.setTimer(timeoutMs, wake);
+            this.waiters.add(wake);
+            signal.addEventListener("abort", wake, { once: true });
+        });
+    }
+}
--- /dev/null
+++ b/packages/agent/src/shared/watchLoad.ts
@@ -0,0 +1,63 @@
+/**
+ * Task that reads the backend server's load reports.
+ *
+ * @packageDocumentation
+ */
+
+import { errorMessage, sleep, timeoutSignal } from "@magnolialock/kernel";
+import type { BackendLoad } from "../types/backend.ts";
+import type { AgentContext } from "./agentContext.ts";
+import { backendRestarted, loadUnreadable } from "./agentEvents.ts";
+
+const PERIOD_MS = 250;
+const READ_TIMEOUT_MS = 1_000;
+
+const readLoad = async (context: AgentContext, signal: AbortSignal): Promise<BackendLoad> => {
+    using timeout = timeoutSignal(context.runtime.clock, READ_TIMEOUT_MS, signal);
+    return await context.backend.readLoad(timeout.signal);
+};
+
+/** Takes what a report says; returns the identifier of the backend server's process. */
+const noteLoad = (
+    context: AgentContext,
+    load: BackendLoad,
+    askedMs: number,
+    lastProcessId: string | undefined,
+): string | undefined => {
+    const isRestarted = lastProcessId !== undefined && load.processId !== undefined
+        && load.processId !== lastProcessId;
+    if (isRestarted) {
+        context.runtime.events.emit(backendRestarted, { processId: load.processId });
+        context.lease.fall("new process");
+        context.inherited.settle();
+    }
+    context.inherited.noteReport(load, askedMs, context.admission.running);
+    context.cachedPrefixes = load.cachedPrefixes;
+    return load.processId ?? lastProcessId;
+};
+
+/**
+ * Reads load reports until the signal aborts.
+ *
+ * @param context - the agent
+ * @param signal - ends the task
+ */
+export const watchLoad = async (context: AgentContext, signal: AbortSignal): Promise<void> => {
+    const { clock, events } = context.runtime;
+    let processId: string | undefined;
+    let isReadable = true;
+    while (!signal.aborted) {
+        const askedMs = clock.nowMs();
+        try {
+            processId = noteLoad(context, await readLoad(context, signal), askedMs, processId);
+            isReadable = true;
+        }
+        catch (error) {
+            if (isReadable && !signal.aborted) {
+                events.emit(loadUnreadable, { error: errorMessage(error) });
+            }
+            isReadable = false;
+        }
+        await sleep(clock, PERIOD_MS, signal).catch(() => {});
+    }
+};
--- a/packages/agent/src/types/backend.ts
+++ b/packages/agent/src/types/backend.ts
@@ -68,7 +68,9 @@
 }
 
 /** The backend server surely did not start the call. */
-export const BackendRefusedError = MagnolialockError.subclass("BackendRefusedError");
+export const BackendRefusedError = MagnolialockError.subclass("BackendRefusedError", {
+    props: { isReachable: true },
+});
 
 /** The connection broke; the call may have run. */
 export const BackendBrokenError = MagnolialockError.subclass("BackendBrokenError");
