--- a/packages/entry/src/shared/peerCost.ts
+++ b/packages/entry/src/shared/peerCost.ts
@@ -4,11 +4,14 @@
  * @packageDocumentation
  */
 
+import { Warmth } from "@magnolialock/protocol";
 import type { AgentPeer } from "./agentPeer.ts";
 import type { RoutingContext } from "./routingPolicy.ts";
 
 /** Load up to which a request is expected to start at once. */
 const FREE_LOAD = 0.9;
+/** How much longer a cold server takes. */
+const COLD_SLOWDOWN = 4;
 /** Time of a request for the queue's length where none was reported, in milliseconds. */
 const DEFAULT_LATENCY_MS = 50;
 /** Round trips before one was measured, in milliseconds. */
@@ -27,7 +30,10 @@
  */
 export const loadOf = (peer: AgentPeer): number => {
     const limit = peer.state?.limit ?? peer.rule.coldLimit;
-    return (peer.estimatedCalls + 1) / Math.max(1, limit * peer.rampShare);
+    const { estimatedCalls } = peer;
+    // What waits before a cold server takes longer than the same share of a warm one's limit.
+    const slowdown = peer.state?.warmth === Warmth.COLD && estimatedCalls >= limit ? COLD_SLOWDOWN : 1;
+    return slowdown * (estimatedCalls + 1) / Math.max(1, limit * peer.rampShare);
 };
 
 const queueMsOf = (peer: AgentPeer): number => {
--- a/packages/entry/src/shared/servedRequest.ts
+++ b/packages/entry/src/shared/servedRequest.ts
@@ -112,6 +112,12 @@
         return this.priority === "status" || this.priority === "booking";
     }
 
+    /** An answer that has begun goes before those that have not: its caller already reads it. */
+    private get attemptPriority(): Priority {
+        const priority = PRIORITIES[this.priority];
+        return this.hasTokens ? Math.min(priority, Priority.BOOKING) : priority;
+    }
+
     /**
      * Chooses an agent that has not failed the request yet.
      *
@@ -164,7 +170,7 @@
             clientAccount: caller.account,
             accountWeight: this.rules.accounts.get(caller.account)?.weight ?? 1,
             service: caller.service,
-            priority: PRIORITIES[this.priority],
+            priority: this.attemptPriority,
             remainingMs: Math.max(1, Math.floor(this.remainingMs - ANSWER_MARGIN_MS)),
             isRepeatable: call.isRepeatable,
             ticket,
--- a/packages/lab/src/shared/load/experimentFleet.ts
+++ b/packages/lab/src/shared/load/experimentFleet.ts
@@ -9,7 +9,7 @@
 import { VirtualFleet } from "../fleet/virtualFleet.ts";
 import { AttemptCounter } from "../oracle/attemptCounter.ts";
 import type { CallRecord } from "./callRecord.ts";
-import { EXPERIMENT_ENGINE } from "./experimentSize.ts";
+import { draftsPerS, EXPERIMENT_ENGINE, loadByWeight } from "./experimentSize.ts";
 import { type AccountLoad, LoadGenerator } from "./loadGenerator.ts";
 import type { Variant } from "./variants.ts";
 
@@ -31,6 +31,38 @@
     readonly act: (fleet: VirtualFleet) => void;
 }
 
+/** Time in which agents prove that their servers are warm, before anything is measured, in milliseconds. */
+export const WARM_UP_MS = 20_000;
+
+const LINK_UP_MS = 1_500;
+const FIRST_WARM_UP_MS = 8_500;
+/** Load over the capacity of the fleet while all agents hold the cold limit, and then. */
+const FIRST_WARM_UP_RATIO = 0.12;
+const SECOND_WARM_UP_RATIO = 0.4;
+
+/**
+ * Plans the load of the warm-up.
+ *
+ * @param shape - size of the fleet
+ * @param plainCallsPerS - bookings per second; as many status reads come with them
+ * @returns the phases
+ */
+export const warmUpPhases = (shape: FleetShape, plainCallsPerS: number): LoadPhase[] => {
+    const capacityPerS = shape.modelReplicas * draftsPerS(shape.modelLimits.warm, false);
+    return [
+        {
+            fromMs: LINK_UP_MS,
+            durationMs: FIRST_WARM_UP_MS - LINK_UP_MS,
+            accounts: loadByWeight(shape, FIRST_WARM_UP_RATIO * capacityPerS, plainCallsPerS),
+        },
+        {
+            fromMs: FIRST_WARM_UP_MS,
+            durationMs: WARM_UP_MS - FIRST_WARM_UP_MS,
+            accounts: loadByWeight(shape, SECOND_WARM_UP_RATIO * capacityPerS, plainCallsPerS),
+        },
+    ];
+};
+
 /** Options of {@link runLoadedFleet}. */
 export interface LoadedFleetOptions {
     /** Seed of all random numbers. */
