--- /dev/null
+++ b/packages/entry/src/node/__tests__/httpFront.spec.ts
@@ -0,0 +1,152 @@
+import { ConfigurationStore } from "@magnolialock/control";
+import { type AnswerEvent, createHttpFront, type Entry } from "@magnolialock/entry";
+import { branded, createSystemClock, EventLog, type Revision } from "@magnolialock/kernel";
+import test from "ava";
+import { createHash } from "node:crypto";
+
+const KEY = "secret";
+const RULES = [
+    "service redator kind=model",
+    "service painel kind=plain",
+    `account loja-1 key=sha256:${createHash("sha256").update(KEY).digest("hex")} rate=20/s`,
+].map(line => `${line} # Ana\n`).join("");
+
+interface Seen {
+    request?: Parameters<Entry["serve"]>[0];
+    isAborted: boolean;
+}
+
+/** A front before an entry that gives a fixed answer. */
+const createFront = (answer: readonly AnswerEvent[]) => {
+    const events = new EventLog({ clock: createSystemClock(), instance: "entry-1" });
+    const configuration = new ConfigurationStore({ events });
+    configuration.offer(branded<Revision>(1), Buffer.from(RULES), "test");
+    const seen: Seen = { isAborted: false };
+    const entry = {
+        context: { configuration } as Entry["context"],
+        running: 0,
+        isReady: true,
+        serve: async (request, signal, consume) => {
+            seen.request = request;
+            signal.addEventListener("abort", () => {
+                seen.isAborted = true;
+            });
+            answer.forEach(consume);
+        },
+        stop: async () => {},
+        [Symbol.asyncDispose]: async () => {},
+    } satisfies Entry;
+    return { app: createHttpFront({ entry, maxBodyBytes: 100 }), seen };
+};
+
+const authorized = { authorization: `Bearer ${KEY}` };
+const streamHead: AnswerEvent = {
+    kind: "head",
+    status: 200,
+    headers: [["content-type", "text/event-stream"]],
+};
+const errorOf = async (response: Response) =>
+    (await response.json() as {
+        readonly error: { readonly code: string; readonly ran: string; readonly message: string; };
+    })
+        .error;
+
+test("a token stream ends with its end mark", async t => {
+    const { app } = createFront([streamHead, { kind: "tokens", texts: ["a", "b"] }, {
+        kind: "end",
+        finishReason: "stop",
+    }]);
+    const text = await (await app.request("/redator/v1/completions", { method: "POST", headers: authorized }))
+        .text();
+    t.is(text.match(/"token":\d/g)?.join(), '"token":0,"token":1');
+    t.true(text.endsWith("data: [DONE]\n\n"));
+});
+
+test("a token stream that fails has an error and no end mark", async t => {
+    const failure = { code: "broken", ran: "outcome unknown", message: "gone" } as const;
+    const { app } = createFront([streamHead, { kind: "tokens", texts: ["a"] }, { kind: "failed", failure }]);
+    const text = await (await app.request("/redator/v1/completions", { headers: authorized })).text();
+    t.regex(text, /event: error\ndata: {"error":{"code":"broken","ran":"outcome unknown"/);
+    t.false(text.includes("[DONE]"));
+});
+
+test("a plain answer that fails after its head breaks the connection", async t => {
+    const failure = { code: "broken", ran: "outcome unknown", message: "gone" } as const;
+    const head: AnswerEvent = { kind: "head", status: 200, headers: [["content-type", "text/plain"]] };
+    const { app } = createFront([head, { kind: "body", bytes: Buffer.from("half") }, {
+        kind: "failed",
+        failure,
+    }]);
+    const response = await app.request("/painel/status", { headers: authorized });
+    await t.throwsAsync(response.text());
+});
+
+test("a failure says whether the request ran and when to come back", async t => {
+    const failure = { code: "overloaded", ran: "not run", message: "full", retryAfterMs: 1_500 } as const;
+    const { app } = createFront([{ kind: "ticket", ticket: "t1.a.b.c" }, { kind: "failed", failure }]);
+    const response = await app.request("/painel/bookings", { method: "POST", headers: authorized });
+    t.is(response.status, 503);
+    t.is(response.headers.get("x-ran"), "not run");
+    t.is(response.headers.get("retry-after"), "2");
+    t.is(response.headers.get("x-ticket"), "t1.a.b.c");
+    t.is((await errorOf(response)).code, "overloaded");
+});
+
+test("wrong headers are refused together as not run", async t => {
+    const { app, seen } = createFront([]);
+    const headers = { ...authorized, "x-timeout-ms": "soon", "x-priority": "vip" };
+    const response = await app.request("/painel/status", { headers });
+    t.is(response.status, 400);
+    const { ran, message } = await errorOf(response);
+    t.is(ran, "not run");
+    t.regex(message, /x-timeout-ms: use a whole number.*x-priority: use status, booking/);
+    t.is(seen.request, undefined);
+});
+
+test("a missing or unknown key is unauthorized", async t => {
+    const { app } = createFront([]);
+    t.is((await app.request("/painel/status")).status, 401);
+    t.is((await app.request("/painel/status", { headers: { authorization: "Bearer other" } })).status, 401);
+});
+
+test("a body over the limit is refused, with and without its length", async t => {
+    const { app } = createFront([]);
+    const body = new Uint8Array(101);
+    const plain = await app.request("/painel/x", { method: "POST", headers: authorized, body });
+    t.is(plain.status, 413);
+    const chunked = new ReadableStream({
+        start: controller => {
+            controller.enqueue(body);
+            controller.close();
+        },
+    });
+    const init = { method: "POST", headers: authorized, body: chunked, duplex: "half" };
+    t.is((await app.request("/painel/x", init)).status, 413);
+});
+
+test("the API key stays at the entry; what the caller says arrives", async t => {
+    const { app, seen } = createFront([{
+        kind: "failed",
+        failure: { code: "unavailable", ran: "not run", message: "" },
+    }]);
+    const headers = {
+        ...authorized,
+        "x-request-id": "r1",
+        "x-timeout-ms": "250",
+        "x-priority": "batch",
+        "x-other": "1",
+    };
+    await app.request("/painel/status/4?full=1", { headers });
+    t.is(seen.request?.path, "/status/4?full=1");
+    t.is(seen.request?.timeoutMs, 250);
+    t.is(seen.request?.priority, "batch");
+    t.is(seen.request?.requestId as string, "r1");
+    t.deepEqual(seen.request?.headers.map(([name]) => name), ["x-other"]);
+});
+
+test("a caller that goes away cancels its request", async t => {
+    const { app, seen } = createFront([streamHead, { kind: "tokens", texts: ["a"] }]);
+    const response = await app.request("/redator/v1/completions", { headers: authorized });
+    await response.body?.cancel();
+    t.true(seen.isAborted);
+});
--- /dev/null
+++ b/packages/lab/src/node/__tests__/realSockets.spec.ts
@@ -0,0 +1,131 @@
+import { createAgent, createHttpBackend } from "@magnolialock/agent";
+import { ConfigurationStore, createConsulPlatform, watchRules } from "@magnolialock/control";
+import { createEntry, createHttpFront, listenHttp } from "@magnolialock/entry";
+import {
+    type Address,
+    type BackendServerId,
+    branded,
+    createProcessRuntime,
+    createRandomSource,
+    createSystemClock,
+    type DataCentreId,
+    type InstanceId,
+    ResourceScope,
+    sleep,
+} from "@magnolialock/kernel";
+import {
+    apiKeyOf,
+    EngineModel,
+    fleetRules,
+    type FleetShape,
+    PlatformModel,
+    tokenText,
+} from "@magnolialock/lab";
+import test from "ava";
+import { connect } from "node:http2";
+import { createServer } from "node:net";
+import { createEngineServer } from "../standIns/engineServer.ts";
+import { createPlatformServer } from "../standIns/platformServer.ts";
+
+const SHAPE: FleetShape = {
+    dataCentres: ["recife"],
+    entriesPerDataCentre: 1,
+    modelService: "redator",
+    modelReplicas: 1,
+    plainService: "painel",
+    plainReplicas: 0,
+    accounts: [{ name: "loja-1", weight: 1, ratePerS: 100 }],
+    modelLimits: { cold: 2, warm: 16 },
+    plainLimits: { cold: 2, warm: 16 },
+};
+const READY_POLLS = 500;
+
+const freeAddress = (): Promise<Address> =>
+    new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as { readonly port: number; };
+            server.close(() => resolve(branded<Address>(`127.0.0.1:${port}`)));
+        });
+    });
+
+/** Starts a platform, an engine, an agent and an entry in this process, over real sockets. */
+const startPath = async (scope: ResourceScope, protocol: "http1" | "http2"): Promise<string> => {
+    const clock = createSystemClock();
+    const runtime = scope.use(createProcessRuntime({ instance: "all", seed: 1 }));
+    const engine = new EngineModel({
+        clock,
+        random: createRandomSource(1),
+        coldLimit: 2,
+        warmLimit: 16,
+        stepBaseMs: 1,
+    });
+    const [platformAddress, engineAddress, agentAddress, entryAddress] = await Promise.all([
+        freeAddress(),
+        freeAddress(),
+        freeAddress(),
+        freeAddress(),
+    ]);
+    const platformModel = new PlatformModel({ clock });
+    platformModel.publish(Buffer.from(fleetRules(SHAPE, {}, () => agentAddress)));
+    const platformServer = createPlatformServer(platformModel);
+    scope.use(await listenHttp({ app: platformServer, address: platformAddress, protocol: "http1" }));
+    scope.use(
+        await listenHttp({ app: createEngineServer(engine), address: engineAddress, protocol: "http1" }),
+    );
+    const platform = scope.use(
+        createConsulPlatform({
+            address: platformAddress,
+            key: "magnolialock/rules",
+            service: "magnolialock",
+        }),
+    );
+    const configuration = new ConfigurationStore({ events: runtime.events });
+    const stopping = new AbortController();
+    scope.defer(() => stopping.abort());
+    void watchRules({ runtime, platform, store: configuration, signal: stopping.signal });
+    const server = branded<BackendServerId>("redator-1");
+    const backend = scope.use(createHttpBackend({ address: engineAddress }));
+    scope.use(await createAgent({ runtime, server, listen: agentAddress, configuration, backend }));
+    const instance = branded<InstanceId>("entry-1");
+    const dataCentre = branded<DataCentreId>("recife");
+    const entry = scope.use(createEntry({ runtime, instance, dataCentre, configuration }));
+    scope.use(await listenHttp({ app: createHttpFront({ entry }), address: entryAddress, protocol }));
+    for (let poll = 0; poll < READY_POLLS && !entry.context.agents.find(server)?.state; poll++) {
+        await sleep(clock, 10);
+    }
+    return `http://${entryAddress}`;
+};
+
+test("a draft crosses real sockets whole", async t => {
+    await using scope = new ResourceScope();
+    const url = await startPath(scope, "http1");
+    const response = await fetch(`${url}/redator/v1/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${apiKeyOf("loja-1")}` },
+        body: JSON.stringify({ prompt: "hello", max_tokens: 3 }),
+    });
+    const text = await response.text();
+    t.is(response.status, 200, text);
+    const tokens = [...text.matchAll(/"text":"([^"]+)"/g)].map(match => match[1]);
+    t.deepEqual(tokens, [0, 1, 2].map(index => tokenText("hello", index)));
+    t.true(text.endsWith("data: [DONE]\n\n"));
+});
+
+test("HTTP/2 with prior knowledge reaches the same path", async t => {
+    await using scope = new ResourceScope();
+    const url = await startPath(scope, "http2");
+    const session = connect(url);
+    scope.defer(() => session.close());
+    const stream = session.request({
+        ":method": "POST",
+        ":path": "/redator/v1/completions",
+        authorization: `Bearer ${apiKeyOf("loja-1")}`,
+    });
+    stream.end(JSON.stringify({ prompt: "hello", max_tokens: 2 }));
+    let text = "";
+    for await (const piece of stream) {
+        text += String(piece);
+    }
+    t.is(text.match(/"token":\d/g)?.length, 2, text);
+    t.true(text.endsWith("data: [DONE]\n\n"));
+});
--- a/packages/rules/src/shared/parseRules.ts
+++ b/packages/rules/src/shared/parseRules.ts
@@ -25,18 +25,25 @@
 /** Largest rule file, in bytes; the platform holds values up to a megabyte. */
 export const MAX_RULES_BYTES = 1_048_576;
 
+const ASCII_PATTERN = /^[\x20-\x7e]*$/;
+
 interface Word extends WordPlace {
     readonly text: string;
 }
 
-const splitWords = (text: string, line: number): Word[] =>
-    [...text.matchAll(/\S+/g)].map(match => ({
-        text: match[0],
-        line,
-        column: columnOf(text, match.index),
-    }));
+const splitWords = (text: string, line: number): Word[] => {
+    const words: Word[] = [];
+    for (const match of text.matchAll(/\S+/g)) {
+        words.push({ text: match[0], line, column: columnOf(text, match.index) });
+    }
+    return words;
+};
 
-const columnOf = (text: string, index: number): number => [...text.slice(0, index)].length + 1;
+/** Counts characters, not UTF-16 units; most lines are ASCII, where the two are the same. */
+const columnOf = (text: string, index: number): number => {
+    const before = text.slice(0, index);
+    return (ASCII_PATTERN.test(before) ? index : [...before].length) + 1;
+};
 
 const commentStart = (text: string): number => {
     const match = /(?:^|\s)#/.exec(text);
@@ -63,67 +70,98 @@
     return result.value;
 };
 
+/** Values of one rule by field; `undefined` stands for a field that has a finding. */
+type RuleValues = Record<string, unknown>;
+
+/** Fields of a rule kind as lists, made once for each kind. */
+interface FieldLists {
+    readonly positional: readonly (readonly [name: string, field: FieldDefinition])[];
+    readonly named: readonly (readonly [name: string, field: FieldDefinition])[];
+}
+
+const fieldLists = new WeakMap<RuleKind, FieldLists>();
+
+const listFields = (kind: RuleKind): FieldLists => {
+    const known = fieldLists.get(kind);
+    if (known) {
+        return known;
+    }
+    const lists = { positional: Object.entries(kind.positional), named: Object.entries(kind.fields) };
+    fieldLists.set(kind, lists);
+    return lists;
+};
+
+/** Reads the fields by position; returns whether all are there. */
 const readPositional = (
     kind: RuleKind,
     words: readonly Word[],
-    values: Map<string, unknown>,
+    values: RuleValues,
     builder: RuleSetBuilder,
-) => {
-    const names = Object.keys(kind.positional);
-    for (const [index, name] of names.entries()) {
-        const word = words[index + 1];
-        const field = kind.positional[name] as FieldDefinition;
+): boolean => {
+    let index = 1;
+    for (const [name, field] of listFields(kind).positional) {
+        const word = words[index];
         if (!word) {
             const last = words[words.length - 1] as Word;
             builder.report(last, `${field.placeholder} is missing: write it like "${kind.example}"`);
-            return;
+            return false;
         }
-        values.set(name, readField(builder, field, word.text, word));
+        values[name] = readField(builder, field, word.text, word);
+        index++;
     }
+    return true;
 };
 
-const readNamed = (
-    kind: RuleKind,
-    words: readonly Word[],
-    values: Map<string, unknown>,
-    builder: RuleSetBuilder,
-) => {
-    for (const word of words) {
-        const equals = word.text.indexOf("=");
-        const key = equals < 0 ? word.text : word.text.slice(0, equals);
-        const field = Object.hasOwn(kind.fields, key) ? kind.fields[key] : undefined;
-        if (!field || equals < 0) {
-            const keys = Object.keys(kind.fields);
-            const known = keys.length === 0 ? "nothing more" : keys.map(name => `${name}=`).join(", ");
-            builder.report(
-                word,
-                `unknown word "${word.text}"${didYouMean(key, keys)}: "${kind.name}" takes ${known}`,
-            );
-            continue;
-        }
-        if (values.has(key)) {
-            builder.report(word, `"${key}=" stands twice: remove one of them`);
-            continue;
-        }
-        const place = { line: word.line, column: word.column + equals + 1 };
-        values.set(key, readField(builder, field, word.text.slice(equals + 1), place));
+const readNamed = (kind: RuleKind, word: Word, values: RuleValues, builder: RuleSetBuilder): void => {
+    const equals = word.text.indexOf("=");
+    const key = equals < 0 ? word.text : word.text.slice(0, equals);
+    const field = Object.hasOwn(kind.fields, key) ? kind.fields[key] : undefined;
+    if (!field || equals < 0) {
+        const keys = Object.keys(kind.fields);
+        const known = keys.length === 0 ? "nothing more" : keys.map(name => `${name}=`).join(", ");
+        builder.report(
+            word,
+            `unknown word "${word.text}"${didYouMean(key, keys)}: "${kind.name}" takes ${known}`,
+        );
+        return;
+    }
+    if (key in values) {
+        builder.report(word, `"${key}=" stands twice: remove one of them`);
+        return;
     }
+    const place = { line: word.line, column: word.column + equals + 1 };
+    values[key] = readField(builder, field, word.text.slice(equals + 1), place);
 };
 
-const fillDefaults = (
-    kind: RuleKind,
-    start: Word,
-    values: Map<string, unknown>,
-    builder: RuleSetBuilder,
-): void => {
-    for (const [key, field] of Object.entries(kind.fields)) {
-        if (values.has(key)) {
+const fillDefaults = (kind: RuleKind, start: Word, values: RuleValues, builder: RuleSetBuilder): void => {
+    for (const [key, field] of listFields(kind).named) {
+        if (key in values) {
             continue;
         }
         if (field.defaultValue === undefined) {
             builder.report(start, `"${key}=" is missing: add ${key}=${field.placeholder}`);
         }
-        values.set(key, field.defaultValue);
+        values[key] = field.defaultValue;
+    }
+};
+
+const readRule = (kind: RuleKind, words: readonly Word[], builder: RuleSetBuilder): void => {
+    const start = words[0] as Word;
+    const { positional } = listFields(kind);
+    const values: RuleValues = {};
+    const findingsBefore = builder.findings.length;
+    if (readPositional(kind, words, values, builder)) {
+        for (let index = positional.length + 1; index < words.length; index++) {
+            readNamed(kind, words[index] as Word, values, builder);
+        }
+        fillDefaults(kind, start, values, builder);
+    }
+    const name = values[positional[0]?.[0] ?? ""];
+    if (kind.defines && typeof name === "string") {
+        builder.define(kind.defines, name, words[1] as Word);
+    }
+    if (builder.findings.length === findingsBefore) {
+        kind.apply(values as never, builder, start);
     }
 };
 
@@ -134,26 +172,13 @@
         return;
     }
     const kind = ruleKinds.find(start.text);
-    if (!kind) {
-        const known = ruleKinds.names();
-        const hint = didYouMean(start.text, known);
-        builder.report(start, `unknown rule "${start.text}"${hint}: a line starts with ${known.join(", ")}`);
+    if (kind) {
+        readRule(kind, words, builder);
         return;
     }
-    const values = new Map<string, unknown>();
-    const findingsBefore = builder.findings.length;
-    readPositional(kind, words, values, builder);
-    if (builder.findings.length === findingsBefore || words.length > Object.keys(kind.positional).length) {
-        readNamed(kind, words.slice(Object.keys(kind.positional).length + 1), values, builder);
-        fillDefaults(kind, start, values, builder);
-    }
-    const name = values.get(Object.keys(kind.positional)[0] ?? "");
-    if (kind.defines && typeof name === "string") {
-        builder.define(kind.defines, name, words[1] as Word);
-    }
-    if (builder.findings.length === findingsBefore) {
-        kind.apply(Object.fromEntries(values) as never, builder, start);
-    }
+    const known = ruleKinds.names();
+    const hint = didYouMean(start.text, known);
+    builder.report(start, `unknown rule "${start.text}"${hint}: a line starts with ${known.join(", ")}`);
 };
 
 const parseLine = (text: string, line: number, builder: RuleSetBuilder): boolean => {
@@ -164,7 +189,7 @@
     }
     if (hash < 0) {
         builder.report(
-            { line, column: columnOf(text, text.trimEnd().length) + 1 },
+            { line, column: columnOf(text, text.trimEnd().length) },
             'the comment is missing: end the line with "# " and the name of who asked for it',
         );
     }
--- a/packages/rules/src/shared/ruleSetBuilder.ts
+++ b/packages/rules/src/shared/ruleSetBuilder.ts
@@ -119,14 +119,9 @@
 
     /** Checks all references against the definitions. */
     public checkReferences(): void {
-        const namesByKind = new Map<string, string[]>();
-        for (const key of this.definitions.keys()) {
-            const [kind = "", name = ""] = key.split(" ");
-            namesByKind.set(kind, [...(namesByKind.get(kind) ?? []), name].slice(-MAX_SUGGESTION_CANDIDATES));
-        }
         for (const { kind, name, line, column } of this.references) {
             if (!this.definitions.has(`${kind} ${name}`)) {
-                const hint = didYouMean(name, namesByKind.get(kind) ?? []);
+                const hint = didYouMean(name, this.definedNames(kind));
                 this.report(
                     { line, column },
                     `no ${kind} is named "${name}"${hint}: add a line "${kind} ${name} …" or correct the name`,
@@ -135,6 +130,14 @@
         }
     }
 
+    private definedNames(kind: DefinableKind): string[] {
+        const prefix = `${kind} `;
+        return [...this.definitions.keys()]
+            .filter(key => key.startsWith(prefix))
+            .slice(0, MAX_SUGGESTION_CANDIDATES)
+            .map(key => key.slice(prefix.length));
+    }
+
     /**
      * Finishes the rules.
      *
