--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -38,6 +38,8 @@
     readonly freshness?: ConfigurationFreshness | undefined;
     /** Asks for a confirmation of the configuration after a pause. */
     readonly requestConfirmation?: (() => void) | undefined;
+    /** Whether calls wait for a slot; only experiments that measure what admission brings switch it off. */
+    readonly hasAdmissionControl?: boolean;
 }
 
 /** Completions at warm speed that prove a cold server warm, by a written and by a learned warm time. */
@@ -109,7 +111,11 @@
             limits: () => ({ coldLimit: this.rule?.coldLimit ?? 0, warmLimit: this.rule?.warmLimit ?? 0 }),
             proofsNeeded: () => this.speed.isWritten ? PROOFS_BY_WRITTEN_TIME : PROOFS_BY_LEARNED_TIME,
         });
-        this.latencyLimit = new LatencyLimit({ clock, warmTimeMs: () => this.speed.warmTimeMs });
+        this.latencyLimit = new LatencyLimit({
+            clock,
+            warmTimeMs: () => this.speed.warmTimeMs,
+            floor: () => this.rule?.coldLimit ?? 0,
+        });
         this.inherited = new InheritedLoad({
             clock,
             events,
@@ -126,7 +132,7 @@
         this.admission = new AdmissionQueue({
             clock,
             serviceTimes: this.serviceTimes,
-            limit: () => this.limit,
+            limit: () => options.hasAdmissionControl === false ? Number.POSITIVE_INFINITY : this.limit,
             queueLimit: () => this.rule?.queueLimit ?? 0,
             checkStart: () => this.gate.check(),
             onChange: () => this.noteStateChange(),
@@ -233,6 +239,9 @@
     }
 
     private noteLimitChange(): void {
+        if (!this.lease.isProven) {
+            this.latencyLimit.reset();
+        }
         this.admission.refuseLate();
         this.admission.admitWaiting();
         this.noteStateChange();
--- a/packages/agent/src/shared/latencyLimit.ts
+++ b/packages/agent/src/shared/latencyLimit.ts
@@ -12,6 +12,8 @@
     readonly clock: Clock;
     /** Gives the longest time of a warm server, in milliseconds. */
     readonly warmTimeMs: () => number;
+    /** Gives the limit that the backend server bears in every state; the limit never falls below it. */
+    readonly floor: () => number;
 }
 
 /** The limit falls when the smoothed time is above this share of the warm time. */
@@ -22,7 +24,6 @@
 const DECREASE_INTERVAL_MS = 250;
 const INCREASE_PER_S = 2;
 const MS_PER_S = 1_000;
-const MIN_LIMIT = 1;
 
 /** Keeps the backend server below the load at which it slows down. */
 export class LatencyLimit {
@@ -43,7 +44,7 @@
      * @returns calls that may run at once
      */
     public under(ceiling: number): number {
-        return Math.max(Math.min(MIN_LIMIT, ceiling), Math.min(ceiling, Math.floor(this.limit)));
+        return Math.min(ceiling, Math.max(this.options.floor(), Math.floor(this.limit)));
     }
 
     /**
@@ -84,7 +85,7 @@
             return;
         }
         this.changedMs = nowMs;
-        this.limit = Math.max(MIN_LIMIT, Math.min(this.limit, running) * DECREASE_FACTOR);
+        this.limit = Math.max(this.options.floor(), Math.min(this.limit, running) * DECREASE_FACTOR);
     }
 
     private increase(running: number): void {
--- a/packages/agent/src/shared/runRequest.ts
+++ b/packages/agent/src/shared/runRequest.ts
@@ -112,8 +112,8 @@
         this.meter.finish(this.isWhole && this.status < FIRST_ERROR_STATUS);
         if (!this.isWhole) {
             this.onAbort();
-            this.events.return(undefined).catch(() => {});
         }
+        this.events.return(undefined).catch(() => {});
     }
 
     private measure(event: BackendEvent): void {
