--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+export * from "./node/agentProgram.ts";
 export * from "./node/httpBackend.ts";
 export * from "./shared/agent.ts";
 export * from "./shared/agentContext.ts";
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -9,6 +9,7 @@
 import "./shared/policies/random.ts";
 import "./shared/policies/roundRobin.ts";
 
+export * from "./node/entryProgram.ts";
 export * from "./node/httpFront.ts";
 export * from "./node/httpServer.ts";
 export * from "./shared/agentPeer.ts";
