--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -40,7 +40,7 @@
     /** Asks for a confirmation of the configuration after a pause. */
     readonly requestConfirmation?: (() => void) | undefined;
     /** Whether calls wait for a slot; only experiments that measure what admission brings switch it off. */
-    readonly hasAdmissionControl?: boolean | undefined;
+    readonly hasAdmissionControl?: boolean;
 }
 
 /** Completions at warm speed that prove a cold server warm, by a written and by a learned warm time. */
@@ -114,7 +114,11 @@
             limits: () => ({ coldLimit: this.rule?.coldLimit ?? 0, warmLimit: this.rule?.warmLimit ?? 0 }),
             proofsNeeded: () => this.speed.isWritten ? PROOFS_BY_WRITTEN_TIME : PROOFS_BY_LEARNED_TIME,
         });
-        this.latencyLimit = new LatencyLimit({ clock, warmTimeMs: () => this.speed.warmTimeMs });
+        this.latencyLimit = new LatencyLimit({
+            clock,
+            warmTimeMs: () => this.speed.warmTimeMs,
+            floor: () => this.rule?.coldLimit ?? 0,
+        });
         this.inherited = new InheritedLoad({
             clock,
             events,
@@ -131,7 +135,7 @@
         this.admission = new AdmissionQueue({
             clock,
             serviceTimes: this.serviceTimes,
-            limit: () => options.hasAdmissionControl === false ? Infinity : this.limit,
+            limit: () => options.hasAdmissionControl === false ? Number.POSITIVE_INFINITY : this.limit,
             queueLimit: () => this.rule?.queueLimit ?? 0,
             checkStart: () => this.gate.check(),
             onChange: () => this.noteStateChange(),
@@ -238,6 +242,9 @@
     }
 
     private noteLimitChange(): void {
+        if (!this.lease.isProven) {
+            this.latencyLimit.reset();
+        }
         this.admission.refuseLate();
         this.admission.admitWaiting();
         this.noteStateChange();
--- a/packages/agent/src/shared/agentService.ts
+++ b/packages/agent/src/shared/agentService.ts
@@ -33,11 +33,11 @@
 export const createAgentService = (context: AgentContext): ServiceBinding =>
     bindService(AgentService, {
         run: (request: RunRequest, { signal }: HandlerContext) => run(context, request, signal),
-        session: (requests: AsyncIterable<SessionRequestBatch>, { signal }: HandlerContext) =>
+        session: (requests: AsyncIterable<SessionRequestBatch>, handler: HandlerContext) =>
             runSession({
                 requests,
-                signal,
-                run: (request, callSignal) => run(context, request, callSignal),
+                signal: AbortSignal.any([handler.signal, context.reportsEnd.signal]),
+                run: (request, signal) => run(context, request, signal),
             }),
         recall: (request: RecallRequest) => recallRequest(context, request),
         watchState: (request: WatchStateRequest, { signal }: HandlerContext) =>
