fix(agent): remember what each account has had when the queue is short

Change: each account keeps its starts over its weight, bounded to two starts of credit; the next start and the place in a full queue go by it. The tests of the queue stay as they were and pass. Conclusion: fairness no longer depends on the length of the queue; longer queues were ruled out, for the recovery after an overload grows with them.

--- a/packages/agent/src/shared/fairQueue.ts
+++ b/packages/agent/src/shared/fairQueue.ts
@@ -1,5 +1,5 @@
 /**
- * Queue with priority classes; inside a class, client accounts take turns by weight (deficit round robin).
+ * Queue with priority classes; inside a class, the client account that has had the least for its weight goes first.
  *
  * @packageDocumentation
  */
@@ -16,100 +16,126 @@
     readonly weight: number;
 }
 
-interface AccountBacklog<T> {
-    readonly account: string;
+interface Account<T> {
+    readonly name: string;
     weight: number;
-    /** Starts that the account has earned, in units of one start. */
-    deficit: number;
+    /** Starts that the account has had over its weight; grows to the queue's time while the account waits. */
+    timeStarts: number;
     readonly items: Denque<T>;
 }
 
 const MIN_WEIGHT = 1;
+/** How far an account that did not get its share may lie behind the others, in starts over weight. */
+const CREDIT_STARTS = 2;
+/** Accounts that are remembered before those without credit are forgotten. */
+const MAX_IDLE_ACCOUNTS = 1_024;
 
-/** Accounts of one class in the order of their turns. */
+/** Accounts of one class; the one that has had the least for its weight is next. */
 class PriorityClassQueue<T extends FairQueueItem> {
-    private readonly backlogs = new Map<string, AccountBacklog<T>>();
-    private readonly round = new Denque<AccountBacklog<T>>();
+    private readonly accounts = new Map<string, Account<T>>();
+    private timeStarts = 0;
     private count = 0;
 
     public get size(): number {
         return this.count;
     }
 
-    public backlogOf(account: string): number {
-        return this.backlogs.get(account)?.items.length ?? 0;
-    }
-
     public push(item: T): void {
-        const weight = Math.max(MIN_WEIGHT, item.weight);
-        let backlog = this.backlogs.get(item.account);
-        if (!backlog) {
-            backlog = { account: item.account, weight, deficit: 0, items: new Denque() };
-            this.backlogs.set(item.account, backlog);
-            this.round.push(backlog);
+        const account = this.accountOf(item);
+        if (account.items.length === 0) {
+            account.timeStarts = Math.max(account.timeStarts, this.timeStarts - CREDIT_STARTS);
         }
-        backlog.weight = weight;
-        backlog.items.push(item);
+        account.items.push(item);
         this.count++;
     }
 
     public shift(): T | undefined {
-        if (this.count === 0) {
-            return undefined;
-        }
-        // The heaviest account earns a whole start in each round, so this ends within one round.
-        const heaviest = Math.max(...[...this.backlogs.values()].map(({ weight }) => weight));
-        for (;;) {
-            const backlog = this.round.shift() as AccountBacklog<T>;
-            backlog.deficit += backlog.weight / heaviest;
-            if (backlog.deficit < 1) {
-                this.round.push(backlog);
-                continue;
+        let next: Account<T> | undefined;
+        for (const account of this.accounts.values()) {
+            const isWaiting = account.items.length > 0;
+            if (isWaiting && (!next || this.claimAfter(account, 1) < this.claimAfter(next, 1))) {
+                next = account;
             }
-            backlog.deficit -= 1;
-            const item = backlog.items.shift();
-            this.count--;
-            this.keepTurn(backlog);
-            return item;
         }
+        if (!next) {
+            return undefined;
+        }
+        next.timeStarts = this.claimAfter(next, 1);
+        this.timeStarts = Math.max(this.timeStarts, next.timeStarts);
+        this.count--;
+        return next.items.shift();
     }
 
     public remove(item: T): boolean {
-        const backlog = this.backlogs.get(item.account);
-        const index = backlog?.items.toArray().indexOf(item) ?? -1;
-        if (!backlog || index < 0) {
+        const account = this.accounts.get(item.account);
+        const index = account?.items.toArray().indexOf(item) ?? -1;
+        if (!account || index < 0) {
             return false;
         }
-        backlog.items.removeOne(index);
+        account.items.removeOne(index);
         this.count--;
-        if (backlog.items.length === 0) {
-            this.round.removeOne(this.round.toArray().indexOf(backlog));
-            this.backlogs.delete(backlog.account);
-        }
         return true;
     }
 
-    /** Account with the longest backlog for its weight. */
-    public longestBacklog(): AccountBacklog<T> | undefined {
-        let longest: AccountBacklog<T> | undefined;
-        for (const backlog of this.backlogs.values()) {
-            if (!longest || backlog.items.length / backlog.weight > longest.items.length / longest.weight) {
-                longest = backlog;
-            }
+    /** Newest item of the account that would be served last. */
+    public lastServed(): T | undefined {
+        return this.lastAccount()?.items.peekBack();
+    }
+
+    /** Whether a new item would be served after everything that waits, or only its own account waits last. */
+    public isLast(item: T): boolean {
+        const last = this.lastAccount();
+        if (!last || last.name === item.account) {
+            return true;
         }
-        return longest;
+        const account = this.accountOf(item);
+        const timeStarts = account.items.length === 0
+            ? Math.max(account.timeStarts, this.timeStarts - CREDIT_STARTS)
+            : account.timeStarts;
+        const claim = timeStarts + (account.items.length + 1) / account.weight;
+        return this.claimAfter(last, last.items.length) <= claim;
     }
 
     public items(): T[] {
-        return this.round.toArray().flatMap(({ items }) => items.toArray());
+        return [...this.accounts.values()].flatMap(({ items }) => items.toArray());
     }
 
-    private keepTurn(backlog: AccountBacklog<T>): void {
-        if (backlog.items.length === 0) {
-            this.backlogs.delete(backlog.account);
+    private claimAfter({ timeStarts, weight }: Account<T>, starts: number): number {
+        return timeStarts + starts / weight;
+    }
+
+    private lastAccount(): Account<T> | undefined {
+        let last: Account<T> | undefined;
+        for (const account of this.accounts.values()) {
+            const claim = this.claimAfter(account, account.items.length);
+            if (account.items.length > 0 && (!last || claim > this.claimAfter(last, last.items.length))) {
+                last = account;
+            }
+        }
+        return last;
+    }
+
+    private accountOf(item: T): Account<T> {
+        const weight = Math.max(MIN_WEIGHT, item.weight);
+        let account = this.accounts.get(item.account);
+        if (!account) {
+            this.forgetIdle();
+            account = { name: item.account, weight, timeStarts: this.timeStarts, items: new Denque() };
+            this.accounts.set(item.account, account);
+        }
+        account.weight = weight;
+        return account;
+    }
+
+    private forgetIdle(): void {
+        if (this.accounts.size < MAX_IDLE_ACCOUNTS) {
             return;
         }
-        this.round.push(backlog);
+        for (const { name, items } of [...this.accounts.values()]) {
+            if (items.length === 0) {
+                this.accounts.delete(name);
+            }
+        }
     }
 }
 
@@ -177,8 +203,8 @@
     }
 
     /**
-     * Finds the item that should give its place to a new one when the queue is full: the newest of the account with
-     * the longest backlog for its weight in the least urgent class.
+     * Finds the item that should give its place to a new one when the queue is full: the newest of the account
+     * that would be served last in the least urgent class.
      *
      * @param item - the new item
      * @returns the item to refuse, or undefined when the new one has the weakest claim
@@ -194,14 +220,7 @@
             return undefined;
         }
         const [priority, queue] = worst;
-        const longest = queue.longestBacklog();
-        if (priority === item.priority && longest) {
-            const ownShare = (queue.backlogOf(item.account) + 1) / Math.max(MIN_WEIGHT, item.weight);
-            if (longest.account === item.account || longest.items.length / longest.weight <= ownShare) {
-                return undefined;
-            }
-        }
-        return longest?.items.peekBack();
+        return priority === item.priority && queue.isLast(item) ? undefined : queue.lastServed();
     }
 
     /**
