feat(entry): suspect a silent data centre at once and shed the queue of a cold server

Change: an attempt that was given up without a sign of life keeps its agent suspect, and a remote data centre from which nothing comes for 150 ms while attempts run there is avoided; a retry never queues behind a cold and full server; the agent expects four times the measured time until its server is proved warm.

--- a/packages/agent/src/shared/admissionQueue.ts
+++ b/packages/agent/src/shared/admissionQueue.ts
@@ -27,7 +27,7 @@
     /** Calls that may wait now. */
     readonly queueLimit: () => number;
     /** Measured service times. */
-    readonly serviceTimes: ServiceTimes;
+    readonly serviceTimes: Pick<ServiceTimes, "expectedMs">;
     /**
      * Looks for reasons against any start, for example a pause of the process, before each one.
      *
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -49,6 +49,9 @@
 /** Longest call while the rules name no service, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
+/** How much longer than measured a call is expected to take before the server is proved warm. */
+const UNPROVEN_SLOWDOWN = 4;
+
 const QUEUE_TIME_SMOOTHING = 0.2;
 
 /** State of one agent. */
@@ -134,7 +137,7 @@
         });
         this.admission = new AdmissionQueue({
             clock,
-            serviceTimes: this.serviceTimes,
+            serviceTimes: { expectedMs: priority => this.expectedMs(priority) },
             limit: () => options.hasAdmissionControl === false ? Number.POSITIVE_INFINITY : this.limit,
             queueLimit: () => this.rule?.queueLimit ?? 0,
             checkStart: () => this.gate.check(),
@@ -160,6 +163,12 @@
         return Math.max(0, borne - this.inherited.count);
     }
 
+    /** What waits when a server turns cold would otherwise be counted on to finish as fast as before. */
+    private expectedMs(priority: number): number {
+        const slowdown = this.lease.isProven ? 1 : UNPROVEN_SLOWDOWN;
+        return slowdown * this.serviceTimes.expectedMs(priority);
+    }
+
     /** Recent time in the queue, in milliseconds. */
     public get queueMs(): number {
         return this.smoothedQueueMs;
--- a/packages/entry/src/shared/agentDirectory.ts
+++ b/packages/entry/src/shared/agentDirectory.ts
@@ -5,9 +5,16 @@
  */
 
 import type { AcceptedConfiguration, ConfigurationStore } from "@magnolialock/control";
-import { type BackendServerId, isFaultSeeded, type Runtime, type ServiceName } from "@magnolialock/kernel";
+import {
+    type BackendServerId,
+    type DataCentreId,
+    isFaultSeeded,
+    type Runtime,
+    type ServiceName,
+} from "@magnolialock/kernel";
 import type { RuleSet, ServerRule } from "@magnolialock/rules";
 import { AgentPeer } from "./agentPeer.ts";
+import { DataCentreTraffic } from "./dataCentreTraffic.ts";
 
 /** Options of an {@link AgentDirectory}. */
 export interface AgentDirectoryOptions {
@@ -15,6 +22,8 @@
     readonly runtime: Runtime;
     /** Name of the entry. */
     readonly entry: string;
+    /** Data centre of the entry. */
+    readonly dataCentre: DataCentreId;
     /** Configuration in force. */
     readonly configuration: ConfigurationStore;
 }
@@ -27,6 +36,8 @@
 export class AgentDirectory implements Disposable {
     private readonly runtime: Runtime;
     private readonly entry: string;
+    private readonly dataCentre: DataCentreId;
+    private readonly traffic = new Map<DataCentreId, DataCentreTraffic>();
     private readonly peers = new Map<BackendServerId, AgentPeer>();
     private readonly subscription: Disposable;
     private rules: RuleSet | undefined;
@@ -35,6 +46,7 @@
     public constructor(options: AgentDirectoryOptions) {
         this.runtime = options.runtime;
         this.entry = options.entry;
+        this.dataCentre = options.dataCentre;
         this.subscription = options.configuration.onChange(configuration => this.update(configuration));
     }
 
@@ -83,6 +95,19 @@
         this.peers.clear();
     }
 
+    /** In the own data centre there is no link that a cut could silence as a whole. */
+    private trafficTo(dataCentre: DataCentreId): DataCentreTraffic | undefined {
+        if (dataCentre === this.dataCentre) {
+            return undefined;
+        }
+        let traffic = this.traffic.get(dataCentre);
+        if (!traffic) {
+            traffic = new DataCentreTraffic(this.runtime.clock);
+            this.traffic.set(dataCentre, traffic);
+        }
+        return traffic;
+    }
+
     private update({ rules }: AcceptedConfiguration): void {
         const previous = this.rules;
         this.rules = rules;
@@ -100,7 +125,8 @@
         }
         for (const rule of rules.servers.values()) {
             if (!this.peers.has(rule.name)) {
-                const peer = new AgentPeer({ runtime: this.runtime, entry: this.entry, rule });
+                const traffic = this.trafficTo(rule.dataCentre);
+                const peer = new AgentPeer({ runtime: this.runtime, entry: this.entry, rule, traffic });
                 this.peers.set(rule.name, peer);
                 void peer.watch();
             }
--- a/packages/entry/src/shared/agentPeer.ts
+++ b/packages/entry/src/shared/agentPeer.ts
@@ -6,10 +6,11 @@
 
 import { type Client, createClient } from "@connectrpc/connect";
 import { errorMessage, type Runtime, sleep } from "@magnolialock/kernel";
-import { AgentService, type AgentState } from "@magnolialock/protocol";
+import { AgentService, type AgentState, Warmth } from "@magnolialock/protocol";
 import type { ServerRule } from "@magnolialock/rules";
 import { LRUCache } from "lru-cache";
 import { AgentSession } from "./agentSession.ts";
+import type { DataCentreTraffic } from "./dataCentreTraffic.ts";
 import { agentFound, agentLost } from "./entryEvents.ts";
 import { PeerHealth, type TrackedAttempt } from "./peerHealth.ts";
 import { prefixKeyOf } from "./prefixKey.ts";
@@ -22,6 +23,8 @@
     readonly entry: string;
     /** Rule of the backend server. */
     readonly rule: ServerRule;
+    /** Traffic to the data centre of the backend server if it is another one. */
+    readonly traffic?: DataCentreTraffic | undefined;
 }
 
 const REPORT_PERIOD_MS = 500;
@@ -61,7 +64,7 @@
         this.runtime = options.runtime;
         this.entry = options.entry;
         this.rule = options.rule;
-        this.health = new PeerHealth(options.runtime.clock);
+        this.health = new PeerHealth(options.runtime.clock, options.traffic);
         this.client = createClient(AgentService, options.runtime.network.transportTo(options.rule.agent));
         this.session = new AgentSession(this.client);
     }
@@ -88,6 +91,12 @@
         return this.meanRoundTripMs;
     }
 
+    /** Whether its server is cold and has as many calls as it bears: what waits there waits long. */
+    public get isColdAndFull(): boolean {
+        const { state } = this;
+        return state?.warmth === Warmth.COLD && this.estimatedCalls >= state.limit;
+    }
+
     /** Share of its limit that the server should get: less than 1 for some time after its return. */
     public get rampShare(): number {
         const share = RAMP_LEAST_SHARE + (this.runtime.clock.nowMs() - this.rampFromMs) / RAMP_MS;
--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -66,17 +66,19 @@
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const DRAIN_POLL_MS = 20;
 
-/**
- * Starts an entry.
- *
- * @param options - surroundings, identity, configuration and policy
- * @returns the entry
- */
-export const createEntry = (options: EntryOptions): Entry => {
+const createContext = (
+    options: EntryOptions,
+    scope: ResourceScope,
+    stopSignal: AbortSignal,
+): EntryContext => {
     const { runtime } = options;
-    const scope = new ResourceScope();
     const agents = scope.use(
-        new AgentDirectory({ runtime, entry: options.instance, configuration: options.configuration }),
+        new AgentDirectory({
+            runtime,
+            entry: options.instance,
+            dataCentre: options.dataCentre,
+            configuration: options.configuration,
+        }),
     );
     const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
     const tickets = new TicketIssuer(runtime, options.instance);
@@ -89,25 +91,37 @@
             },
         }),
     );
-    const stopping = new AbortController();
     const entryCount = options.entryCount ?? new LiveEntryCount(agents);
-    const context: EntryContext = {
+    return {
         ...options,
         agents,
         policy,
         tickets,
         pauseDetector,
-        stopSignal: stopping.signal,
+        stopSignal,
         accountLimiter: new AccountLimiter({ clock: runtime.clock, entryCount }),
         retryBudgets: {
             urgent: new RetryBudget({ clock: runtime.clock }),
             ordinary: new RetryBudget({ clock: runtime.clock }),
         },
     };
+};
+
+/**
+ * Starts an entry.
+ *
+ * @param options - surroundings, identity, configuration and policy
+ * @returns the entry
+ */
+export const createEntry = (options: EntryOptions): Entry => {
+    const { runtime } = options;
+    const scope = new ResourceScope();
+    const stopping = new AbortController();
+    const context = createContext(options, scope, stopping.signal);
     const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
     let running = 0;
     let isStopping = false;
-    runtime.events.emit(entryStarted, { dataCentre: options.dataCentre, policy: policy.name });
+    runtime.events.emit(entryStarted, { dataCentre: options.dataCentre, policy: context.policy.name });
 
     const serve: Entry["serve"] = async (request, signal, consume) => {
         if (isStopping) {
--- a/packages/entry/src/shared/peerCost.ts
+++ b/packages/entry/src/shared/peerCost.ts
@@ -4,7 +4,6 @@
  * @packageDocumentation
  */
 
-import { Warmth } from "@magnolialock/protocol";
 import type { AgentPeer } from "./agentPeer.ts";
 import type { RoutingContext } from "./routingPolicy.ts";
 
@@ -30,10 +29,9 @@
  */
 export const loadOf = (peer: AgentPeer): number => {
     const limit = peer.state?.limit ?? peer.rule.coldLimit;
-    const { estimatedCalls } = peer;
     // What waits before a cold server takes longer than the same share of a warm one's limit.
-    const slowdown = peer.state?.warmth === Warmth.COLD && estimatedCalls >= limit ? COLD_SLOWDOWN : 1;
-    return slowdown * (estimatedCalls + 1) / Math.max(1, limit * peer.rampShare);
+    const slowdown = peer.isColdAndFull ? COLD_SLOWDOWN : 1;
+    return slowdown * (peer.estimatedCalls + 1) / Math.max(1, limit * peer.rampShare);
 };
 
 const queueMsOf = (peer: AgentPeer): number => {
--- a/packages/entry/src/shared/peerHealth.ts
+++ b/packages/entry/src/shared/peerHealth.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock } from "@magnolialock/kernel";
+import type { DataCentreTraffic } from "./dataCentreTraffic.ts";
 
 /** One attempt that runs. */
 export interface TrackedAttempt {
@@ -27,16 +28,22 @@
 /** Counts failures and silent attempts of one agent. */
 export class PeerHealth {
     private readonly clock: Clock;
+    private readonly traffic: DataCentreTraffic | undefined;
     private readonly silentSinceMs = new Map<TrackedAttempt, number>();
+    private unansweredSentMs: number | undefined;
     private failures = 0;
     private ejections = 0;
     private ejectedUntil = Number.NEGATIVE_INFINITY;
     private heardMs = Number.NEGATIVE_INFINITY;
     private runningCount = 0;
 
-    /** @param clock - source of time */
-    public constructor(clock: Clock) {
+    /**
+     * @param clock - source of time
+     * @param traffic - traffic to the agent's data centre if it is another one
+     */
+    public constructor(clock: Clock, traffic?: DataCentreTraffic) {
         this.clock = clock;
+        this.traffic = traffic;
     }
 
     /** Attempts that run. */
@@ -56,16 +63,18 @@
 
     /** Whether an attempt has waited long and nothing at all came from the agent since. */
     public get isSuspect(): boolean {
-        const latestMs = this.clock.nowMs() - SUSPICION_MS;
-        for (const sentMs of this.silentSinceMs.values()) {
-            return sentMs <= latestMs && this.heardMs < sentMs;
-        }
-        return false;
+        const [oldestMs] = this.silentSinceMs.values();
+        const sentMs = this.unansweredSentMs ?? oldestMs;
+        const isOwnSilent = sentMs !== undefined && sentMs <= this.clock.nowMs() - SUSPICION_MS
+            && this.heardMs < sentMs;
+        return isOwnSilent || (this.traffic?.isSilent ?? false);
     }
 
     /** Notes that something came from the agent. */
     public noteHeard(): void {
         this.heardMs = this.clock.nowMs();
+        this.unansweredSentMs = undefined;
+        this.traffic?.noteHeard();
     }
 
     /**
@@ -75,6 +84,7 @@
      */
     public begin(): TrackedAttempt {
         this.runningCount++;
+        this.traffic?.begin();
         const attempt: TrackedAttempt = {
             noteEvent: () => {
                 this.silentSinceMs.delete(attempt);
@@ -82,6 +92,9 @@
             },
             end: result => {
                 this.runningCount--;
+                this.traffic?.end();
+                // An attempt that was given up without a sign of life stays a reason for suspicion.
+                this.unansweredSentMs ??= this.silentSinceMs.get(attempt);
                 this.silentSinceMs.delete(attempt);
                 this.noteResult(result);
             },
