--- a/packages/lab/src/node/commands/standIn.ts
+++ b/packages/lab/src/node/commands/standIn.ts
@@ -15,6 +15,7 @@
 import type { Hono } from "hono";
 import { match } from "ts-pattern";
 import { EngineModel } from "../../shared/standIns/engineModel.ts";
+import { EngineOrders } from "../../shared/standIns/engineOrders.ts";
 import { PlainModel } from "../../shared/standIns/plainModel.ts";
 import { PlatformModel } from "../../shared/standIns/platformModel.ts";
 import { labCommands } from "../labCommands.ts";
@@ -29,6 +30,7 @@
     readonly cold: number;
     readonly warm: number;
     readonly startCold: boolean;
+    readonly honoursFencing: boolean;
 }
 
 const createApp = (kind: typeof STAND_INS[number], options: StandInOptions): Hono => {
@@ -44,6 +46,7 @@
                     warmLimit: options.warm,
                     startsWarm: !options.startCold,
                 }),
+                new EngineOrders({ honoursFencing: options.honoursFencing }),
             ))
         .with("plain", () => createPlainServer(new PlainModel({ clock, random, isCold: options.startCold })))
         .with("platform", () => createPlatformServer(new PlatformModel({ clock })))
@@ -66,13 +69,19 @@
                 default: 16,
                 describe: "calls that it bears at once when warm",
             })
-            .option("start-cold", { type: "boolean", default: false, describe: "start in cold start" }),
+            .option("start-cold", { type: "boolean", default: false, describe: "start in cold start" })
+            .option("fencing", {
+                type: "boolean",
+                default: true,
+                describe: "refuse orders with an old number",
+            }),
     run: async args => {
         const app = createApp(args["kind"] as typeof STAND_INS[number], {
             seed: Number(args["seed"]),
             cold: Number(args["cold"]),
             warm: Number(args["warm"]),
             startCold: Boolean(args["startCold"]),
+            honoursFencing: Boolean(args["fencing"]),
         });
         await using _listener = await listenHttp({
             app,
--- a/packages/lab/src/node/standIns/engineServer.ts
+++ b/packages/lab/src/node/standIns/engineServer.ts
@@ -9,6 +9,7 @@
 import { streamSSE } from "hono/streaming";
 import { z } from "zod";
 import type { EngineModel } from "../../shared/standIns/engineModel.ts";
+import { EngineOrders } from "../../shared/standIns/engineOrders.ts";
 
 const MAX_TOKENS = 100_000;
 
@@ -22,14 +23,39 @@
     readonly kind: "end";
 };
 
+const orderRequest = z.object({
+    fence: z.number().int().min(0),
+    kind: z.enum(["load-model", "load-adapter", "load-version", "change-role"]),
+    subject: z.string().min(1),
+});
+
+const HTTP_CONFLICT = 409;
+
+const addOrders = (app: Hono, orders: EngineOrders): void => {
+    app.get("/stand-in/orders", context => context.json(orders.followed));
+    app.post("/orders", async context => {
+        const parsed = orderRequest.safeParse(await context.req.json().catch(() => undefined));
+        if (!parsed.success) {
+            return context.json({ error: { message: z.prettifyError(parsed.error) } }, 400);
+        }
+        const outcome = orders.give(parsed.data);
+        return context.json({ outcome }, outcome === "done" ? 200 : HTTP_CONFLICT);
+    });
+};
+
 /**
  * Creates the interface.
  *
  * @param engine - the stand-in
+ * @param orders - orders that it takes
  * @returns a hono application
  */
-export const createEngineServer = (engine: EngineModel): Hono => {
+export const createEngineServer = (
+    engine: EngineModel,
+    orders: EngineOrders = new EngineOrders({ honoursFencing: true }),
+): Hono => {
     const app = new Hono();
+    addOrders(app, orders);
     app.get("/load", context =>
         context.json({
             running: engine.reportedRunning,
--- a/packages/lab/src/node/standIns/platformServer.ts
+++ b/packages/lab/src/node/standIns/platformServer.ts
@@ -4,9 +4,18 @@
  * @packageDocumentation
  */
 
-import { type Revision, splitAddress } from "@magnolialock/kernel";
-import { branded } from "@magnolialock/kernel";
+import type { ListedInstance } from "@magnolialock/control";
+import {
+    type Address,
+    branded,
+    type DataCentreId,
+    type InstanceId,
+    isAddress,
+    type Revision,
+    splitAddress,
+} from "@magnolialock/kernel";
 import { type Context, Hono } from "hono";
+import { z } from "zod";
 import type { PlatformModel } from "../../shared/standIns/platformModel.ts";
 
 const DEFAULT_WAIT_MS = 300_000;
@@ -20,6 +29,21 @@
     };
 };
 
+const instanceList = z.array(z.object({
+    name: z.string().min(1),
+    role: z.enum(["entry", "agent"]),
+    dataCentre: z.string().min(1),
+    address: z.string().refine(isAddress, "write an IP number and a port"),
+    isLeaving: z.boolean().default(false),
+}));
+
+const toListedInstance = (instance: z.infer<typeof instanceList>[number]): ListedInstance => ({
+    ...instance,
+    name: branded<InstanceId>(instance.name),
+    dataCentre: branded<DataCentreId>(instance.dataCentre),
+    address: branded<Address>(instance.address),
+});
+
 const failureText = "the platform is down\n";
 
 /**
@@ -69,6 +93,14 @@
             };
         }));
     });
+    app.put("/stand-in/instances", async context => {
+        const parsed = instanceList.safeParse(await context.req.json().catch(() => undefined));
+        if (!parsed.success) {
+            return context.text(`${z.prettifyError(parsed.error)}\n`, 400);
+        }
+        platform.setInstances(parsed.data.map(toListedInstance));
+        return context.text("done\n");
+    });
     app.get("/stand-in/calls", context => context.json({ calls: platform.callTimesMs.length }));
     app.post("/stand-in/mode/:mode", context => {
         const { mode } = context.req.param();
--- a/playground/demo/demo.ts
+++ b/playground/demo/demo.ts
@@ -10,6 +10,7 @@
 
 const MIN_SECONDS = 6;
 const MAX_SECONDS = 3_600;
+const MAX_KEEP_MS = 24 * MAX_SECONDS * 1_000;
 
 const SHAPE: FleetShape = {
     dataCentres: ["recife", "natal"],
@@ -49,12 +50,17 @@
     say(`${String(second).padStart(4)} s  ${phase.padEnd(12)} ${parts.join("   ")}`);
 };
 
-const runPhases = async (fleet: LocalFleet, callers: Callers, seconds: number): Promise<void> => {
+const runPhases = async (
+    fleet: LocalFleet,
+    callers: Callers,
+    seconds: number,
+    signal: AbortSignal,
+): Promise<void> => {
     const outAt = Math.floor(seconds / 3);
     const backAt = Math.floor((seconds * 2) / 3);
     let phase = "all in";
-    for (let second = 1; second <= seconds; second++) {
-        await delay(1_000);
+    for (let second = 1; second <= seconds && !signal.aborted; second++) {
+        await delay(1_000, undefined, { signal }).catch(() => {});
         if (second === outAt) {
             phase = "recife out";
             say('      an operator adds the line "out recife # demo"');
@@ -112,18 +118,22 @@
         return 2;
     }
     say("starting two data centres: recife and natal");
+    const stopping = new AbortController();
+    const stop = (): void => stopping.abort();
+    process.once("SIGINT", stop);
+    process.once("SIGTERM", stop);
     await using fleet = await startLocalFleet({ shape: SHAPE, seed: 1, showLogs: args.logs });
     say(`${fleet.processCount} processes are ready`);
     await delay(1_000);
     const callers = new Callers(fleet, SHAPE);
     const running = callers.run();
-    await runPhases(fleet, callers, args.seconds);
+    await runPhases(fleet, callers, args.seconds, stopping.signal);
     await callers.stop();
     await running;
     const isGood = await summarize(fleet, callers);
-    if (args.keep) {
+    if (args.keep && !stopping.signal.aborted) {
         printCurlLines(fleet);
-        await new Promise(resolve => process.once("SIGINT", resolve));
+        await delay(MAX_KEEP_MS, undefined, { signal: stopping.signal }).catch(() => {});
     }
     say(isGood ? "the demo went well" : "the demo found failures");
     return isGood ? 0 : 1;
