test(agent): cause lost answers, recalls, stops and broken HTTP answers

Cause: at most once, planned stops and whole answers had no tests in the agent. The client now drops repeated events, calls a gap in numbered events, a missing end mark or an answer without a length broken, and tells an unreachable server from one that refuses. Endings of calls are kept in a set: one signal with many listeners gave warnings. Conclusion: an answer that ends with its connection is refused as whole even where HTTP/1.0 would allow it, for its end cannot be told from a broken connection.

--- /dev/null
+++ b/packages/agent/src/node/__tests__/httpBackend.spec.ts
@@ -0,0 +1,167 @@
+import { type Address, branded } from "@magnolialock/kernel";
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
+import { type AddressInfo, createServer as createSocketServer } from "node:net";
+import {
+    BackendBrokenError,
+    type BackendEvent,
+    BackendRefusedError,
+    type BackendRequest,
+} from "../../types/backend.ts";
+import { createHttpBackend } from "../httpBackend.ts";
+
+const requestOf = (fields: Partial<BackendRequest> = {}): BackendRequest => ({
+    requestId: "r1",
+    method: "POST",
+    path: "/v1/completions",
+    headers: [],
+    body: Buffer.from("{}"),
+    isModel: true,
+    resumeFromToken: 0,
+    resumedText: "",
+    ...fields,
+});
+
+interface Outcome {
+    readonly events: BackendEvent[];
+    readonly error: unknown;
+}
+
+/** Runs one call against an address and collects its pieces. */
+const runAt = async (address: Address, request: BackendRequest): Promise<Outcome> => {
+    await using backend = createHttpBackend({ address });
+    const events: BackendEvent[] = [];
+    try {
+        for await (const event of backend.run(request, new AbortController().signal)) {
+            events.push(event);
+        }
+        return { events, error: undefined };
+    }
+    catch (error) {
+        return { events, error };
+    }
+};
+
+/** Runs one call against a small HTTP server. */
+const runAgainst = async (
+    t: ExecutionContext,
+    answer: (request: IncomingMessage, response: ServerResponse) => void,
+    request: BackendRequest = requestOf(),
+): Promise<Outcome> => {
+    const server = createServer(answer as RequestListener).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const { port } = server.address() as AddressInfo;
+    return runAt(branded<Address>(`127.0.0.1:${port}`), request);
+};
+
+const chunk = (text: string, id?: number): string =>
+    `${id === undefined ? "" : `id: ${id}\n`}data: ${JSON.stringify({ choices: [{ text }] })}\n\n`;
+
+const streamOf =
+    (parts: readonly string[]) => (_request: IncomingMessage, response: ServerResponse): void => {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        response.end(parts.join(""));
+    };
+
+const textsOf = ({ events }: Outcome): string =>
+    events.flatMap(event => event.kind === "tokens" ? event.texts : []).join("");
+
+test("a completion is whole at its end mark", async t => {
+    const outcome = await runAgainst(t, streamOf([chunk("a"), chunk("b"), "data: [DONE]\n\n"]));
+    t.is(textsOf(outcome), "ab");
+    t.is(outcome.events.at(-1)?.kind, "end");
+});
+
+test("a completion without its end mark is broken, though the HTTP answer ends well", async t => {
+    const outcome = await runAgainst(t, streamOf([chunk("a")]));
+    t.true(outcome.error instanceof BackendBrokenError);
+    t.not(outcome.events.at(-1)?.kind, "end");
+});
+
+test("a completion that breaks off is broken", async t => {
+    const outcome = await runAgainst(t, (_request, response) => {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        response.write(chunk("a"), () => response.destroy());
+    });
+    t.is(textsOf(outcome), "a");
+    t.true(outcome.error instanceof BackendBrokenError);
+});
+
+test("repeated events and events behind the end mark are dropped", async t => {
+    const parts = [
+        chunk("a", 1),
+        chunk("b", 2),
+        chunk("b", 2),
+        chunk("a", 1),
+        chunk("c", 3),
+        "data: [DONE]\n\n",
+    ];
+    t.is(textsOf(await runAgainst(t, streamOf([...parts, chunk("late")]))), "abc");
+});
+
+test("a gap in the numbers of events is broken", async t => {
+    const parts = [chunk("a", 1), chunk("c", 3), "data: [DONE]\n\n"];
+    t.true((await runAgainst(t, streamOf(parts))).error instanceof BackendBrokenError);
+});
+
+test("a plain answer shorter than its length is broken", async t => {
+    const server = createSocketServer(socket => {
+        socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nshort"));
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const { port } = server.address() as AddressInfo;
+    const request = requestOf({ isModel: false, path: "/bookings" });
+    const outcome = await runAt(branded<Address>(`127.0.0.1:${port}`), request);
+    t.true(outcome.error instanceof BackendBrokenError);
+});
+
+test("an answer whose end cannot be told from a broken connection is broken", async t => {
+    const server = createSocketServer(socket => {
+        socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nmaybe whole"));
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const { port } = server.address() as AddressInfo;
+    const request = requestOf({ isModel: false, path: "/bookings" });
+    const outcome = await runAt(branded<Address>(`127.0.0.1:${port}`), request);
+    t.true(outcome.error instanceof BackendBrokenError);
+});
+
+test("a backend server that is not there surely did not start the call", async t => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    const { error } = await runAt(branded<Address>(`127.0.0.1:${port}`), requestOf());
+    t.true(error instanceof BackendRefusedError);
+    t.false(error instanceof BackendRefusedError && error.isReachable);
+});
+
+test("a refusal that says so did not start the call, any other error status is an answer", async t => {
+    const refused = await runAgainst(t, (_request, response) => {
+        response.writeHead(503, { "x-not-started": "1" }).end();
+    });
+    t.true(refused.error instanceof BackendRefusedError);
+    const failed = await runAgainst(t, (_request, response) => void response.writeHead(500).end("no"));
+    t.deepEqual(failed.events.map(({ kind }) => kind), ["head", "body", "end"]);
+});
+
+test("headers, body and the place to resume at reach the backend server", async t => {
+    let seen = "";
+    const request = requestOf({
+        body: Buffer.from(JSON.stringify({ prompt: "p" })),
+        headers: [["idempotency-key", "k1"], ["connection", "close"]],
+        resumeFromToken: 2,
+        resumedText: "a b",
+    });
+    await runAgainst(t, (incoming, response) => {
+        const { "idempotency-key": key, "x-request-id": id } = incoming.headers;
+        incoming.on("data", bytes => seen += `${bytes} ${key} ${id}`);
+        incoming.on("end", () => streamOf(["data: [DONE]\n\n"])(incoming, response));
+    }, request);
+    t.is(seen, `{"prompt":"p","resume_from_token":2,"resumed_text":"a b"} k1 r1`);
+});
--- a/packages/agent/src/node/httpBackend.ts
+++ b/packages/agent/src/node/httpBackend.ts
@@ -41,6 +41,7 @@
     cached_prefixes: z.array(z.string()).default([]),
 });
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
     "connection",
     "content-length",
@@ -60,6 +61,11 @@
         return (Array.isArray(value) ? value : [value]).map(single => [name, single] as const);
     });
 
+/** Tells whether the end of the body can be told from a broken connection. */
+const hasFraming = ({ headers, statusCode }: Dispatcher.ResponseData, method: string): boolean =>
+    method === "HEAD" || BODILESS_STATUSES.has(statusCode) || headers["content-length"] !== undefined
+    || headers["transfer-encoding"] !== undefined;
+
 const didNotConnect = (error: unknown): boolean =>
     error instanceof errors.ConnectTimeoutError
     || (error instanceof Error && "code" in error && error.code === "ECONNREFUSED");
@@ -76,13 +82,36 @@
     });
 };
 
+/** Number that an engine gives an event, if it numbers them. */
+const eventNumber = (id: string | undefined): number | undefined => {
+    const number = Number(id);
+    return id !== undefined && Number.isSafeInteger(number) && number > 0 ? number : undefined;
+};
+
+const isRepeated = (id: string | undefined, lastId: number): boolean =>
+    (eventNumber(id) ?? Infinity) <= lastId;
+
+/** Gives the number of an event; a gap in the numbers means that tokens are missing. */
+const nextId = (id: string | undefined, lastId: number): number => {
+    const number = eventNumber(id);
+    if (number !== undefined && lastId > 0 && number > lastId + 1) {
+        throw new ProtocolError(`events ${lastId + 1} to ${number - 1} of the engine's stream are missing`);
+    }
+    return number ?? lastId;
+};
+
 /** Reads the server-sent events of a completion. */
 async function* readCompletion(body: AsyncIterable<Uint8Array>): AsyncGenerator<BackendEvent> {
     let texts: string[] = [];
     let finishReason: string | undefined;
     let isDone = false;
+    let lastId = 0;
     const parser = createParser({
-        onEvent: ({ data }) => {
+        onEvent: ({ data, id }) => {
+            if (isDone || isRepeated(id, lastId)) {
+                return;
+            }
+            lastId = nextId(id, lastId);
             if (data === "[DONE]") {
                 isDone = true;
                 return;
@@ -151,8 +180,11 @@
             if (isAborted(error)) {
                 throw error;
             }
-            const ErrorClass = didNotConnect(error) ? BackendRefusedError : BackendBrokenError;
-            throw new ErrorClass(`the backend server failed: ${errorMessage(error)}`, { cause: error });
+            const message = `the backend server failed: ${errorMessage(error)}`;
+            if (didNotConnect(error)) {
+                throw new BackendRefusedError(message, { cause: error, props: { isReachable: false } });
+            }
+            throw new BackendBrokenError(message, { cause: error });
         }
     };
 
@@ -164,6 +196,9 @@
         }
         yield { kind: "head", status: response.statusCode, headers: flattenHeaders(response.headers) };
         try {
+            if (!hasFraming(response, request.method)) {
+                throw new ProtocolError("the answer tells no length, so its end cannot be proved");
+            }
             const isTokens = request.isModel && response.statusCode < FIRST_ERROR_STATUS
                 && String(response.headers["content-type"]).startsWith("text/event-stream");
             yield* isTokens ? readCompletion(response.body) : readPlainBody(response.body);
--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -4,14 +4,7 @@
  * @packageDocumentation
  */
 
-import {
-    AbortedError,
-    type Address,
-    errorMessage,
-    ResourceScope,
-    type Runtime,
-    sleep,
-} from "@magnolialock/kernel";
+import { type Address, errorMessage, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
 import { AgentContext, type AgentContextOptions } from "./agentContext.ts";
 import {
     agentAddressTaken,
@@ -89,7 +82,7 @@
     const unfinished = context.admission.running;
     if (unfinished > 0) {
         runtime.events.emit(agentHandedOver, { unfinished });
-        context.ending.abort(new AbortedError("the agent has stopped before the call ended"));
+        context.callEndings.forEach(end => end());
         await waitUntilIdle(runtime, context, LAST_ANSWERS_MS);
     }
     runtime.events.emit(agentStopped, { unfinished });
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -82,8 +82,8 @@
     public readonly journal: RequestJournal;
     /** Wakes the tasks that report the state. */
     public readonly stateFeed: StateFeed;
-    /** Aborts when the longest time of a stop is over. */
-    public readonly ending = new AbortController();
+    /** Functions that end the running calls, for the end of a stop. */
+    public readonly callEndings = new Set<() => void>();
     /** Aborts when the reports to entries end. */
     public readonly reportsEnd = new AbortController();
     /** Prompt prefixes in the backend server's cache, by its last report. */
--- a/packages/agent/src/shared/runRequest.ts
+++ b/packages/agent/src/shared/runRequest.ts
@@ -78,7 +78,7 @@
     ) {
         const isModel = context.isModelService(request.service);
         callerSignal?.addEventListener("abort", this.onAbort, { once: true });
-        context.ending.signal.addEventListener("abort", this.onAbort, { once: true });
+        context.callEndings.add(this.onAbort);
         this.meter = context.calls.start({ priority: request.priority, isModel });
         this.events = streamBackend(context, toBackendRequest(request, isModel), this.stop.signal);
         // Asked for at once: the consumer of the answer must not delay the start behind the checks.
@@ -108,7 +108,7 @@
 
     public [Symbol.dispose](): void {
         this.callerSignal?.removeEventListener("abort", this.onAbort);
-        this.context.ending.signal.removeEventListener("abort", this.onAbort);
+        this.context.callEndings.delete(this.onAbort);
         this.meter.finish(this.isWhole && this.status < FIRST_ERROR_STATUS);
         if (!this.isWhole) {
             this.onAbort();
