feat(control): spread the configuration between processes and detect failures first-hand

Cause: every process watched the platform itself; 1,000 of them would spend its 2,000 calls a second at each change, and a newcomer knew only what the platform holds at that moment, which may be stale, rejected or absent. A new process asks several peers of several data centres before it serves. Members are removed only after indirect probes and suspicion, never by an observer that hears nobody or was paused. A Myers diff was ruled out: two changes far apart made it send the region between them, and its worst case is quadratic.

--- a/packages/control/src/shared/configurationStore.ts
+++ b/packages/control/src/shared/configurationStore.ts
@@ -53,12 +53,16 @@
     readonly events: EventLog;
     /** Parser of rule files. */
     readonly parse?: RulesParser;
+    /** Gives the copy of a content to keep, so that many stores in one process can share it. */
+    readonly retain?: (bytes: Uint8Array, contentHash: string) => Uint8Array;
 }
 
 /** Holds the newest accepted configuration and the newest rejected one. */
 export class ConfigurationStore {
     private readonly events: EventLog;
     private readonly parse: RulesParser;
+    private readonly retain: (bytes: Uint8Array, contentHash: string) => Uint8Array;
+    private readonly rejectionListeners = new Set<() => void>();
     private readonly listeners = new Set<ConfigurationListener>();
     private readonly confirmationListeners = new Set<ConfirmationListener>();
     private confirmedMs: number | undefined;
@@ -69,6 +73,7 @@
     public constructor(options: ConfigurationStoreOptions) {
         this.events = options.events;
         this.parse = options.parse ?? (bytes => parseRules(bytes));
+        this.retain = options.retain ?? (bytes => bytes);
     }
 
     /** Configuration in force, if any. */
@@ -131,17 +136,53 @@
         const hash = contentHash(bytes);
         const parsed = this.parse(bytes, hash);
         if (parsed.kind === "rejected") {
-            this.reject({ revision, findings: parsed.findings }, source);
+            this.noteRejected({ revision, findings: parsed.findings }, source);
+            if (this.accepted && isFaultSeeded("control.adopt-rejected")) {
+                this.adopt({ ...this.accepted, revision, contentHash: hash, bytes }, source);
+            }
             return "rejected";
         }
-        this.accepted = { revision, contentHash: hash, bytes, rules: parsed.rules };
-        this.events.emit(configurationAccepted, { revision, contentHash: hash, source });
-        for (const listener of [...this.listeners]) {
-            listener(this.accepted);
-        }
+        this.adopt(
+            { revision, contentHash: hash, bytes: this.retain(bytes, hash), rules: parsed.rules },
+            source,
+        );
         return "accepted";
     }
 
+    /**
+     * Records that a revision was rejected, here or by a peer with the same parser.
+     *
+     * @param rejected - revision and findings
+     * @param source - where word of it came from, for the event
+     */
+    public noteRejected(rejected: RejectedConfiguration, source: string): void {
+        if (this.newestRejected && rejected.revision <= this.newestRejected.revision) {
+            return;
+        }
+        this.newestRejected = rejected;
+        const [first] = rejected.findings;
+        this.events.emit(configurationRejected, {
+            revision: rejected.revision,
+            findingCount: rejected.findings.length,
+            firstFinding: first ? formatFinding(first) : "",
+            source,
+        });
+        for (const listener of [...this.rejectionListeners]) {
+            listener();
+        }
+    }
+
+    /**
+     * Listens for rejected revisions.
+     *
+     * @param listener - what to call
+     * @returns disposing it ends the calls
+     */
+    public onRejected(listener: () => void): Disposable {
+        this.rejectionListeners.add(listener);
+        return { [Symbol.dispose]: () => void this.rejectionListeners.delete(listener) };
+    }
+
     /**
      * Listens for changes; called at once if a configuration is in force.
      *
@@ -161,17 +202,12 @@
             && !isFaultSeeded("control.accept-lower-revision");
     }
 
-    private reject(rejected: RejectedConfiguration, source: string): void {
-        if (this.newestRejected && rejected.revision <= this.newestRejected.revision) {
-            return;
+    private adopt(configuration: AcceptedConfiguration, source: string): void {
+        this.accepted = configuration;
+        const { revision, contentHash } = configuration;
+        this.events.emit(configurationAccepted, { revision, contentHash, source });
+        for (const listener of [...this.listeners]) {
+            listener(configuration);
         }
-        this.newestRejected = rejected;
-        const [first] = rejected.findings;
-        this.events.emit(configurationRejected, {
-            revision: rejected.revision,
-            findingCount: rejected.findings.length,
-            firstFinding: first ? formatFinding(first) : "",
-            source,
-        });
     }
 }
--- /dev/null
+++ b/packages/control/src/shared/contentDelta.ts
@@ -0,0 +1,160 @@
+/**
+ * Line deltas between two contents of the rule file.
+ *
+ * @packageDocumentation
+ */
+
+import { ProtocolError } from "@magnolialock/kernel";
+
+/** One piece of a delta: bytes of the old content that stay, or new bytes. */
+export type DeltaStep =
+    | { readonly kind: "copy"; readonly offset: number; readonly length: number; }
+    | { readonly kind: "insert"; readonly bytes: Uint8Array; };
+
+/** Steps that build the new content from the old one, in order. */
+export type ContentSteps = readonly DeltaStep[];
+
+const NEWLINE = 0x0a;
+
+const commonPrefixLength = (left: Uint8Array, right: Uint8Array): number => {
+    const limit = Math.min(left.length, right.length);
+    let length = 0;
+    while (length < limit && left[length] === right[length]) {
+        length++;
+    }
+    return length;
+};
+
+/** Calls back with start and end of each line. */
+const forEachLine = (bytes: Uint8Array, visit: (start: number, end: number) => void): void => {
+    for (let start = 0; start < bytes.length;) {
+        const newline = bytes.indexOf(NEWLINE, start);
+        const end = newline < 0 ? bytes.length : newline + 1;
+        visit(start, end);
+        start = end;
+    }
+};
+
+const textOf = (bytes: Buffer, start: number, end: number): string => bytes.toString("latin1", start, end);
+
+/** Offsets of the lines of the old content, by their text. */
+const indexLines = (bytes: Buffer): Map<string, number> => {
+    const offsets = new Map<string, number>();
+    forEachLine(bytes, (start, end) => {
+        const text = textOf(bytes, start, end);
+        if (!offsets.has(text)) {
+            offsets.set(text, start);
+        }
+    });
+    return offsets;
+};
+
+/** Collects steps and joins those that follow each other. */
+class StepBuilder {
+    private readonly steps: DeltaStep[] = [];
+    private copyStart = 0;
+    private copyEnd = 0;
+    private inserted: Uint8Array[] = [];
+
+    /** Where the present copy ends in the old content. */
+    public get expectedOffset(): number {
+        return this.copyEnd;
+    }
+
+    public copy(offset: number, length: number): void {
+        if (offset !== this.copyEnd || this.inserted.length > 0) {
+            this.flush();
+            this.copyStart = offset;
+        }
+        this.copyEnd = offset + length;
+    }
+
+    public insert(bytes: Uint8Array): void {
+        this.inserted.push(bytes);
+    }
+
+    public finish(): ContentSteps {
+        this.flush();
+        return this.steps;
+    }
+
+    private flush(): void {
+        if (this.copyEnd > this.copyStart) {
+            this.steps.push({ kind: "copy", offset: this.copyStart, length: this.copyEnd - this.copyStart });
+        }
+        if (this.inserted.length > 0) {
+            this.steps.push({ kind: "insert", bytes: Buffer.concat(this.inserted) });
+        }
+        this.copyStart = this.copyEnd;
+        this.inserted = [];
+    }
+}
+
+/**
+ * Computes a delta in linear time: each line of the new content that the old one has anywhere is copied.
+ *
+ * @param oldBytes - content that the receiver has
+ * @param newBytes - content that it needs
+ * @returns the steps
+ */
+export const diffContent = (oldBytes: Uint8Array, newBytes: Uint8Array): ContentSteps => {
+    const oldContent = Buffer.from(oldBytes.buffer, oldBytes.byteOffset, oldBytes.byteLength);
+    const newContent = Buffer.from(newBytes.buffer, newBytes.byteOffset, newBytes.byteLength);
+    const builder = new StepBuilder();
+    const prefixLength = commonPrefixLength(oldContent, newContent);
+    const prefixEnd = prefixLength === 0 ? 0 : oldContent.lastIndexOf(NEWLINE, prefixLength - 1) + 1;
+    builder.copy(0, prefixEnd);
+    const offsets = indexLines(oldContent);
+    const rest = newContent.subarray(prefixEnd);
+    let resumeOffset = prefixEnd;
+    forEachLine(rest, (start, end) => {
+        const length = end - start;
+        const isNext = resumeOffset + length <= oldContent.length
+            && oldContent.compare(rest, start, end, resumeOffset, resumeOffset + length) === 0;
+        const offset = isNext ? resumeOffset : offsets.get(textOf(rest, start, end));
+        if (offset === undefined) {
+            builder.insert(rest.subarray(start, end));
+            return;
+        }
+        builder.copy(offset, length);
+        resumeOffset = builder.expectedOffset;
+    });
+    return builder.finish();
+};
+
+/**
+ * Builds the new content.
+ *
+ * @param oldBytes - content that the delta starts from
+ * @param steps - the delta
+ * @param maxBytes - largest allowed result, in bytes
+ * @returns the new content
+ * @throws ProtocolError when a step lies outside the old content or the result is too large
+ */
+export const applyDelta = (oldBytes: Uint8Array, steps: ContentSteps, maxBytes: number): Uint8Array => {
+    const pieces: Uint8Array[] = [];
+    let size = 0;
+    for (const step of steps) {
+        if (step.kind === "copy" && step.offset + step.length > oldBytes.length) {
+            throw new ProtocolError("a delta copies bytes that the old content does not have");
+        }
+        const piece = step.kind === "copy"
+            ? oldBytes.subarray(step.offset, step.offset + step.length)
+            : step.bytes;
+        size += piece.length;
+        if (size > maxBytes) {
+            throw new ProtocolError(`a delta makes more than ${maxBytes} bytes`);
+        }
+        pieces.push(piece);
+    }
+    return Buffer.concat(pieces, size);
+};
+
+/**
+ * Tells how large a delta is on the wire, roughly.
+ *
+ * @param steps - the delta
+ * @returns bytes
+ */
+export const deltaBytes = (steps: ContentSteps): number =>
+    steps.reduce((total, step) => total + (step.kind === "copy" ? 8 : step.bytes.length + 4), 0);
--- /dev/null
+++ b/packages/control/src/shared/membership/membership.ts
@@ -0,0 +1,281 @@
+/**
+ * Who is in the fleet: all members of the own data centre, and summaries of the others.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, DataCentreId, EventLog, RandomSource } from "@magnolialock/kernel";
+import { shuffled } from "@magnolialock/kernel";
+import type {
+    DataCentreSummary,
+    MemberIdentity,
+    MemberReport,
+    MemberRole,
+    MemberState,
+} from "../../types/member.ts";
+import type { ListedInstance } from "../../types/platform.ts";
+import { memberChanged, suspicionRefuted } from "../controlEvents.ts";
+import { MemberTable, supersedes } from "./memberTable.ts";
+import { UpdateQueue } from "./updateQueue.ts";
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+    /** Event log of the process. */
+    readonly events: EventLog;
+    /** The process itself. */
+    readonly self: MemberIdentity;
+}
+
+/** Contacts that a summary names. */
+const SUMMARY_CONTACTS = 3;
+/** A suspect that two others or more suspect is removed after this time, in milliseconds. */
+const SHARED_SUSPICION_MS = 3_000;
+/** A suspect that only one process suspects is removed after this time, in milliseconds. */
+const LONE_SUSPICION_MS = 10_000;
+/** Dead members are forgotten after this time, in milliseconds. */
+const FORGET_DEAD_MS = 600_000;
+
+/** First-hand view of the fleet, kept by one process. */
+export class Membership {
+    /** Reports that still have to spread. */
+    public readonly updates = new UpdateQueue();
+    /** The process itself. */
+    public readonly self: MemberIdentity;
+    private readonly clock: Clock;
+    private readonly random: RandomSource;
+    private readonly events: EventLog;
+    private readonly table = new MemberTable();
+    private readonly summaries = new Map<DataCentreId, DataCentreSummary>();
+    private readonly listeners = new Set<() => void>();
+    private listed: readonly ListedInstance[] = [];
+    private incarnation: number;
+    private selfState: MemberState = "alive";
+
+    /** @param options - surroundings and identity */
+    public constructor(options: MembershipOptions) {
+        this.clock = options.clock;
+        this.random = options.random;
+        this.events = options.events;
+        this.self = options.self;
+        this.incarnation = Math.floor(options.clock.wallMs());
+        this.updates.add(this.selfReport);
+    }
+
+    /** Report of the process about itself. */
+    public get selfReport(): MemberReport {
+        return { ...this.self, incarnation: this.incarnation, state: this.selfState };
+    }
+
+    /** Members of the own data centre, the process itself first. */
+    public get members(): readonly MemberReport[] {
+        return [this.selfReport, ...this.table.all().map(({ report }) => report)];
+    }
+
+    /** Newest summaries of the other data centres. */
+    public get otherDataCentres(): readonly DataCentreSummary[] {
+        return [...this.summaries.values()];
+    }
+
+    /**
+     * Counts live processes. Other data centres count as last heard, also while they are cut off.
+     *
+     * @param role - what they run
+     * @param dataCentre - where; the whole fleet by default
+     * @returns how many, with the process itself
+     */
+    public liveCount(role: MemberRole, dataCentre?: DataCentreId): number {
+        const countOf = (summary: DataCentreSummary): number =>
+            role === "entry" ? summary.entryCount : summary.agentCount;
+        const own = countOf(this.summarizeOwn());
+        if (dataCentre === this.self.dataCentre) {
+            return own;
+        }
+        if (dataCentre !== undefined) {
+            const summary = this.summaries.get(dataCentre);
+            return summary ? countOf(summary) : this.countListed(role, dataCentre);
+        }
+        return this.knownDataCentres()
+            .filter(name => name !== this.self.dataCentre)
+            .reduce((total, name) => total + this.liveCount(role, name), own);
+    }
+
+    /** Live members of the own data centre, with the process itself unless it leaves. */
+    public liveMembers(): MemberReport[] {
+        const others = this.table.live();
+        return this.selfState === "alive" ? [this.selfReport, ...others] : others;
+    }
+
+    /** Other members of the own data centre that may answer. */
+    public reachablePeers(): MemberReport[] {
+        return this.table.reachable();
+    }
+
+    /** Removed members, which may have come back. */
+    public deadPeers(): MemberReport[] {
+        return this.table.all().map(({ report }) => report).filter(({ state }) => state === "dead");
+    }
+
+    /** Data centres that are known, the own one among them. */
+    public knownDataCentres(): DataCentreId[] {
+        const names = this.listed.map(({ dataCentre }) => dataCentre);
+        return [...new Set([this.self.dataCentre, ...this.summaries.keys(), ...names])];
+    }
+
+    /**
+     * Lists processes of another data centre to talk to.
+     *
+     * @param dataCentre - the data centre
+     * @returns contacts in random order, first those that its members named
+     */
+    public contactsIn(dataCentre: DataCentreId): MemberIdentity[] {
+        const named = this.summaries.get(dataCentre)?.contacts ?? [];
+        const listed = this.listed.filter(instance => instance.dataCentre === dataCentre);
+        return [...shuffled(this.random, named), ...shuffled(this.random, listed)];
+    }
+
+    /** Summary of the own data centre, with other contacts each time. */
+    public summarizeOwn(): DataCentreSummary {
+        const live = this.liveMembers();
+        return {
+            dataCentre: this.self.dataCentre,
+            madeAtMs: this.clock.nowMs(),
+            entryCount: live.filter(({ role }) => role === "entry").length,
+            agentCount: live.filter(({ role }) => role === "agent").length,
+            contacts: shuffled(this.random, live).slice(0, SUMMARY_CONTACTS),
+        };
+    }
+
+    /**
+     * Takes a report from a peer.
+     *
+     * @param report - about any process
+     */
+    public takeReport(report: MemberReport): void {
+        if (report.name === this.self.name) {
+            this.defend(report);
+            return;
+        }
+        if (report.dataCentre !== this.self.dataCentre) {
+            return;
+        }
+        const before = this.table.find(report.name)?.report.state;
+        if (!this.table.merge(report, this.clock.nowMs())) {
+            return;
+        }
+        this.updates.add(report);
+        if (before !== report.state) {
+            this.events.emit(memberChanged, {
+                member: report.name,
+                state: report.state,
+                before: before ?? "unknown",
+            });
+            this.notify();
+        }
+    }
+
+    /**
+     * Takes a summary of another data centre.
+     *
+     * @param summary - the summary
+     */
+    public takeSummary(summary: DataCentreSummary): void {
+        const known = this.summaries.get(summary.dataCentre);
+        const isNews = summary.dataCentre !== this.self.dataCentre
+            && (known === undefined || summary.madeAtMs > known.madeAtMs);
+        if (isNews) {
+            this.summaries.set(summary.dataCentre, summary);
+        }
+    }
+
+    /**
+     * Takes the platform's list. It says who exists; it never removes a member that answers.
+     *
+     * @param instances - the list
+     */
+    public takeListed(instances: readonly ListedInstance[]): void {
+        this.listed = instances.filter(({ name }) => name !== this.self.name);
+        for (const { name, role, dataCentre, address, isLeaving } of this.listed) {
+            const known = this.table.find(name)?.report;
+            const isNews = known === undefined || known.address !== address;
+            if (isNews || (isLeaving && known.state === "alive")) {
+                const incarnation = known?.incarnation ?? 0;
+                const state = isLeaving ? "leaving" : "alive";
+                this.takeReport({ name, role, dataCentre, address, incarnation, state });
+            }
+        }
+    }
+
+    /**
+     * Marks a member that does not answer.
+     *
+     * @param peer - the member
+     */
+    public suspect(peer: MemberReport): void {
+        const known = this.table.find(peer.name)?.report;
+        if (known && known.incarnation === peer.incarnation && known.state !== "dead") {
+            const state = known.state === "leaving" ? "dead" : "suspect";
+            this.takeReport({ ...known, state, accuser: this.self.name });
+        }
+    }
+
+    /** Gives suspects their full time again, for an observer that was paused or cut off itself. */
+    public restartSuspicions(): void {
+        this.table.restartSuspicions(this.clock.nowMs());
+    }
+
+    /** Removes suspects whose time is up, and forgets members that died long ago. */
+    public expire(): void {
+        const nowMs = this.clock.nowMs();
+        for (const { report, sinceMs, accusers } of this.table.all()) {
+            const limitMs = accusers.size > 1 ? SHARED_SUSPICION_MS : LONE_SUSPICION_MS;
+            if (report.state === "suspect" && nowMs - sinceMs >= limitMs) {
+                this.takeReport({ ...report, state: "dead", accuser: undefined });
+            }
+            if (report.state === "dead" && nowMs - sinceMs >= FORGET_DEAD_MS) {
+                this.table.forget(report.name);
+            }
+        }
+    }
+
+    /** Marks the process itself as leaving. */
+    public beginLeaving(): void {
+        this.selfState = "leaving";
+        this.updates.add(this.selfReport);
+        this.notify();
+    }
+
+    /**
+     * Listens for members that enter another state.
+     *
+     * @param listener - what to call
+     * @returns disposing it ends the calls
+     */
+    public onChange(listener: () => void): Disposable {
+        this.listeners.add(listener);
+        return { [Symbol.dispose]: () => void this.listeners.delete(listener) };
+    }
+
+    private defend(report: MemberReport): void {
+        if (supersedes(report, this.selfReport)) {
+            this.incarnation = report.incarnation + 1;
+            this.updates.add(this.selfReport);
+            this.events.emit(suspicionRefuted, { claimed: report.state, incarnation: this.incarnation });
+        }
+    }
+
+    private countListed(role: MemberRole, dataCentre: DataCentreId): number {
+        return this.listed.filter(instance =>
+            instance.role === role && instance.dataCentre === dataCentre && !instance.isLeaving
+        ).length;
+    }
+
+    private notify(): void {
+        for (const listener of [...this.listeners]) {
+            listener();
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/shared/plane/contentExchange.ts
@@ -0,0 +1,210 @@
+/**
+ * Contents of the rule file between processes: deltas where the peer has a recent content, else the whole.
+ *
+ * @packageDocumentation
+ */
+
+import { create, fromBinary, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
+import {
+    type Address,
+    bindService,
+    branded,
+    contentHash,
+    ProtocolError,
+    type Revision,
+    type Runtime,
+    type ServiceBinding,
+    timeoutSignal,
+} from "@magnolialock/kernel";
+import {
+    type ConfigurationContent,
+    ConfigurationContentSchema,
+    ConfigurationRequestSchema,
+    type ContentDelta,
+    type ContentDeltaSchema,
+    ControlService,
+    type SealedMessageSchema,
+} from "@magnolialock/protocol";
+import { MAX_RULES_BYTES } from "@magnolialock/rules";
+import type { ConfigurationStore } from "../configurationStore.ts";
+import { applyDelta, type ContentSteps } from "../contentDelta.ts";
+import { ContentHistory } from "../contentHistory.ts";
+import type { Seal } from "../seal.ts";
+
+/** Options of {@link ContentExchange}. */
+export interface ContentExchangeOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Seal of the fleet. */
+    readonly seal: Seal;
+    /** Configuration in force. */
+    readonly store: ConfigurationStore;
+}
+
+/** Longest time of one fetch, in milliseconds. */
+const FETCH_TIMEOUT_MS = 2_000;
+const MAX_NONCE = 0x7fffffff;
+/** Findings of a rejected revision that travel to peers. */
+const MAX_SENT_FINDINGS = 50;
+
+const toDeltaMessage = (steps: ContentSteps): MessageInitShape<typeof ContentDeltaSchema> => ({
+    parts: steps.map(step =>
+        step.kind === "copy"
+            ? { part: { case: "copy", value: { offset: step.offset, length: step.length } } }
+            : { part: { case: "insert", value: step.bytes } }
+    ),
+});
+
+const fromDeltaMessage = (message: ContentDelta): ContentSteps =>
+    message.parts.map(({ part }) => {
+        if (part.case === "copy") {
+            return { kind: "copy", offset: part.value.offset, length: part.value.length };
+        }
+        return { kind: "insert", bytes: part.value ?? new Uint8Array() };
+    });
+
+/** Serves contents to peers and fetches them. */
+export class ContentExchange implements Disposable {
+    /** The call that peers make. */
+    public readonly service: ServiceBinding;
+    private readonly runtime: Runtime;
+    private readonly seal: Seal;
+    private readonly store: ConfigurationStore;
+    private readonly history: ContentHistory;
+
+    /** @param options - surroundings, seal and store */
+    public constructor(options: ContentExchangeOptions) {
+        this.runtime = options.runtime;
+        this.seal = options.seal;
+        this.store = options.store;
+        this.history = new ContentHistory(options.store);
+        this.service = bindService(ControlService, {
+            getConfiguration: request => this.serve(request.payload, request.authentication),
+        });
+    }
+
+    /**
+     * Fetches what a peer has in force, and what it rejected, into the store.
+     *
+     * @param address - the peer
+     * @param source - its name, for events
+     * @param signal - gives the fetch up
+     * @throws ProtocolError when the answer is malformed or not authentic
+     * @throws ConnectError when the peer does not answer
+     */
+    public async fetch(address: Address, source: string, signal: AbortSignal): Promise<void> {
+        const content = await this.request(address, this.store.current?.contentHash ?? "", signal);
+        this.takeRejected(content, source);
+        if (Number(content.revision) <= (this.store.current?.revision ?? 0)) {
+            return;
+        }
+        const bytes = this.build(content) ?? await this.fetchWhole(address, content, signal);
+        this.store.offer(branded<Revision>(Number(content.revision)), bytes, source);
+    }
+
+    /** Stops following the store. */
+    public [Symbol.dispose](): void {
+        this.history[Symbol.dispose]();
+    }
+
+    private async request(
+        address: Address,
+        knownContentHash: string,
+        signal: AbortSignal,
+    ): Promise<ConfigurationContent> {
+        const { clock, network, random } = this.runtime;
+        using deadline = timeoutSignal(clock, FETCH_TIMEOUT_MS, signal);
+        const nonce = random.nextInt(1, MAX_NONCE);
+        const request = toBinary(
+            ConfigurationRequestSchema,
+            create(ConfigurationRequestSchema, { nonce, knownContentHash }),
+        );
+        const client = createClient(ControlService, network.transportTo(address));
+        const sealed = await client.getConfiguration(this.seal.seal(request), { signal: deadline.signal });
+        const payload = this.seal.open(sealed);
+        if (!payload) {
+            throw new ProtocolError("the peer's configuration is not authentic: check --shared-key");
+        }
+        const content = fromBinary(ConfigurationContentSchema, payload);
+        if (content.nonce !== nonce) {
+            throw new ProtocolError("the peer's answer belongs to another question");
+        }
+        return content;
+    }
+
+    /** Builds the content from what the peer sent; undefined when only the whole content can help. */
+    private build(content: ConfigurationContent): Uint8Array | undefined {
+        const { current } = this.store;
+        if (content.body.case === "whole") {
+            return contentHash(content.body.value) === content.contentHash ? content.body.value : undefined;
+        }
+        if (!current) {
+            return undefined;
+        }
+        const deltas = content.body.case === "deltas" ? content.body.value.deltas.map(fromDeltaMessage) : [];
+        const bytes = deltas.reduce((base, steps) => applyDelta(base, steps, MAX_RULES_BYTES), current.bytes);
+        if (contentHash(bytes) !== content.contentHash) {
+            return undefined;
+        }
+        const [only] = deltas;
+        if (only && deltas.length === 1) {
+            this.history.expect(current.contentHash, content.contentHash, only);
+        }
+        return bytes;
+    }
+
+    private async fetchWhole(
+        address: Address,
+        expected: ConfigurationContent,
+        signal: AbortSignal,
+    ): Promise<Uint8Array> {
+        const content = await this.request(address, "", signal);
+        const bytes = content.revision === expected.revision ? this.build(content) : undefined;
+        if (!bytes) {
+            throw new ProtocolError("the peer's content does not match its hash");
+        }
+        return bytes;
+    }
+
+    private takeRejected(content: ConfigurationContent, source: string): void {
+        const revision = branded<Revision>(Number(content.rejectedRevision));
+        if (revision > 0) {
+            const findings = content.rejectedFindings.map(({ $typeName: _, ...finding }) => finding);
+            this.store.noteRejected({ revision, findings }, source);
+        }
+    }
+
+    private serve(
+        payload: Uint8Array,
+        authentication: Uint8Array,
+    ): MessageInitShape<typeof SealedMessageSchema> {
+        const opened = this.seal.open({ payload, authentication });
+        if (!opened) {
+            throw new ConnectError("the request is not authentic: check --shared-key", Code.Unauthenticated);
+        }
+        const { nonce, knownContentHash } = fromBinary(ConfigurationRequestSchema, opened);
+        const content = create(ConfigurationContentSchema, { nonce, ...this.describe(knownContentHash) });
+        return this.seal.seal(toBinary(ConfigurationContentSchema, content));
+    }
+
+    private describe(knownContentHash: string): MessageInitShape<typeof ConfigurationContentSchema> {
+        const { current, rejected } = this.store;
+        const chain = this.history.chainFrom(knownContentHash);
+        const body = ((): MessageInitShape<typeof ConfigurationContentSchema>["body"] => {
+            if (!current || knownContentHash === current.contentHash) {
+                return { case: undefined };
+            }
+            return chain
+                ? { case: "deltas", value: { deltas: chain.map(toDeltaMessage) } }
+                : { case: "whole", value: current.bytes };
+        })();
+        return {
+            body,
+            revision: BigInt(current?.revision ?? 0),
+            contentHash: current?.contentHash ?? "",
+            rejectedRevision: BigInt(rejected?.revision ?? 0),
+            rejectedFindings: rejected?.findings.slice(0, MAX_SENT_FINDINGS) ?? [],
+        };
+    }
+}
--- /dev/null
+++ b/packages/control/src/shared/plane/controlPlane.ts
@@ -0,0 +1,262 @@
+/**
+ * The control plane of one process: the configuration in force and who is in the fleet.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    type Address,
+    PauseDetector,
+    ResourceScope,
+    type Runtime,
+    type ServiceBinding,
+    shuffled,
+    sleep,
+} from "@magnolialock/kernel";
+import type { MemberIdentity } from "../../types/member.ts";
+import type { Platform } from "../../types/platform.ts";
+import { ConfigurationStore } from "../configurationStore.ts";
+import { pauseNoticed } from "../controlEvents.ts";
+import { Membership } from "../membership/membership.ts";
+import { MemberProbing } from "../membership/probeMembers.ts";
+import { createSeal } from "../seal.ts";
+import { ContentExchange } from "./contentExchange.ts";
+import { Freshness } from "./freshness.ts";
+import type { Digest } from "./gossipMessages.ts";
+import { GossipSocket, type GossipTarget, type ReceivedGossip } from "./gossipSocket.ts";
+import { joinFleet } from "./joinFleet.ts";
+import { Prober } from "./prober.ts";
+import { Spread } from "./spread.ts";
+import { WatchDuty } from "./watchDuty.ts";
+import { watchPlatformInstances, watchPlatformRules } from "./watchPlatform.ts";
+
+/** Options of {@link startControlPlane}. */
+export interface ControlPlaneOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** The process itself; datagrams arrive at its address. */
+    readonly self: MemberIdentity;
+    /** Key that all processes of the fleet share. */
+    readonly sharedKey: string;
+    /** The platform; without it everything comes from peers. */
+    readonly platform?: Platform | undefined;
+    /** Addresses of processes that may be asked at the start. */
+    readonly seeds?: readonly Address[];
+    /** Configuration in force; made by default. */
+    readonly store?: ConfigurationStore;
+}
+
+/** A running control plane. */
+export interface ControlPlane extends AsyncDisposable {
+    /** Configuration in force. */
+    readonly store: ConfigurationStore;
+    /** Who is in the fleet. */
+    readonly membership: Membership;
+    /** Calls to serve on the process's address. */
+    readonly services: readonly ServiceBinding[];
+    /** Settles when peers were asked and the process may serve. */
+    readonly joined: Promise<void>;
+    /** Tells the other processes that this one leaves. */
+    leave(): Promise<void>;
+}
+
+/** Time between looks for a pause of the own process, in milliseconds. */
+const PAUSE_TICK_MS = 500;
+/** Shortest gap that counts as a pause, in milliseconds. */
+const PAUSE_THRESHOLD_MS = 1_500;
+/** Peers that are asked for news after a pause. */
+const PEERS_AFTER_PAUSE = 4;
+/** Rounds of questions after a pause. */
+const ROUNDS_AFTER_PAUSE = 5;
+const ANSWER_TIMEOUT_MS = 300;
+/** Time between the two announcements of leaving, in milliseconds. */
+const LEAVE_REPEAT_MS = 100;
+
+/** Parts of the plane of one process, and what connects them. */
+class PlaneTasks {
+    public readonly store: ConfigurationStore;
+    public readonly membership: Membership;
+    public readonly exchange: ContentExchange;
+    public readonly socket: GossipSocket;
+    private readonly freshness: Freshness;
+    private readonly prober: Prober;
+    private readonly spread: Spread;
+    private readonly probing: MemberProbing;
+    private readonly duty: WatchDuty;
+    private readonly pauses: PauseDetector;
+    private platformAnsweredMs = Number.NEGATIVE_INFINITY;
+    private isJoined = false;
+
+    public constructor(private readonly options: ControlPlaneOptions, private readonly signal: AbortSignal) {
+        const { runtime, self } = options;
+        const { clock, random, events } = runtime;
+        const seal = createSeal(options.sharedKey);
+        const store = options.store ?? new ConfigurationStore({ events });
+        const membership = new Membership({ clock, random, events, self });
+        this.store = store;
+        this.membership = membership;
+        this.freshness = new Freshness({ clock, store, peerCount: () => membership.reachablePeers().length });
+        this.exchange = new ContentExchange({ runtime, seal, store });
+        this.socket = new GossipSocket({
+            runtime,
+            seal,
+            membership,
+            digest: () => this.digest,
+            onGossip: gossip => this.take(gossip),
+        });
+        const { socket, exchange } = this;
+        this.prober = new Prober({ runtime, socket, freshness: this.freshness });
+        this.spread = new Spread({ runtime, store, membership, socket, exchange, signal });
+        this.duty = new WatchDuty({
+            clock,
+            random,
+            membership,
+            platformAgeMs: () => this.freshness.platformAgeMs,
+        });
+        this.pauses = new PauseDetector({
+            clock,
+            tickMs: PAUSE_TICK_MS,
+            thresholdMs: PAUSE_THRESHOLD_MS,
+            onPause: gapMs => this.afterPause(gapMs),
+        });
+        this.probing = new MemberProbing({
+            runtime,
+            membership,
+            socket,
+            signal,
+            prober: this.prober,
+            seeds: options.seeds ?? [],
+            checkPause: () => this.pauses.check(),
+            platformAnsweredMs: () => this.platformAnsweredMs,
+        });
+    }
+
+    /** Joins the fleet, then keeps up with it. */
+    public async run(): Promise<void> {
+        const { store, membership, prober, exchange, signal } = this;
+        const { runtime, platform, seeds = [] } = this.options;
+        await joinFleet({ runtime, platform, seeds, store, membership, prober, exchange, signal });
+        this.isJoined = true;
+        void this.probing.run();
+        if (platform && !signal.aborted) {
+            this.watchPlatform(platform);
+        }
+    }
+
+    /** Tells all peers of the data centre and one of each other that the process leaves. */
+    public async leave(): Promise<void> {
+        this.membership.beginLeaving();
+        this.tellLeaving();
+        await sleep(this.options.runtime.clock, LEAVE_REPEAT_MS);
+        this.tellLeaving();
+    }
+
+    public dispose(): void {
+        this.pauses[Symbol.dispose]();
+        this.spread[Symbol.dispose]();
+        this.duty[Symbol.dispose]();
+        this.exchange[Symbol.dispose]();
+        this.prober.giveUp();
+    }
+
+    private get digest(): Digest {
+        const { current, rejected } = this.store;
+        return {
+            revision: current?.revision ?? 0,
+            contentHash: current?.contentHash ?? "",
+            rejectedRevision: rejected?.revision ?? 0,
+            platformAgeMs: this.freshness.platformAgeMs,
+        };
+    }
+
+    private watchPlatform(platform: Platform): void {
+        const { store, membership, signal } = this;
+        const common = {
+            platform,
+            signal,
+            runtime: this.options.runtime,
+            onAnswered: (askedAtMs: number): void => {
+                this.platformAnsweredMs = Math.max(this.platformAnsweredMs, askedAtMs);
+            },
+        };
+        void watchPlatformRules({
+            ...common,
+            store,
+            isReadDue: () => this.duty.isReadDue(),
+            onConfirmed: askedAtMs => this.freshness.notePlatform(askedAtMs),
+        });
+        void watchPlatformInstances({ ...common, membership, isReadDue: () => this.duty.isWatcher });
+    }
+
+    private take(gossip: ReceivedGossip): void {
+        this.prober.take(gossip);
+        if (!this.isJoined) {
+            return;
+        }
+        this.spread.consider(gossip.sender, gossip.digest);
+        if (gossip.kind.case === "answer" && this.spread.isBehind(gossip.digest)) {
+            this.socket.send(gossip.sender, { case: "announcement", value: {} });
+        }
+    }
+
+    private afterPause(gapMs: number): void {
+        this.options.runtime.events.emit(pauseNoticed, { gapMs: Math.round(gapMs) });
+        this.probing.afterPause();
+        void this.confirmAfterPause(this.options.runtime.clock.nowMs());
+    }
+
+    /** Asks peers until the configuration is confirmed as of the end of the pause. */
+    private async confirmAfterPause(wokeAtMs: number): Promise<void> {
+        for (let round = 0; round < ROUNDS_AFTER_PAUSE && !this.signal.aborted; round++) {
+            const targets = this.somePeers(PEERS_AFTER_PAUSE);
+            await Promise.all(targets.map(target => this.prober.ask(target, ANSWER_TIMEOUT_MS)));
+            if ((this.store.confirmedAtMs ?? Number.NEGATIVE_INFINITY) >= wokeAtMs) {
+                return;
+            }
+            await sleep(this.options.runtime.clock, ANSWER_TIMEOUT_MS, this.signal).catch(() => {});
+        }
+    }
+
+    private somePeers(count: number): GossipTarget[] {
+        const local = shuffled(this.options.runtime.random, this.membership.reachablePeers());
+        return [...local.slice(0, count - 1), ...this.remoteContacts().slice(0, 1)];
+    }
+
+    private remoteContacts(): MemberIdentity[] {
+        const { membership } = this;
+        const others = membership.knownDataCentres().filter(name => name !== membership.self.dataCentre);
+        return shuffled(this.options.runtime.random, others)
+            .map(name => membership.contactsIn(name)[0])
+            .filter(contact => contact !== undefined);
+    }
+
+    private tellLeaving(): void {
+        for (const peer of [...this.membership.reachablePeers(), ...this.remoteContacts()]) {
+            this.socket.send(peer, { case: "announcement", value: {} });
+        }
+    }
+}
+
+/**
+ * Starts the control plane of a process.
+ *
+ * @param options - surroundings, identity, key, platform and seeds
+ * @returns the plane, once its socket is open; it still joins the fleet
+ */
+export const startControlPlane = async (options: ControlPlaneOptions): Promise<ControlPlane> => {
+    const scope = new ResourceScope();
+    const stopping = new AbortController();
+    const tasks = new PlaneTasks(options, stopping.signal);
+    await tasks.socket.open();
+    scope.use(tasks.socket);
+    scope.defer(() => tasks.dispose());
+    scope.defer(() => stopping.abort());
+    return {
+        store: tasks.store,
+        membership: tasks.membership,
+        services: [tasks.exchange.service],
+        joined: tasks.run(),
+        leave: () => tasks.leave(),
+        [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
+    };
+};
--- /dev/null
+++ b/packages/control/src/shared/plane/freshness.ts
@@ -0,0 +1,88 @@
+/**
+ * Evidence that the configuration in force is the newest one, from the platform and from peers.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, InstanceId } from "@magnolialock/kernel";
+import type { ConfigurationStore } from "../configurationStore.ts";
+import type { Digest } from "./gossipMessages.ts";
+
+/** Options of {@link Freshness}. */
+export interface FreshnessOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Configuration in force. */
+    readonly store: ConfigurationStore;
+    /** How many peers are known. */
+    readonly peerCount: () => number;
+}
+
+/** Peers whose answers together confirm a revision, where that many are known. */
+const CONFIRMING_PEERS = 2;
+/** Peers whose last answers are remembered. */
+const MAX_REMEMBERED_PEERS = 16;
+
+/** Collects evidence and confirms the store. */
+export class Freshness {
+    private readonly clock: Clock;
+    private readonly store: ConfigurationStore;
+    private readonly peerCount: () => number;
+    private readonly answeredMs = new Map<InstanceId, number>();
+    private platformMs: number | undefined;
+
+    /** @param options - clock, store and number of peers */
+    public constructor(options: FreshnessOptions) {
+        this.clock = options.clock;
+        this.store = options.store;
+        this.peerCount = options.peerCount;
+    }
+
+    /** Time since the platform last confirmed the revision, here or at a peer, in milliseconds. */
+    public get platformAgeMs(): number | undefined {
+        return this.platformMs === undefined ? undefined : this.clock.nowMs() - this.platformMs;
+    }
+
+    /**
+     * Notes that the platform holds no newer revision.
+     *
+     * @param atMs - when it was asked, on the monotonic clock in milliseconds
+     */
+    public notePlatform(atMs: number): void {
+        this.platformMs = Math.max(this.platformMs ?? atMs, atMs);
+        this.store.confirm(atMs);
+    }
+
+    /**
+     * Notes a peer's answer to a question. A peer that knows a newer revision confirms nothing.
+     *
+     * @param peer - who answered
+     * @param askedAtMs - when it was asked, on the monotonic clock in milliseconds
+     * @param digest - what it knows
+     */
+    public noteAnswer(peer: InstanceId, askedAtMs: number, digest: Digest): void {
+        const current = this.store.current?.revision ?? 0;
+        if (digest.revision === 0 || digest.revision > current) {
+            return;
+        }
+        if (digest.platformAgeMs !== undefined && digest.revision === current) {
+            this.notePlatform(askedAtMs - digest.platformAgeMs);
+        }
+        this.answeredMs.delete(peer);
+        this.answeredMs.set(peer, askedAtMs);
+        this.trim();
+        const needed = Math.max(1, Math.min(CONFIRMING_PEERS, this.peerCount()));
+        const newestFirst = [...this.answeredMs.values()].sort((left, right) => right - left);
+        const confirmedMs = newestFirst[needed - 1];
+        if (confirmedMs !== undefined) {
+            this.store.confirm(confirmedMs);
+        }
+    }
+
+    private trim(): void {
+        const [oldest] = this.answeredMs.keys();
+        if (this.answeredMs.size > MAX_REMEMBERED_PEERS && oldest !== undefined) {
+            this.answeredMs.delete(oldest);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/shared/plane/gossipSocket.ts
@@ -0,0 +1,218 @@
+/**
+ * Datagrams between processes: sealed, checked and small enough to cross in one piece.
+ *
+ * @packageDocumentation
+ */
+
+import { create, fromBinary, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
+import {
+    type Address,
+    type DatagramSocket,
+    errorMessage,
+    MAX_DATAGRAM_BYTES,
+    type Runtime,
+    shuffled,
+} from "@magnolialock/kernel";
+import { type Gossip, GossipSchema, type MemberSchema, SealedMessageSchema } from "@magnolialock/protocol";
+import type { DataCentreSummary, MemberReport } from "../../types/member.ts";
+import { messageDropped } from "../controlEvents.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { Seal } from "../seal.ts";
+import {
+    type Digest,
+    fromDigestMessage,
+    fromMemberMessage,
+    fromSummaryMessage,
+    toDigestMessage,
+    toMemberMessage,
+    toSummaryMessage,
+} from "./gossipMessages.ts";
+
+/** What a datagram is for. */
+export type GossipKind = NonNullable<MessageInitShape<typeof GossipSchema>["kind"]>;
+
+/** A datagram that was checked. */
+export interface ReceivedGossip {
+    /** Process that sent it. */
+    readonly sender: MemberReport;
+    /** What the sender knows of the configuration. */
+    readonly digest: Digest;
+    /** What it is for. */
+    readonly kind: Gossip["kind"];
+}
+
+/** Options of {@link GossipSocket}. */
+export interface GossipSocketOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Runtime;
+    /** Seal of the fleet. */
+    readonly seal: Seal;
+    /** Who is in the fleet; takes what datagrams report. */
+    readonly membership: Membership;
+    /** What the process knows of the configuration. */
+    readonly digest: () => Digest;
+    /** Called for each good datagram, after its reports were taken. */
+    readonly onGossip: (gossip: ReceivedGossip) => void;
+}
+
+/** Where a datagram goes. */
+export interface GossipTarget {
+    /** Address of the process. */
+    readonly address: Address;
+    /** Its data centre, where known. */
+    readonly dataCentre?: string | undefined;
+}
+
+/** Reports in an ordinary datagram. */
+const UPDATES_PER_DATAGRAM = 6;
+/** Reports in a datagram that lists members. */
+const MEMBERS_PER_DATAGRAM = 8;
+/** Summaries of other data centres in an ordinary datagram. */
+const SUMMARIES_PER_DATAGRAM = 1;
+
+/** Sends and receives datagrams. */
+export class GossipSocket implements AsyncDisposable {
+    /** When the last good datagram arrived, on the monotonic clock in milliseconds. */
+    public lastHeardMs = Number.NEGATIVE_INFINITY;
+    private socket: DatagramSocket | undefined;
+
+    /** @param options - surroundings, seal and receivers */
+    public constructor(private readonly options: GossipSocketOptions) {}
+
+    /** Opens the socket on the process's own address. */
+    public async open(): Promise<void> {
+        const { runtime, membership } = this.options;
+        this.socket = await runtime.network.openDatagramSocket(
+            membership.self.address,
+            (from, bytes) => this.receive(from, bytes),
+        );
+    }
+
+    /**
+     * Sends a datagram with reports and summaries that still have to spread.
+     *
+     * @param target - receiver
+     * @param kind - what it is for
+     */
+    public send(target: GossipTarget, kind: GossipKind): void {
+        const { membership, runtime } = this.options;
+        const isLocal = target.dataCentre === membership.self.dataCentre;
+        const updates = isLocal
+            ? membership.updates.take(UPDATES_PER_DATAGRAM, membership.reachablePeers().length)
+            : [];
+        const summaries = isLocal
+            ? shuffled(runtime.random, membership.otherDataCentres).slice(0, SUMMARIES_PER_DATAGRAM)
+            : [membership.summarizeOwn()];
+        this.sendWith(target.address, kind, updates, summaries);
+    }
+
+    /**
+     * Sends all members of the own data centre and all summaries, in several datagrams.
+     *
+     * @param target - a process that has just started
+     */
+    public sendMembers(target: GossipTarget): void {
+        const { membership } = this.options;
+        const isLocal = target.dataCentre === membership.self.dataCentre;
+        const members = isLocal ? [...membership.members] : [];
+        const summaries = [membership.summarizeOwn(), ...membership.otherDataCentres];
+        const kind: GossipKind = { case: "announcement", value: {} };
+        while (members.length > 0) {
+            this.sendWith(target.address, kind, members.splice(0, MEMBERS_PER_DATAGRAM), []);
+        }
+        while (summaries.length > 0) {
+            this.sendWith(target.address, kind, [], summaries.splice(0, 2));
+        }
+    }
+
+    /** Closes the socket. */
+    public async [Symbol.asyncDispose](): Promise<void> {
+        await this.socket?.[Symbol.asyncDispose]();
+        this.socket = undefined;
+    }
+
+    private sendWith(
+        address: Address,
+        kind: GossipKind,
+        updates: readonly MemberReport[],
+        summaries: readonly DataCentreSummary[],
+    ): void {
+        const bytes = this.encode(kind, updates, summaries);
+        if (bytes.length <= MAX_DATAGRAM_BYTES) {
+            this.socket?.send(address, bytes);
+            return;
+        }
+        // Long names: split what the datagram carries besides its purpose.
+        this.sendWith(address, kind, updates.slice(0, updates.length >> 1), []);
+        if (updates.length > 1) {
+            this.sendWith(
+                address,
+                { case: "announcement", value: {} },
+                updates.slice(updates.length >> 1),
+                [],
+            );
+        }
+    }
+
+    private encode(
+        kind: GossipKind,
+        updates: readonly MemberReport[],
+        summaries: readonly DataCentreSummary[],
+    ): Uint8Array {
+        const { membership, digest, seal, runtime } = this.options;
+        const nowMs = runtime.clock.nowMs();
+        const sender: MessageInitShape<typeof MemberSchema> = toMemberMessage(membership.selfReport);
+        const payload = toBinary(
+            GossipSchema,
+            create(GossipSchema, {
+                sender,
+                kind,
+                digest: toDigestMessage(digest()),
+                updates: updates.map(toMemberMessage),
+                summaries: summaries.map(summary => toSummaryMessage(summary, nowMs)),
+            }),
+        );
+        return toBinary(SealedMessageSchema, create(SealedMessageSchema, seal.seal(payload)));
+    }
+
+    private receive(from: Address, bytes: Uint8Array): void {
+        const gossip = this.decode(from, bytes);
+        const sender = fromMemberMessage(gossip?.sender);
+        if (!gossip || !sender) {
+            return;
+        }
+        const { membership, runtime, onGossip } = this.options;
+        this.lastHeardMs = runtime.clock.nowMs();
+        membership.takeReport(sender);
+        for (const update of gossip.updates) {
+            const report = fromMemberMessage(update);
+            if (report) {
+                membership.takeReport(report);
+            }
+        }
+        for (const message of gossip.summaries) {
+            const summary = fromSummaryMessage(message, this.lastHeardMs);
+            if (summary) {
+                membership.takeSummary(summary);
+            }
+        }
+        onGossip({ sender, digest: fromDigestMessage(gossip.digest), kind: gossip.kind });
+    }
+
+    private decode(from: Address, bytes: Uint8Array): Gossip | undefined {
+        const drop = (reason: string): undefined => {
+            this.options.runtime.events.emit(messageDropped, { from, reason });
+            return undefined;
+        };
+        if (bytes.length > MAX_DATAGRAM_BYTES) {
+            return drop(`${bytes.length} bytes are more than ${MAX_DATAGRAM_BYTES}`);
+        }
+        try {
+            const payload = this.options.seal.open(fromBinary(SealedMessageSchema, bytes));
+            return payload ? fromBinary(GossipSchema, payload) : drop("not authentic");
+        }
+        catch (error) {
+            return drop(errorMessage(error));
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/shared/plane/watchDuty.ts
@@ -0,0 +1,81 @@
+/**
+ * Choice of the processes that watch the platform: a few in each data centre, by rendezvous hashing.
+ *
+ * @packageDocumentation
+ */
+
+import { type Clock, type RandomSource, rendezvousOrder } from "@magnolialock/kernel";
+import type { Membership } from "../membership/membership.ts";
+
+/** Options of {@link WatchDuty}. */
+export interface WatchDutyOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+    /** Who is in the fleet. */
+    readonly membership: Membership;
+    /** Time since the platform last confirmed the revision, here or at a peer, in milliseconds. */
+    readonly platformAgeMs: () => number | undefined;
+}
+
+/** Watchers of each data centre. They overlap, so that the loss of one delays nothing. */
+export const WATCHERS_PER_DATA_CENTRE = 3;
+/** Without word from the platform for this time, other processes read now and then, too; in milliseconds. */
+const FALLBACK_AGE_MS = 15_000;
+/** Longest time between such reads of one process, in milliseconds; the shortest is half of it. */
+const FALLBACK_INTERVAL_MS = 20_000;
+
+/** Tells whether this process should read the platform now. */
+export class WatchDuty implements Disposable {
+    private readonly options: WatchDutyOptions;
+    private readonly subscription: Disposable;
+    private isChosen: boolean | undefined;
+    private nextFallbackMs: number;
+
+    /** @param options - membership, clock and age of the last confirmation */
+    public constructor(options: WatchDutyOptions) {
+        this.options = options;
+        this.nextFallbackMs = this.drawFallbackMs();
+        this.subscription = options.membership.onChange(() => {
+            this.isChosen = undefined;
+        });
+    }
+
+    /** Whether this process is one of the watchers of its data centre. */
+    public get isWatcher(): boolean {
+        this.isChosen ??= this.choose();
+        return this.isChosen;
+    }
+
+    /** Whether a read is due: always for watchers, now and then for others while the watchers bring nothing. */
+    public isReadDue(): boolean {
+        if (this.isWatcher) {
+            return true;
+        }
+        const { clock, platformAgeMs } = this.options;
+        const isUnconfirmed = (platformAgeMs() ?? Number.POSITIVE_INFINITY) > FALLBACK_AGE_MS;
+        if (!isUnconfirmed || clock.nowMs() < this.nextFallbackMs) {
+            return false;
+        }
+        this.nextFallbackMs = this.drawFallbackMs();
+        return true;
+    }
+
+    /** Stops following the membership. */
+    public [Symbol.dispose](): void {
+        this.subscription[Symbol.dispose]();
+    }
+
+    private choose(): boolean {
+        const { membership } = this.options;
+        return rendezvousOrder("platform-watch", membership.liveMembers(), ({ name }) => name)
+            .slice(0, WATCHERS_PER_DATA_CENTRE)
+            .some(({ name }) => name === membership.self.name);
+    }
+
+    private drawFallbackMs(): number {
+        const { clock, random } = this.options;
+        return clock.nowMs() + FALLBACK_INTERVAL_MS * (0.5 + 0.5 * random.nextFloat());
+    }
+}
--- /dev/null
+++ b/packages/control/src/shared/seal.ts
@@ -0,0 +1,57 @@
+/**
+ * Authentication of messages between processes with a key from the settings.
+ *
+ * @packageDocumentation
+ */
+
+import { isFaultSeeded } from "@magnolialock/kernel";
+import { createHmac, timingSafeEqual } from "node:crypto";
+
+/** A payload with proof that its sender knows the key. */
+export interface SealedPayload {
+    /** The message. */
+    readonly payload: Uint8Array;
+    /** HMAC-SHA-256 of the message. */
+    readonly authentication: Uint8Array;
+}
+
+/** Seals and opens messages with one key. */
+export interface Seal {
+    /**
+     * Seals a message.
+     *
+     * @param payload - encoded message
+     * @returns the message with its proof
+     */
+    seal(payload: Uint8Array): SealedPayload;
+    /**
+     * Checks the proof of a message.
+     *
+     * @param sealed - what arrived
+     * @returns the encoded message; undefined when the proof is wrong
+     */
+    open(sealed: SealedPayload): Uint8Array | undefined;
+}
+
+/**
+ * Creates the seal of a shared key.
+ *
+ * @param sharedKey - the same text in every process of the fleet
+ * @returns the seal
+ */
+export const createSeal = (sharedKey: string): Seal => {
+    const authenticate = (payload: Uint8Array): Uint8Array =>
+        createHmac("sha256", sharedKey).update(payload).digest();
+    return {
+        seal: payload => ({ payload, authentication: authenticate(payload) }),
+        open: ({ payload, authentication }) => {
+            if (isFaultSeeded("control.skip-authentication")) {
+                return payload;
+            }
+            const expected = authenticate(payload);
+            const isGenuine = expected.length === authentication.length
+                && timingSafeEqual(expected, authentication);
+            return isGenuine ? payload : undefined;
+        },
+    };
+};
