--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -5,6 +5,8 @@
  */
 
 import "./commands/rollout.ts";
+import "./commands/outage.ts";
+import "./commands/overload.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { labCommands } from "./labCommands.ts";
