fix(control): end the start of a fleet as soon as unready peers have answered

Cause: a process whose peers had all just started waited its full 15 s, because an empty answer counted as a failed fetch; lists of all instances were also shuffled at every probe. Change: no known revision ends the survey; contacts are sampled instead of shuffled.

--- a/packages/control/src/shared/membership/membership.ts
+++ b/packages/control/src/shared/membership/membership.ts
@@ -5,7 +5,6 @@
  */
 
 import type { Clock, DataCentreId, EventLog, RandomSource } from "@magnolialock/kernel";
-import { shuffled } from "@magnolialock/kernel";
 import type {
     DataCentreSummary,
     MemberIdentity,
@@ -16,6 +15,7 @@
 import type { ListedInstance } from "../../types/platform.ts";
 import { memberChanged, suspicionRefuted } from "../controlEvents.ts";
 import { MemberTable, supersedes } from "./memberTable.ts";
+import { sampled } from "./sampled.ts";
 import { UpdateQueue } from "./updateQueue.ts";
 
 /** Options of {@link Membership}. */
@@ -51,7 +51,7 @@
     private readonly table = new MemberTable();
     private readonly summaries = new Map<DataCentreId, DataCentreSummary>();
     private readonly listeners = new Set<() => void>();
-    private listed: readonly ListedInstance[] = [];
+    private listed: ReadonlyMap<DataCentreId, readonly ListedInstance[]> = new Map();
     private incarnation: number;
     private selfState: MemberState = "alive";
 
@@ -98,8 +98,7 @@
             const summary = this.summaries.get(dataCentre);
             return summary ? countOf(summary) : this.countListed(role, dataCentre);
         }
-        return this.knownDataCentres()
-            .filter(name => name !== this.self.dataCentre)
+        return this.otherDataCentreNames()
             .reduce((total, name) => total + this.liveCount(role, name), own);
     }
 
@@ -121,20 +120,36 @@
 
     /** Data centres that are known, the own one among them. */
     public knownDataCentres(): DataCentreId[] {
-        const names = this.listed.map(({ dataCentre }) => dataCentre);
-        return [...new Set([this.self.dataCentre, ...this.summaries.keys(), ...names])];
+        return [...new Set([this.self.dataCentre, ...this.summaries.keys(), ...this.listed.keys()])];
+    }
+
+    /** Other data centres that are known. */
+    public otherDataCentreNames(): DataCentreId[] {
+        return this.knownDataCentres().filter(name => name !== this.self.dataCentre);
     }
 
     /**
-     * Lists processes of another data centre to talk to.
+     * Picks processes of another data centre to talk to.
      *
      * @param dataCentre - the data centre
-     * @returns contacts in random order, first those that its members named
+     * @param count - how many at most
+     * @returns contacts that its members named; those of the platform's list when there are none
      */
-    public contactsIn(dataCentre: DataCentreId): MemberIdentity[] {
+    public contactsIn(dataCentre: DataCentreId, count = 1): MemberIdentity[] {
         const named = this.summaries.get(dataCentre)?.contacts ?? [];
-        const listed = this.listed.filter(instance => instance.dataCentre === dataCentre);
-        return [...shuffled(this.random, named), ...shuffled(this.random, listed)];
+        const pool = named.length > 0 ? named : this.listed.get(dataCentre) ?? [];
+        return sampled(this.random, pool, count);
+    }
+
+    /**
+     * Picks processes of another data centre from the platform's list.
+     *
+     * @param dataCentre - the data centre
+     * @param count - how many at most
+     * @returns listed processes, live or not
+     */
+    public listedIn(dataCentre: DataCentreId, count: number): MemberIdentity[] {
+        return sampled(this.random, this.listed.get(dataCentre) ?? [], count);
     }
 
     /** Summary of the own data centre, with other contacts each time. */
@@ -145,7 +160,7 @@
             madeAtMs: this.clock.nowMs(),
             entryCount: live.filter(({ role }) => role === "entry").length,
             agentCount: live.filter(({ role }) => role === "agent").length,
-            contacts: shuffled(this.random, live).slice(0, SUMMARY_CONTACTS),
+            contacts: sampled(this.random, live, SUMMARY_CONTACTS),
         };
     }
 
@@ -197,8 +212,13 @@
      * @param instances - the list
      */
     public takeListed(instances: readonly ListedInstance[]): void {
-        this.listed = instances.filter(({ name }) => name !== this.self.name);
-        for (const { name, role, dataCentre, address, isLeaving } of this.listed) {
+        const others = instances.filter(({ name }) => name !== this.self.name);
+        const listed = new Map<DataCentreId, ListedInstance[]>();
+        for (const instance of others) {
+            listed.set(instance.dataCentre, [...(listed.get(instance.dataCentre) ?? []), instance]);
+        }
+        this.listed = listed;
+        for (const { name, role, dataCentre, address, isLeaving } of listed.get(this.self.dataCentre) ?? []) {
             const known = this.table.find(name)?.report;
             const isNews = known === undefined || known.address !== address;
             if (isNews || (isLeaving && known.state === "alive")) {
@@ -268,8 +288,8 @@
     }
 
     private countListed(role: MemberRole, dataCentre: DataCentreId): number {
-        return this.listed.filter(instance =>
-            instance.role === role && instance.dataCentre === dataCentre && !instance.isLeaving
+        return (this.listed.get(dataCentre) ?? []).filter(instance =>
+            instance.role === role && !instance.isLeaving
         ).length;
     }
 
--- a/packages/control/src/shared/membership/probeMembers.ts
+++ b/packages/control/src/shared/membership/probeMembers.ts
@@ -9,6 +9,7 @@
 import type { GossipSocket } from "../plane/gossipSocket.ts";
 import type { Prober } from "../plane/prober.ts";
 import type { Membership } from "./membership.ts";
+import { sampled } from "./sampled.ts";
 
 /** Options of {@link MemberProbing}. */
 export interface MemberProbingOptions {
@@ -113,7 +114,7 @@
             return;
         }
         const others = membership.reachablePeers().filter(({ name }) => name !== target.name);
-        const helpers = shuffled(runtime.random, others).slice(0, INDIRECT_HELPERS);
+        const helpers = sampled(runtime.random, others, INDIRECT_HELPERS);
         if (helpers.length > 0 && await prober.askThrough(target, helpers, INDIRECT_TIMEOUT_MS)) {
             return;
         }
@@ -129,7 +130,7 @@
         if (seed && seed !== membership.self.address && this.round % SEED_PROBE_ROUNDS === 0) {
             await prober.ask({ address: seed }, DIRECT_TIMEOUT_MS);
         }
-        const others = membership.knownDataCentres().filter(name => name !== membership.self.dataCentre);
+        const others = membership.otherDataCentreNames();
         if (others.length === 0 || this.round % REMOTE_PROBE_ROUNDS !== 0) {
             return;
         }
--- a/packages/control/src/shared/plane/controlPlane.ts
+++ b/packages/control/src/shared/plane/controlPlane.ts
@@ -19,6 +19,7 @@
 import { pauseNoticed } from "../controlEvents.ts";
 import { Membership } from "../membership/membership.ts";
 import { MemberProbing } from "../membership/probeMembers.ts";
+import { sampled } from "../membership/sampled.ts";
 import { createSeal } from "../seal.ts";
 import { ContentExchange } from "./contentExchange.ts";
 import { Freshness } from "./freshness.ts";
@@ -218,14 +219,13 @@
     }
 
     private somePeers(count: number): GossipTarget[] {
-        const local = shuffled(this.options.runtime.random, this.membership.reachablePeers());
-        return [...local.slice(0, count - 1), ...this.remoteContacts().slice(0, 1)];
+        const local = sampled(this.options.runtime.random, this.membership.reachablePeers(), count - 1);
+        return [...local, ...this.remoteContacts().slice(0, 1)];
     }
 
     private remoteContacts(): MemberIdentity[] {
         const { membership } = this;
-        const others = membership.knownDataCentres().filter(name => name !== membership.self.dataCentre);
-        return shuffled(this.options.runtime.random, others)
+        return shuffled(this.options.runtime.random, membership.otherDataCentreNames())
             .map(name => membership.contactsIn(name)[0])
             .filter(contact => contact !== undefined);
     }
--- a/packages/control/src/shared/plane/gossipSocket.ts
+++ b/packages/control/src/shared/plane/gossipSocket.ts
@@ -11,12 +11,12 @@
     errorMessage,
     MAX_DATAGRAM_BYTES,
     type Runtime,
-    shuffled,
 } from "@magnolialock/kernel";
 import { type Gossip, GossipSchema, type MemberSchema, SealedMessageSchema } from "@magnolialock/protocol";
 import type { DataCentreSummary, MemberReport } from "../../types/member.ts";
 import { messageDropped } from "../controlEvents.ts";
 import type { Membership } from "../membership/membership.ts";
+import { sampled } from "../membership/sampled.ts";
 import type { Seal } from "../seal.ts";
 import {
     type Digest,
@@ -101,7 +101,7 @@
             ? membership.updates.take(UPDATES_PER_DATAGRAM, membership.reachablePeers().length)
             : [];
         const summaries = isLocal
-            ? shuffled(runtime.random, membership.otherDataCentres).slice(0, SUMMARIES_PER_DATAGRAM)
+            ? sampled(runtime.random, membership.otherDataCentres, SUMMARIES_PER_DATAGRAM)
             : [membership.summarizeOwn()];
         this.sendWith(target.address, kind, updates, summaries);
     }
--- a/packages/control/src/shared/plane/joinFleet.ts
+++ b/packages/control/src/shared/plane/joinFleet.ts
@@ -6,7 +6,6 @@
 
 import {
     type Address,
-    type DataCentreId,
     errorMessage,
     type InstanceId,
     isFaultSeeded,
@@ -19,6 +18,7 @@
 import type { ConfigurationStore } from "../configurationStore.ts";
 import { fetchFailed, joined, platformUnreachable } from "../controlEvents.ts";
 import type { Membership } from "../membership/membership.ts";
+import { sampled } from "../membership/sampled.ts";
 import type { ContentExchange } from "./contentExchange.ts";
 import type { GossipTarget } from "./gossipSocket.ts";
 import type { Prober, ProbeReply } from "./prober.ts";
@@ -51,6 +51,8 @@
 const BATCH_SIZE = 6;
 /** Peers that one pass asks at most. */
 const MAX_PASS_TARGETS = 48;
+/** Peers of another data centre among them. */
+const MAX_TARGETS_PER_DATA_CENTRE = 8;
 /** Longest wait for one answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 300;
 /** Longest wait for the platform's list, in milliseconds. */
@@ -83,17 +85,15 @@
 };
 
 const listTargets = ({ runtime, seeds, membership }: JoinFleetOptions): GossipTarget[] => {
-    const own = membership.self.dataCentre;
-    const others = membership.knownDataCentres().filter(name => name !== own);
-    const contactsOf = (dataCentre: DataCentreId): GossipTarget[] => membership.contactsIn(dataCentre);
     const seedTargets = seeds
         .filter(address => address !== membership.self.address)
         .map((address): GossipTarget => ({ address }));
     return interleave([
         shuffled(runtime.random, seedTargets),
-        shuffled(runtime.random, membership.reachablePeers()),
-        ...shuffled(runtime.random, others).map(contactsOf),
-    ]);
+        sampled(runtime.random, membership.reachablePeers(), MAX_PASS_TARGETS),
+        ...shuffled(runtime.random, membership.otherDataCentreNames())
+            .map(dataCentre => membership.listedIn(dataCentre, MAX_TARGETS_PER_DATA_CENTRE)),
+    ]).slice(0, MAX_PASS_TARGETS);
 };
 
 /** Asks peers until enough have answered; each pass goes over some of the known peers once. */
@@ -144,6 +144,9 @@
 const fetchBest = async (options: JoinFleetOptions, replies: readonly ProbeReply[]): Promise<boolean> => {
     const { exchange, runtime, signal, store } = options;
     const best = Math.max(0, ...replies.map(({ digest }) => digest.revision));
+    if (best === 0) {
+        return true;
+    }
     const holders = [...replies].sort((left, right) => right.digest.revision - left.digest.revision);
     for (const { sender } of holders) {
         try {
@@ -173,7 +176,7 @@
     const survey = new PeerSurvey(options);
     await readList(options);
     while (!signal.aborted) {
-        const targets = listTargets(options).slice(0, MAX_PASS_TARGETS);
+        const targets = listTargets(options);
         await survey.pass(targets);
         const isSettled = targets.length === 0 || survey.isHeard;
         if (isSettled && await fetchBest(options, [...survey.ready.values()])) {
--- a/packages/control/src/shared/plane/spread.ts
+++ b/packages/control/src/shared/plane/spread.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
-import { type Address, errorMessage, isAborted, type Runtime, shuffled, sleep } from "@magnolialock/kernel";
+import { type Address, errorMessage, isAborted, type Runtime, sleep } from "@magnolialock/kernel";
 import type { MemberIdentity } from "../../types/member.ts";
 import type { ConfigurationStore } from "../configurationStore.ts";
 import { fetchFailed } from "../controlEvents.ts";
 import type { Membership } from "../membership/membership.ts";
+import { sampled } from "../membership/sampled.ts";
 import type { ContentExchange } from "./contentExchange.ts";
 import type { Digest } from "./gossipMessages.ts";
 import type { GossipSocket } from "./gossipSocket.ts";
@@ -101,16 +102,13 @@
     private announce(): void {
         const { membership, runtime, socket } = this.options;
         const peers = membership.reachablePeers();
-        for (const peer of shuffled(runtime.random, peers).slice(0, LOCAL_FAN_OUT)) {
+        for (const peer of sampled(runtime.random, peers, LOCAL_FAN_OUT)) {
             socket.send(peer, { case: "announcement", value: {} });
         }
         const probability = SENDERS_PER_DATA_CENTRE / (peers.length + 1);
-        for (const dataCentre of membership.knownDataCentres()) {
-            const isRemote = dataCentre !== membership.self.dataCentre;
-            const contact = isRemote && runtime.random.nextFloat() < probability
-                ? membership.contactsIn(dataCentre)[0]
-                : undefined;
-            if (contact) {
+        for (const dataCentre of membership.otherDataCentreNames()) {
+            const [contact] = membership.contactsIn(dataCentre);
+            if (contact && runtime.random.nextFloat() < probability) {
                 socket.send(contact, { case: "announcement", value: {} });
             }
         }
--- a/packages/control/src/shared/seal.ts
+++ b/packages/control/src/shared/seal.ts
@@ -5,7 +5,7 @@
  */
 
 import { isFaultSeeded } from "@magnolialock/kernel";
-import { createHmac, timingSafeEqual } from "node:crypto";
+import { createHmac, createSecretKey, timingSafeEqual } from "node:crypto";
 
 /** A payload with proof that its sender knows the key. */
 export interface SealedPayload {
@@ -40,8 +40,9 @@
  * @returns the seal
  */
 export const createSeal = (sharedKey: string): Seal => {
+    const key = createSecretKey(Buffer.from(sharedKey));
     const authenticate = (payload: Uint8Array): Uint8Array =>
-        createHmac("sha256", sharedKey).update(payload).digest();
+        createHmac("sha256", key).update(payload).digest();
     return {
         seal: payload => ({ payload, authentication: authenticate(payload) }),
         open: ({ payload, authentication }) => {
