--- /dev/null
+++ b/packages/entry/src/shared/__tests__/limits.spec.ts
@@ -0,0 +1,83 @@
+import { branded, type ClientAccountId } from "@magnolialock/kernel";
+import type { AccountRule } from "@magnolialock/rules";
+import { VirtualClock } from "@magnolialock/test-support";
+import test from "ava";
+import { AccountLimiter } from "../accountLimiter.ts";
+import { PeerHealth } from "../peerHealth.ts";
+import { RetryBudget } from "../retryBudget.ts";
+import { parseTicketChain } from "../ticketChain.ts";
+
+const account: AccountRule = {
+    name: branded<ClientAccountId>("loja-1"),
+    keyHash: "",
+    ratePerS: 60,
+    burst: 60,
+    weight: 1,
+};
+
+const admittedIn = async (clock: VirtualClock, limiter: AccountLimiter, seconds: number): Promise<number> => {
+    let admitted = 0;
+    for (let step = 0; step < seconds * 200; step++) {
+        await clock.advance(5);
+        admitted += limiter.admit(account).kind === "admitted" ? 1 : 0;
+    }
+    return admitted;
+};
+
+test("an entry admits its share of an account's rate, also when the number of entries changes", async t => {
+    const clock = new VirtualClock();
+    const entryCount = { liveEntries: 6 };
+    const limiter = new AccountLimiter({ clock, entryCount });
+    const atSix = await admittedIn(clock, limiter, 10);
+    t.true(atSix >= 95 && atSix <= 105, `${atSix} at six entries`);
+    entryCount.liveEntries = 3;
+    const atThree = await admittedIn(clock, limiter, 10);
+    t.true(atThree >= 195 && atThree <= 205, `${atThree} at three entries`);
+});
+
+test("a new entry brings no burst of its own", t => {
+    const limiter = new AccountLimiter({ clock: new VirtualClock(), entryCount: { liveEntries: 1 } });
+    t.is(limiter.admit(account).kind, "admitted");
+    t.deepEqual(limiter.admit(account), { kind: "limited", retryAfterMs: 17 });
+});
+
+test("retries stay within a tenth of the successes", t => {
+    const budget = new RetryBudget({ clock: new VirtualClock(), capacity: 1 });
+    t.true(budget.tryTake());
+    let retries = 0;
+    for (let success = 0; success < 1_000; success++) {
+        budget.noteSuccess();
+        retries += budget.tryTake() ? 1 : 0;
+    }
+    t.true(retries >= 99 && retries <= 100, `${retries} retries`);
+});
+
+test("failures in a row eject an agent for longer each time", async t => {
+    const clock = new VirtualClock();
+    const health = new PeerHealth(clock);
+    const failThreeTimes = (): void => [1, 2, 3].forEach(() => health.begin().end("failed"));
+    failThreeTimes();
+    t.true(health.isEjected);
+    await clock.advance(1_001);
+    t.false(health.isEjected);
+    failThreeTimes();
+    await clock.advance(1_001);
+    t.true(health.isEjected);
+});
+
+test("an attempt that was given up without a sign of life keeps its agent suspect", async t => {
+    const clock = new VirtualClock();
+    const health = new PeerHealth(clock);
+    const attempt = health.begin();
+    await clock.advance(200);
+    attempt.end("ended");
+    t.true(health.isSuspect);
+    health.noteHeard();
+    t.false(health.isSuspect);
+});
+
+test("a ticket chain is read whole or not at all", t => {
+    const first = "t2.painel-1.abc.entry-1-x.1";
+    t.is(parseTicketChain(`${first}+t2.painel-2.def.entry-1-x.2`)?.length, 2);
+    t.is(parseTicketChain(`${first}+nonsense`), undefined);
+});
--- a/packages/entry/src/shared/agentDirectory.ts
+++ b/packages/entry/src/shared/agentDirectory.ts
@@ -29,8 +29,7 @@
 }
 
 const isInService = (rules: RuleSet, { name, dataCentre }: ServerRule): boolean =>
-    isFaultSeeded("entry.ignore-out")
-    || !rules.drainingServers.has(name) && !rules.outDataCentres.has(dataCentre);
+    !rules.drainingServers.has(name) && !rules.outDataCentres.has(dataCentre);
 
 /** Keeps one peer for each backend server of the configuration. */
 export class AgentDirectory implements Disposable {
@@ -62,7 +61,8 @@
             return [];
         }
         return [...this.peers.values()].filter(peer =>
-            peer.rule.service === service && isInService(rules, peer.rule) && !peer.state?.isDraining
+            peer.rule.service === service
+            && (isFaultSeeded("entry.ignore-out") || isInService(rules, peer.rule) && !peer.state?.isDraining)
         );
     }
 
--- a/packages/entry/src/shared/retryBudget.ts
+++ b/packages/entry/src/shared/retryBudget.ts
@@ -22,6 +22,8 @@
 const DEFAULT_RETRIES_PER_S = 0.5;
 const DEFAULT_CAPACITY = 10;
 const MS_PER_SECOND = 1_000;
+/** Sums of tenths stay exact in thousandths of a retry. */
+const PARTS = 1_000;
 
 /** Counts what retries may still be made. */
 export class RetryBudget {
@@ -29,7 +31,7 @@
     private readonly retriesPerSuccess: number;
     private readonly retriesPerS: number;
     private readonly capacity: number;
-    private balance: number;
+    private balanceParts: number;
     private countedMs: number;
 
     /** @param options - clock and shares */
@@ -38,7 +40,7 @@
         this.retriesPerSuccess = options.retriesPerSuccess ?? DEFAULT_RETRIES_PER_SUCCESS;
         this.retriesPerS = options.retriesPerS ?? DEFAULT_RETRIES_PER_S;
         this.capacity = options.capacity ?? DEFAULT_CAPACITY;
-        this.balance = this.capacity;
+        this.balanceParts = this.capacity * PARTS;
         this.countedMs = this.clock.nowMs();
     }
 
@@ -53,22 +55,29 @@
      * @returns false when there is none; the retry must not be made then
      */
     public tryTake(): boolean {
-        const nowMs = this.clock.nowMs();
-        this.add(this.retriesPerS * (nowMs - this.countedMs) / MS_PER_SECOND);
-        this.countedMs = nowMs;
-        if (this.balance < 1) {
+        this.addForTime();
+        if (this.balanceParts < PARTS) {
             return false;
         }
-        this.balance--;
+        this.balanceParts -= PARTS;
         return true;
     }
 
     /** Counts a retry that must be made whatever the budget says. */
     public charge(): void {
-        this.balance = Math.max(-this.capacity, this.balance - 1);
+        this.balanceParts = Math.max(-this.capacity * PARTS, this.balanceParts - PARTS);
+    }
+
+    private addForTime(): void {
+        const nowMs = this.clock.nowMs();
+        const retries = this.retriesPerS * (nowMs - this.countedMs) / MS_PER_SECOND;
+        if (retries * PARTS >= 1) {
+            this.add(retries);
+            this.countedMs = nowMs;
+        }
     }
 
     private add(retries: number): void {
-        this.balance = Math.min(this.capacity, this.balance + retries);
+        this.balanceParts = Math.min(this.capacity * PARTS, this.balanceParts + Math.round(retries * PARTS));
     }
 }
--- a/packages/entry/src/shared/serveOnce.ts
+++ b/packages/entry/src/shared/serveOnce.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { branded, type IncarnationId, isFaultSeeded, timeoutSignal } from "@magnolialock/kernel";
+import { branded, type IncarnationId, isFaultSeeded, sleep, timeoutSignal } from "@magnolialock/kernel";
 import { RefusalReason, type RunRequest } from "@magnolialock/protocol";
 import type { AnswerEvent, Failure } from "../types/caller.ts";
 import type { AgentPeer } from "./agentPeer.ts";
@@ -22,6 +22,8 @@
 /** Time that is kept for the recall before the deadline, in milliseconds. */
 const RECALL_RESERVE_MS = 150;
 const MAX_RECALL_SHARE = 0.2;
+const LONGEST_MINT_WAIT_MS = 250;
+const MINT_POLL_MS = 10;
 
 /** Mints the tickets of the agents that may run the request. */
 const mintChain = (context: EntryContext, request: ServedRequest): string => {
@@ -40,6 +42,25 @@
     return formatTicketChain(tickets);
 };
 
+/** Mints tickets; right after a start or a pause the incarnations of the agents must be heard first. */
+const mintWhenSeen = async (
+    context: EntryContext,
+    request: ServedRequest,
+    signal: AbortSignal,
+): Promise<string> => {
+    const { clock } = context.runtime;
+    const latestMs = clock.nowMs() + Math.min(LONGEST_MINT_WAIT_MS, request.remainingMs);
+    for (;;) {
+        const chain = mintChain(context, request);
+        const isPossible = context.agents.candidates(request.caller.service).length > 0;
+        if (chain !== "" || !isPossible || clock.nowMs() >= latestMs || signal.aborted) {
+            return chain;
+        }
+        request.includeAll();
+        await sleep(clock, MINT_POLL_MS, signal).catch(() => {});
+    }
+};
+
 /** Runs one attempt and leaves time for a recall before the deadline. */
 const sendOnce = async (
     context: EntryContext,
@@ -55,7 +76,7 @@
     const { requestId } = request.caller;
     runtime.events.emit(attemptSent, { requestId, attempt: attempt.attempt, server: peer.rule.name });
     const outcome = await runAttempt({ runtime, peer, request: attempt, signal: timeout.signal, consume });
-    if (outcome.kind !== "unreachable" || !request.canContinue) {
+    if (outcome.kind !== "unreachable" || !request.canContinue || isFaultSeeded("entry.retry-booking")) {
         return outcome;
     }
     return recallAttempt({ context, request, peer, attempt, signal, consume });
@@ -113,7 +134,7 @@
     signal: AbortSignal,
     consume: (event: AnswerEvent) => void,
 ): Promise<Failure | undefined> => {
-    const chain = request.caller.ticket ?? mintChain(context, request);
+    const chain = request.caller.ticket ?? await mintWhenSeen(context, request, signal);
     if (chain === "") {
         return refusedFailure(request);
     }
@@ -123,7 +144,7 @@
     }
     consume({ kind: "ticket", ticket: chain });
     const failure = await serveAlong(context, request, links, signal);
-    if (failure && request.mayHaveRun && isFaultSeeded("entry.retry-booking") && request.remainingMs > 0) {
+    if (failure && request.mayHaveRun && isFaultSeeded("entry.retry-booking")) {
         const again = parseTicketChain(mintChain(context, request)) ?? [];
         return serveAlong(context, request, again, signal);
     }
