fix(entry): never claim not run for a later try that no agent was asked about

Cause: a retry with a ticket that was over its account's limit, or malformed, was told not run although the first try may have run; the caller would book again. A ticket that an agent refused without a record (too many issuers) went on to the next agent of its chain, so that a later try could run at both. Change: such refusals say outcome unknown; an unrecorded refusal ends the chain; POST /_tickets/SERVICE gives a ticket before the first try; the demo counts repeated runs of bookings only, as status reads may be hedged. Conclusion: not run is said only where an agent or a first try makes it true.

--- a/packages/entry/src/node/__tests__/httpFront.spec.ts
+++ b/packages/entry/src/node/__tests__/httpFront.spec.ts
@@ -33,6 +33,7 @@
             });
             answer.forEach(consume);
         },
+        issueTicket: () => "t1.x.y.z",
         stop: async () => {},
         [Symbol.asyncDispose]: async () => {},
     } satisfies Entry;
@@ -150,3 +151,32 @@
     await response.body?.cancel();
     t.true(seen.isAborted);
 });
+
+test("a refusal of a later try does not claim that the request has not run", async t => {
+    const { app } = createFront([]);
+    const headers = { "x-ticket": "t1.a.b.c", "x-timeout-ms": "soon" };
+    const refusals = [
+        await app.request("/painel/bookings", { method: "POST", headers }),
+        await app.request("/painel/bookings", {
+            method: "POST",
+            headers: { ...headers, "x-timeout-ms": "5" },
+        }),
+        await app.request("/painel/bookings", {
+            method: "POST",
+            headers: { ...authorized, "x-ticket": "t1.a.b.c" },
+            body: new Uint8Array(101),
+        }),
+    ];
+    for (const response of refusals) {
+        t.is(response.headers.get("x-ran"), "outcome unknown", String(response.status));
+    }
+});
+
+test("a caller gets a ticket before its first try", async t => {
+    const { app } = createFront([]);
+    const response = await app.request("/_tickets/painel", { method: "POST", headers: authorized });
+    t.is(response.status, 201);
+    t.deepEqual(await response.json(), { ticket: "t1.x.y.z" });
+    t.is((await app.request("/_tickets/nowhere", { method: "POST", headers: authorized })).status, 404);
+    t.is((await app.request("/_tickets/painel", { method: "POST" })).status, 401);
+});
--- a/packages/entry/src/node/httpFront.ts
+++ b/packages/entry/src/node/httpFront.ts
@@ -15,6 +15,7 @@
 import { type Context, Hono } from "hono";
 import { randomUUID } from "node:crypto";
 import type { Entry } from "../shared/entry.ts";
+import { unservedRan } from "../shared/unservedRan.ts";
 import type { AnswerEvent, CallerRequest, Failure } from "../types/caller.ts";
 import { AccountIndex } from "./accountIndex.ts";
 import { streamAnswer } from "./answerStream.ts";
@@ -32,7 +33,18 @@
 
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
-const notRun = (code: Failure["code"], message: string): Failure => ({ code, ran: "not run", message });
+/** Service names start with a letter, so that no service has this one. */
+const TICKET_PATH = "/_tickets/:service";
+const HTTP_CREATED = 201;
+const TICKET_RETRY_AFTER_MS = 1_000;
+const UNAUTHORIZED_MESSAGE = 'send the API key of a client account as "Authorization: Bearer KEY"';
+
+/** A refusal of this entry, which has asked no agent. */
+const refusal = (code: Failure["code"], message: string, ticket?: string): Failure => ({
+    code,
+    ran: unservedRan(ticket),
+    message,
+});
 
 const toCallerRequest = (
     context: Context,
@@ -101,19 +113,23 @@
 ): Promise<Response> => {
     const { headers, findings } = readCallerHeaders(name => context.req.header(name));
     const requestId = headers.requestId ?? branded<RequestId>(randomUUID());
+    const ticket = context.req.header(CallerHeader.Ticket);
     if (findings.length > 0) {
-        return failureResponse(requestId, notRun("bad-request", findings.map(formatFinding).join("; ")));
+        return failureResponse(
+            requestId,
+            refusal("bad-request", findings.map(formatFinding).join("; "), ticket),
+        );
     }
     const account = accounts.find(context.req.header(CallerHeader.Authorization));
     if (account === undefined) {
         const message = 'send the API key of a client account as "Authorization: Bearer KEY"';
-        return failureResponse(requestId, notRun("unauthorized", message));
+        return failureResponse(requestId, refusal("unauthorized", message, ticket));
     }
     const body = await readBody(context, maxBodyBytes);
     if (body.kind === "too-large") {
         return failureResponse(
             requestId,
-            notRun("too-large", `keep the body at or under ${maxBodyBytes} bytes`),
+            refusal("too-large", `keep the body at or under ${maxBodyBytes} bytes`, ticket),
         );
     }
     const request = toCallerRequest(context, requestId, account, headers, body.bytes);
@@ -127,6 +143,29 @@
     return respond(requestId, events);
 };
 
+const serveTicket = (entry: Entry, accounts: AccountIndex, context: Context): Response => {
+    const requestId = randomUUID();
+    if (accounts.find(context.req.header(CallerHeader.Authorization)) === undefined) {
+        return failureResponse(requestId, refusal("unauthorized", UNAUTHORIZED_MESSAGE));
+    }
+    const service = branded<ServiceName>(context.req.param("service") ?? "");
+    if (!entry.context.configuration.current?.rules.services.has(service)) {
+        return failureResponse(requestId, refusal("unknown-service", `no service is named "${service}"`));
+    }
+    const ticket = entry.issueTicket(service);
+    if (ticket === "") {
+        const message = `no backend server of ${service} can take a request now`;
+        return failureResponse(requestId, {
+            ...refusal("unavailable", message),
+            retryAfterMs: TICKET_RETRY_AFTER_MS,
+        });
+    }
+    return new Response(JSON.stringify({ ticket }), {
+        status: HTTP_CREATED,
+        headers: { "content-type": "application/json", [CallerHeader.Ticket]: ticket },
+    });
+};
+
 /**
  * Creates the callers' interface.
  *
@@ -140,11 +179,12 @@
     const app = new Hono();
     app.get("/healthz", context => context.text("ok\n"));
     app.get("/readyz", context => entry.isReady ? context.text("ready\n") : context.text("not ready\n", 503));
+    app.post(TICKET_PATH, context => serveTicket(entry, accounts, context));
     app.all("/:service/*", context => serveCaller(entry, accounts, maxBodyBytes, context));
     app.notFound(() =>
         failureResponse(
             randomUUID(),
-            notRun("unknown-service", "write the path as /SERVICE/PATH of the service"),
+            refusal("unknown-service", "write the path as /SERVICE/PATH of the service"),
         )
     );
     app.onError(error =>
--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -12,6 +12,7 @@
     PauseDetector,
     ResourceScope,
     type Runtime,
+    type ServiceName,
     sleep,
 } from "@magnolialock/kernel";
 import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
@@ -19,10 +20,12 @@
 import { AgentDirectory } from "./agentDirectory.ts";
 import type { EntryContext } from "./entryContext.ts";
 import { entryDraining, entryPaused, entryStarted, entryStopped } from "./entryEvents.ts";
+import { issueTicket } from "./issueTicket.ts";
 import { LiveEntryCount } from "./liveEntryCount.ts";
 import { RetryBudget } from "./retryBudget.ts";
 import { routingPolicies } from "./routingPolicy.ts";
 import { serveRequest } from "./serveRequest.ts";
+import { unservedRan } from "./unservedRan.ts";
 
 /** Options of {@link createEntry}. */
 export interface EntryOptions {
@@ -58,6 +61,13 @@
      * @param consume - gets the answer's pieces; the last is `end` or `failed`
      */
     serve(request: CallerRequest, signal: AbortSignal, consume: (event: AnswerEvent) => void): Promise<void>;
+    /**
+     * Issues a ticket for a request that may not be repeated, before its first try.
+     *
+     * @param service - service that the request is for
+     * @returns the ticket; empty when no backend server can take the request now
+     */
+    issueTicket(service: ServiceName): string;
     /** Refuses new requests, finishes what runs, and ends. */
     stop(): Promise<void>;
 }
@@ -114,7 +124,7 @@
             const message = "the entry is stopping: send the request again, to another entry";
             consume({
                 kind: "failed",
-                failure: { code: "stopping", ran: "not run", message, retryAfterMs: 0 },
+                failure: { code: "stopping", ran: unservedRan(request.ticket), message, retryAfterMs: 0 },
             });
             return;
         }
@@ -145,6 +155,7 @@
     return {
         context,
         serve,
+        issueTicket: service => isStopping ? "" : issueTicket(context, service),
         stop,
         get running() {
             return running;
--- a/packages/entry/src/shared/serveOnce.ts
+++ b/packages/entry/src/shared/serveOnce.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { branded, type IncarnationId, isFaultSeeded, timeoutSignal } from "@magnolialock/kernel";
+import { isFaultSeeded, timeoutSignal } from "@magnolialock/kernel";
 import { RefusalReason, type RunRequest } from "@magnolialock/protocol";
 import type { AnswerEvent, Failure } from "../types/caller.ts";
 import type { AgentPeer } from "./agentPeer.ts";
@@ -12,33 +12,26 @@
 import { runAttempt } from "./attempt.ts";
 import type { EntryContext } from "./entryContext.ts";
 import { attemptSent } from "./entryEvents.ts";
+import { mintTicketChain } from "./issueTicket.ts";
 import { recallAttempt } from "./recallAttempt.ts";
 import { brokenFailure, refusedFailure } from "./requestFailure.ts";
 import type { ServedRequest } from "./servedRequest.ts";
 import { noteOutcome } from "./serveRepeatable.ts";
-import { formatTicketChain, parseTicketChain, type TicketLink } from "./ticketChain.ts";
+import { parseTicketChain, type TicketLink } from "./ticketChain.ts";
 
-const MAX_LINKS = 2;
 /** Time that is kept for the recall before the deadline, in milliseconds. */
 const RECALL_RESERVE_MS = 150;
 const MAX_RECALL_SHARE = 0.2;
 
 /** Mints the tickets of the agents that may run the request. */
-const mintChain = (context: EntryContext, request: ServedRequest): string => {
-    const tickets: string[] = [];
-    while (tickets.length < MAX_LINKS) {
+const mintChain = (context: EntryContext, request: ServedRequest): string =>
+    mintTicketChain(context, () => {
         const peer = request.chooseAgent();
-        if (!peer) {
-            break;
-        }
-        request.exclude(peer);
-        const incarnation = peer.state?.incarnation;
-        if (incarnation !== undefined) {
-            tickets.push(context.tickets.mint(peer.rule.name, branded<IncarnationId>(incarnation)));
+        if (peer) {
+            request.exclude(peer);
         }
-    }
-    return formatTicketChain(tickets);
-};
+        return peer;
+    });
 
 /** Runs one attempt and leaves time for a recall before the deadline. */
 const sendOnce = async (
@@ -91,8 +84,11 @@
         if (outcome.kind !== "refused") {
             return brokenFailure(request, outcome.message);
         }
-        if (outcome.refused.reason === RefusalReason.WRONG_TICKET && request.caller.ticket !== undefined) {
-            return wrongTicket(outcome.refused.message);
+        // Such a refusal is not recorded: the agent may still run the request, so no other one may.
+        if (outcome.refused.reason === RefusalReason.WRONG_TICKET) {
+            return request.caller.ticket === undefined
+                ? refusedFailure(request)
+                : wrongTicket(outcome.refused.message);
         }
     }
     return refusedFailure(request);
--- a/packages/entry/src/shared/serveRequest.ts
+++ b/packages/entry/src/shared/serveRequest.ts
@@ -14,6 +14,7 @@
 import { serveHedged } from "./serveHedged.ts";
 import { serveOnce } from "./serveOnce.ts";
 import { serveRepeatable } from "./serveRepeatable.ts";
+import { unservedRan } from "./unservedRan.ts";
 
 type Consume = (event: AnswerEvent) => void;
 
@@ -40,7 +41,7 @@
     }
     return {
         code: "rate-limited",
-        ran: "not run",
+        ran: unservedRan(caller.ticket),
         message: `the account ${caller.account} is over its limit of ${account?.ratePerS} calls a second`,
         retryAfterMs: decision.retryAfterMs,
     };
@@ -104,7 +105,7 @@
     const failure = !rules || !service
         ? {
             code: "unknown-service" as const,
-            ran: "not run" as const,
+            ran: unservedRan(caller.ticket),
             message: `no service is named "${caller.service}"`,
         }
         : limitFailure(context, rules, caller)
--- a/packages/lab/src/node/standIns/plainServer.ts
+++ b/packages/lab/src/node/standIns/plainServer.ts
@@ -18,8 +18,11 @@
     app.get("/load", context => context.json({ running: service.running, waiting: 0 }));
     app.get("/stand-in/runs", context => {
         const counts = new Map<string, number>();
-        for (const { requestId } of service.runs) {
-            counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+        const onlyMethod = context.req.query("method");
+        for (const { requestId, method } of service.runs) {
+            if (onlyMethod === undefined || method === onlyMethod) {
+                counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+            }
         }
         return context.json(Object.fromEntries(counts));
     });
--- a/packages/lab/src/shared/standIns/plainModel.ts
+++ b/packages/lab/src/shared/standIns/plainModel.ts
@@ -5,6 +5,7 @@
  */
 
 import { type Clock, MagnolialockError, type RandomSource, sleep } from "@magnolialock/kernel";
+import { setMaxListeners } from "node:events";
 
 /** One call. */
 export interface PlainRequest {
@@ -22,6 +23,8 @@
 export interface PlainRun {
     /** Identifier of the caller's request. */
     readonly requestId: string;
+    /** HTTP method. */
+    readonly method: string;
     /** When, in milliseconds. */
     readonly atMs: number;
     /** Calls that run, with this one. */
@@ -51,6 +54,13 @@
 /** The process died while it ran the call; the run counts. */
 export const PlainServiceDiedError = MagnolialockError.subclass("PlainServiceDiedError");
 
+/** Every running call listens to the end of the process's life. */
+const createLife = (): AbortController => {
+    const life = new AbortController();
+    setMaxListeners(0, life.signal);
+    return life;
+};
+
 /** A plain service that counts its runs by request. */
 export class PlainModel {
     /** All runs, for oracles. */
@@ -61,7 +71,7 @@
     private readonly random: RandomSource;
     private readonly serviceMs: number;
     private readonly completionsToWarm: number;
-    private life = new AbortController();
+    private life = createLife();
     private runningCount = 0;
     private completionsSinceCold = 0;
 
@@ -91,6 +101,7 @@
         this.runningCount++;
         this.runs.push({
             requestId: request.requestId,
+            method: request.method,
             atMs: this.clock.nowMs(),
             running: this.runningCount,
             isCold: this.isCold,
@@ -112,7 +123,7 @@
     /** Dies and starts again, cold; running calls break. */
     public restart(): void {
         this.life.abort();
-        this.life = new AbortController();
+        this.life = createLife();
         this.isCold = true;
         this.completionsSinceCold = 0;
     }
--- a/playground/demo/demo.ts
+++ b/playground/demo/demo.ts
@@ -29,12 +29,15 @@
 
 const say = (text: string): void => void process.stdout.write(`${text}\n`);
 
-/** Runs of each request, as the plain services counted them. */
-const countRuns = async (fleet: LocalFleet): Promise<Map<string, number>> => {
+/** Runs of each booking, as the plain services counted them; status reads may run twice. */
+const countBookingRuns = async (fleet: LocalFleet): Promise<Map<string, number>> => {
     const totals = new Map<string, number>();
     const plain = fleet.backends.filter(({ server }) => server.service === SHAPE.plainService);
     for (const { url } of plain) {
-        const counts = await (await fetch(`${url}/stand-in/runs`)).json() as Record<string, number>;
+        const counts = await (await fetch(`${url}/stand-in/runs?method=POST`)).json() as Record<
+            string,
+            number
+        >;
         for (const [requestId, runs] of Object.entries(counts)) {
             totals.set(requestId, (totals.get(requestId) ?? 0) + runs);
         }
@@ -76,7 +79,7 @@
 };
 
 const summarize = async (fleet: LocalFleet, callers: Callers): Promise<boolean> => {
-    const runs = await countRuns(fleet);
+    const runs = await countBookingRuns(fleet);
     const kinds = Object.values(callers.report);
     const sum = (pick: (counts: typeof kinds[number]) => number): number =>
         kinds.reduce((total, counts) => total + pick(counts), 0);
@@ -86,7 +89,7 @@
     say(`whole answers:        ${sum(({ whole }) => whole)}`);
     say(`refused as not run:   ${sum(({ notRun }) => notRun)}`);
     say(`lost, short or wrong: ${bad}`);
-    say(`requests run twice:   ${repeated.length}`);
+    say(`bookings run twice:   ${repeated.length}`);
     return bad === 0 && repeated.length === 0;
 };
 
