fix(agent): judge batches of tokens as batches and prove warmth by tokens too

Cause: the lab's engines send four tokens at a time, the last batch is smaller, and one token after 110 ms looked like a cold server; with whole completions as the only proof a ramp took 10 s and more under long drafts. Change: a time per token counts the usual batch of its stream; eight pieces at warm speed count as one completion, and three proofs must spread over a second; a silence of all running calls beyond one warm time suspends the lease. Conclusion: waiting for a first slow token of a new request was ruled out as the sign: running streams show it sooner.

--- a/packages/agent/src/shared/__tests__/stops.spec.ts
+++ b/packages/agent/src/shared/__tests__/stops.spec.ts
@@ -96,6 +96,8 @@
     await fixture.clock.advance(5);
     t.is(Number(states.at(-1)?.revision), 2);
     await fixture.serve(3, 10);
+    await fixture.clock.advance(1_000);
+    await fixture.serve(1, 10);
     t.is(states.at(-1)?.limit, 4);
 });
 
--- a/packages/agent/src/shared/__tests__/warmth.spec.ts
+++ b/packages/agent/src/shared/__tests__/warmth.spec.ts
@@ -17,8 +17,9 @@
 test.serial("a server is cold until completions at warm speed prove it, then ramps in steps", async t => {
     const fixture = await AgentFixture.start({ cold: 2, warm: 8 });
     t.is(warmthOf(fixture), Warmth.COLD);
-    await fixture.serve(2, 10);
-    t.is(fixture.agent.context.limit, 2);
+    await fixture.serve(5, 10);
+    t.is(fixture.agent.context.limit, 2, "three proofs are not enough when they come within a second");
+    await fixture.clock.advance(1_000);
     await fixture.serve(1, 10);
     t.is(fixture.agent.context.limit, 4);
     t.is(warmthOf(fixture), Warmth.WARMING);
@@ -120,7 +121,7 @@
         }
     };
     for (const id of ["m1", "m2", "m3"]) {
-        await stream(id, 5, 25);
+        await stream(id, 15, 25);
         fixture.backend.call(id).events.push({ kind: "end", finishReason: "stop" });
         await fixture.clock.advance(5);
     }
@@ -129,6 +130,20 @@
     t.is(fixture.agent.context.limit, 2);
 });
 
+test.serial("a small last batch of an engine that computes several steps at once is no sign", async t => {
+    const fixture = await AgentFixture.start({ kind: "model", warmTime: "50ms" });
+    await fixture.sendAndWait("m1");
+    for (let piece = 0; piece < 40; piece++) {
+        fixture.backend.call("m1").sendTokens(4);
+        await fixture.clock.advance(110);
+    }
+    t.true(fixture.agent.context.lease.isProven);
+    fixture.backend.call("m1").sendTokens(1);
+    await fixture.clock.advance(5);
+    t.true(fixture.agent.context.lease.isProven);
+    t.not(warmthOf(fixture), Warmth.COLD);
+});
+
 test.serial("a new incarnation assumes that its predecessor's calls still run", async t => {
     const fixture = await AgentFixture.start({ cold: 2 });
     await fixture.sendAndWait("old-1");
@@ -155,3 +170,13 @@
     await fixture.sendAndWait("late");
     t.is(fixture.backend.runsOf("late"), 1);
 });
+
+test.serial("a short silence of all running calls holds new starts back at the cold limit", async t => {
+    const fixture = await AgentFixture.start({ warmTime: "20ms" });
+    await fixture.warmUp();
+    await fill(fixture, 4);
+    await fixture.clock.advance(25);
+    t.is(fixture.agent.context.limit, 2);
+    await fixture.sendAndWait("fast");
+    t.is(fixture.backend.runsOf("fast"), 0);
+});
--- a/packages/agent/src/shared/callMeter.ts
+++ b/packages/agent/src/shared/callMeter.ts
@@ -37,13 +37,15 @@
 /** Tokens that arrive together measure nothing; they count with the next interval, in milliseconds. */
 const MIN_INTERVAL_MS = 4;
 const LATENCY_SMOOTHING = 0.2;
+const PIECE_SMOOTHING = 0.1;
 
 /** Measures one running call. */
 export class CallMeter {
     private readonly startedMs: number;
     private intervalStartMs: number;
     private intervalTokens = 0;
-    private lastPieceTokens = 0;
+    /** Tokens that come together; 0 before the first. An engine that computes several steps at once sends batches. */
+    private pieceTokens = 0;
     private lastVerdict: { readonly speed: SpeedVerdict; readonly sinceMs: number; } | undefined;
 
     /**
@@ -55,18 +57,19 @@
         this.intervalStartMs = this.startedMs;
     }
 
-    /** Time of silence that is a sign, in milliseconds. */
-    private get silenceBoundMs(): number {
-        const { speed } = this.calls.options;
-        if (this.call.isModel && this.lastPieceTokens === 0) {
-            return speed.warmTimeMs * FIRST_TOKEN_FACTOR;
+    /**
+     * Compares the present silence of the call with what a warm server needs.
+     *
+     * @returns "verySlow" for a silence that is a sign by itself
+     */
+    public judgeSilence(): SpeedVerdict {
+        const { speed, clock } = this.calls.options;
+        const silentMs = clock.nowMs() - this.intervalStartMs;
+        const isBeforeFirstToken = this.call.isModel && this.pieceTokens === 0;
+        if (isBeforeFirstToken) {
+            return silentMs > speed.warmTimeMs * FIRST_TOKEN_FACTOR ? "verySlow" : "warm";
         }
-        return speed.verySlowTimeMs * Math.max(1, this.lastPieceTokens);
-    }
-
-    /** Whether the call is silent for longer than a warm server would be. */
-    public get isSilent(): boolean {
-        return this.calls.options.clock.nowMs() - this.intervalStartMs > this.silenceBoundMs;
+        return speed.compare(silentMs / Math.max(1, this.pieceTokens));
     }
 
     /**
@@ -76,19 +79,20 @@
      */
     public noteTokens(count: number): void {
         const nowMs = this.calls.options.clock.nowMs();
-        const isFirst = this.lastPieceTokens === 0;
-        this.lastPieceTokens = count;
-        if (isFirst) {
+        if (this.pieceTokens === 0) {
+            this.pieceTokens = count;
             this.noteFirstToken(nowMs - this.startedMs);
             this.intervalStartMs = nowMs;
             return;
         }
+        this.pieceTokens += PIECE_SMOOTHING * (count - this.pieceTokens);
         this.intervalTokens += count;
         const intervalMs = nowMs - this.intervalStartMs;
         if (intervalMs < MIN_INTERVAL_MS) {
             return;
         }
-        this.judge(intervalMs / this.intervalTokens, this.intervalStartMs);
+        // The last batch of an answer may be a small one, though it took as long as the others.
+        this.judge(intervalMs / Math.max(this.intervalTokens, this.pieceTokens), this.intervalStartMs);
         this.intervalStartMs = nowMs;
         this.intervalTokens = 0;
     }
@@ -137,7 +141,10 @@
         }
         switch (verdict) {
             case "warm":
-                lease.noteWarm(sinceMs, false, this.calls.running);
+                // A plain call is judged at its end, where it counts as a completion.
+                if (this.call.isModel) {
+                    lease.noteWarm(sinceMs, false, this.calls.running);
+                }
                 break;
             case "slow":
                 lease.noteSlow(sinceMs);
@@ -202,16 +209,24 @@
         this.meters.delete(meter);
     }
 
-    /** Gives the warmth up when all running calls are silent for too long. */
+    /** Suspends or ends the lease of warmth when all running calls are silent for longer than a warm server would be. */
     public checkSilence(): void {
-        if (this.meters.size === 0 || !this.options.lease.isProven) {
+        const { lease } = this.options;
+        if (this.meters.size === 0 || !lease.isProven) {
             return;
         }
+        let isVerySlow = true;
         for (const meter of this.meters) {
-            if (!meter.isSilent) {
+            const verdict = meter.judgeSilence();
+            if (verdict === "warm") {
                 return;
             }
+            isVerySlow &&= verdict === "verySlow";
+        }
+        if (isVerySlow) {
+            lease.fall("silent");
+            return;
         }
-        this.options.lease.fall("silent");
+        lease.suspend();
     }
 }
--- a/packages/agent/src/shared/serviceSpeed.ts
+++ b/packages/agent/src/shared/serviceSpeed.ts
@@ -36,11 +36,6 @@
         return this.writtenMs() ?? this.bestAverageMs * LEARNED_TOLERANCE;
     }
 
-    /** Time from which on a call is very slow, in milliseconds. */
-    public get verySlowTimeMs(): number {
-        return this.warmTimeMs * VERY_SLOW_FACTOR;
-    }
-
     /**
      * Judges a measured time and learns from it.
      *
@@ -49,10 +44,20 @@
      */
     public judge(timeMs: number): SpeedVerdict {
         this.learn(timeMs);
+        return this.compare(timeMs);
+    }
+
+    /**
+     * Compares a time with that of a warm server, without learning from it.
+     *
+     * @param timeMs - time for a token or for a whole plain answer so far, in milliseconds
+     * @returns the verdict
+     */
+    public compare(timeMs: number): SpeedVerdict {
         if (timeMs <= this.warmTimeMs) {
             return "warm";
         }
-        return timeMs <= this.verySlowTimeMs ? "slow" : "verySlow";
+        return timeMs <= this.warmTimeMs * VERY_SLOW_FACTOR ? "slow" : "verySlow";
     }
 
     private learn(timeMs: number): void {
--- a/packages/agent/src/shared/warmthLease.ts
+++ b/packages/agent/src/shared/warmthLease.ts
@@ -34,7 +34,7 @@
     readonly events: EventLog;
     /** Gives the limits in force. */
     readonly limits: () => ServerLimits;
-    /** Gives the completions at warm speed that prove a cold server warm. */
+    /** Gives the proofs that a cold server is warm now; a completion at warm speed is one. */
     readonly proofsNeeded: () => number;
     /** Called after each change of the limit. */
     readonly onChange: () => void;
@@ -47,6 +47,10 @@
 /** Pieces of evidence that a step of the ramp needs. */
 const STEP_EVIDENCE = 4;
 const STEP_FACTOR = 2;
+/** Pieces of a stream at warm speed that make one proof. */
+const PIECES_PER_PROOF = 8;
+/** Shortest time over which the proofs of a cold server must spread, in milliseconds. */
+const PROOF_SPAN_MS = 1_000;
 /** A step needs the present limit to be in use by this share. */
 const STEP_USE = 0.5;
 
@@ -56,6 +60,7 @@
     /** Calls that the evidence covers; 0 stands for the cold limit. */
     private provenLimit = 0;
     private proofCount = 0;
+    private proofsSinceMs = 0;
     private stepEvidence = 0;
     private steppedMs = Number.NEGATIVE_INFINITY;
     private evidenceMs = Number.NEGATIVE_INFINITY;
@@ -111,10 +116,7 @@
             this.options.onChange();
         }
         if (this.provenLimit === 0) {
-            this.proofCount += isCompletion ? 1 : 0;
-            if (this.proofCount >= this.options.proofsNeeded()) {
-                this.raiseTo(this.options.limits().coldLimit * STEP_FACTOR);
-            }
+            this.countProof(sinceMs, isCompletion);
             return;
         }
         this.countStepEvidence(sinceMs, running);
@@ -127,10 +129,16 @@
      * @param sinceMs - when the measured interval began
      */
     public noteSlow(sinceMs: number): void {
+        if (this.suspectedMs !== undefined && sinceMs >= this.suspectedMs) {
+            this.fall("slow");
+            return;
+        }
+        this.suspend();
+    }
+
+    /** Falls to the cold limit until the next measurement restores or ends the lease. */
+    public suspend(): void {
         if (this.suspectedMs !== undefined) {
-            if (sinceMs >= this.suspectedMs) {
-                this.fall("slow");
-            }
             return;
         }
         this.suspectedMs = this.options.clock.nowMs();
@@ -164,6 +172,17 @@
         }
     }
 
+    private countProof(sinceMs: number, isCompletion: boolean): void {
+        if (this.proofCount === 0) {
+            this.proofsSinceMs = sinceMs;
+        }
+        this.proofCount += isCompletion ? 1 : 1 / PIECES_PER_PROOF;
+        const spanMs = this.options.clock.nowMs() - this.proofsSinceMs;
+        if (this.proofCount >= this.options.proofsNeeded() && spanMs >= PROOF_SPAN_MS) {
+            this.raiseTo(this.options.limits().coldLimit * STEP_FACTOR);
+        }
+    }
+
     private countStepEvidence(sinceMs: number, running: number): void {
         const { limit } = this;
         if (sinceMs < this.steppedMs || limit >= this.options.limits().warmLimit) {
