--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -21,6 +21,7 @@
 import { StartGate } from "./startGate.ts";
 import { StateFeed } from "./stateFeed.ts";
 import { WarmthLease } from "./warmthLease.ts";
+import { WatchingEntries } from "./watchingEntries.ts";
 
 /** Options of an {@link AgentContext}. */
 export interface AgentContextOptions {
@@ -80,6 +81,8 @@
     public readonly admission: AdmissionQueue;
     /** What became of requests that may not be repeated. */
     public readonly journal: RequestJournal;
+    /** Entries that watch this agent. */
+    public readonly watchingEntries = new WatchingEntries();
     /** Wakes the tasks that report the state. */
     public readonly stateFeed: StateFeed;
     /** Functions that end the running calls, for the end of a stop. */
--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import "./commands/rollout.ts";
 import "./commands/outage.ts";
 import "./commands/overload.ts";
 import "./commands/standIn.ts";
