perf(control): compress whole contents and make the message of a report once

Cause: a newcomer's 1 MB cost its peer 27 KB/s in a 40 s window, and messages were built anew for each datagram.

--- a/packages/control/src/shared/membership/membership.ts
+++ b/packages/control/src/shared/membership/membership.ts
@@ -5,13 +5,7 @@
  */
 
 import type { Clock, DataCentreId, EventLog, RandomSource } from "@magnolialock/kernel";
-import type {
-    DataCentreSummary,
-    MemberIdentity,
-    MemberReport,
-    MemberRole,
-    MemberState,
-} from "../../types/member.ts";
+import type { DataCentreSummary, MemberIdentity, MemberReport, MemberRole } from "../../types/member.ts";
 import type { ListedInstance } from "../../types/platform.ts";
 import { memberChanged, suspicionRefuted } from "../controlEvents.ts";
 import { MemberTable, supersedes } from "./memberTable.ts";
@@ -52,8 +46,7 @@
     private readonly summaries = new Map<DataCentreId, DataCentreSummary>();
     private readonly listeners = new Set<() => void>();
     private listed: ReadonlyMap<DataCentreId, readonly ListedInstance[]> = new Map();
-    private incarnation: number;
-    private selfState: MemberState = "alive";
+    private ownReport: MemberReport;
 
     /** @param options - surroundings and identity */
     public constructor(options: MembershipOptions) {
@@ -61,13 +54,17 @@
         this.random = options.random;
         this.events = options.events;
         this.self = options.self;
-        this.incarnation = Math.floor(options.clock.wallMs());
+        this.ownReport = {
+            ...options.self,
+            incarnation: Math.floor(options.clock.wallMs()),
+            state: "alive",
+        };
         this.updates.add(this.selfReport);
     }
 
     /** Report of the process about itself. */
     public get selfReport(): MemberReport {
-        return { ...this.self, incarnation: this.incarnation, state: this.selfState };
+        return this.ownReport;
     }
 
     /** Members of the own data centre, the process itself first. */
@@ -105,7 +102,7 @@
     /** Live members of the own data centre, with the process itself unless it leaves. */
     public liveMembers(): MemberReport[] {
         const others = this.table.live();
-        return this.selfState === "alive" ? [this.selfReport, ...others] : others;
+        return this.ownReport.state === "alive" ? [this.selfReport, ...others] : others;
     }
 
     /** Other members of the own data centre that may answer. */
@@ -263,7 +260,7 @@
 
     /** Marks the process itself as leaving. */
     public beginLeaving(): void {
-        this.selfState = "leaving";
+        this.ownReport = { ...this.ownReport, state: "leaving" };
         this.updates.add(this.selfReport);
         this.notify();
     }
@@ -281,9 +278,10 @@
 
     private defend(report: MemberReport): void {
         if (supersedes(report, this.selfReport)) {
-            this.incarnation = report.incarnation + 1;
+            const incarnation = report.incarnation + 1;
+            this.ownReport = { ...this.ownReport, incarnation };
             this.updates.add(this.selfReport);
-            this.events.emit(suspicionRefuted, { claimed: report.state, incarnation: this.incarnation });
+            this.events.emit(suspicionRefuted, { claimed: report.state, incarnation });
         }
     }
 
--- a/packages/control/src/shared/plane/contentExchange.ts
+++ b/packages/control/src/shared/plane/contentExchange.ts
@@ -31,6 +31,7 @@
 import { applyDelta, type ContentSteps } from "../contentDelta.ts";
 import { ContentHistory } from "../contentHistory.ts";
 import type { Seal } from "../seal.ts";
+import { compress, expand } from "./compression.ts";
 
 /** Options of {@link ContentExchange}. */
 export interface ContentExchangeOptions {
@@ -137,7 +138,8 @@
     private build(content: ConfigurationContent): Uint8Array | undefined {
         const { current } = this.store;
         if (content.body.case === "whole") {
-            return contentHash(content.body.value) === content.contentHash ? content.body.value : undefined;
+            const whole = expand(content.body.value, MAX_RULES_BYTES);
+            return contentHash(whole) === content.contentHash ? whole : undefined;
         }
         if (!current) {
             return undefined;
@@ -197,7 +199,7 @@
             }
             return chain
                 ? { case: "deltas", value: { deltas: chain.map(toDeltaMessage) } }
-                : { case: "whole", value: current.bytes };
+                : { case: "whole", value: compress(current.bytes) };
         })();
         return {
             body,
--- a/packages/control/src/shared/plane/gossipMessages.ts
+++ b/packages/control/src/shared/plane/gossipMessages.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { MessageInitShape } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { type Address, branded, type DataCentreId, type InstanceId, isAddress } from "@magnolialock/kernel";
 import {
     type DataCentreSummary as SummaryMessage,
@@ -13,7 +13,7 @@
     type DigestSchema,
     type Member as MemberMessage,
     MemberRole as RoleNumber,
-    type MemberSchema,
+    MemberSchema,
     MemberState as StateNumber,
 } from "@magnolialock/protocol";
 import type {
@@ -55,23 +55,31 @@
 
 const isName = (text: string): boolean => text.length > 0 && text.length <= MAX_NAME_LENGTH;
 
+const memberMessages = new WeakMap<MemberIdentity, MemberMessage>();
+
 /**
- * Writes a member.
+ * Writes a member. The message of a report is made once, for reports never change.
  *
  * @param report - a report, or an identity alone
  * @returns the message
  */
-export const toMemberMessage = (
-    report: MemberIdentity & Partial<MemberReport>,
-): MessageInitShape<typeof MemberSchema> => ({
-    name: report.name,
-    role: ROLE_NUMBERS[report.role],
-    dataCentre: report.dataCentre,
-    address: report.address,
-    incarnation: BigInt(report.incarnation ?? 0),
-    state: STATE_NUMBERS[report.state ?? "alive"],
-    accuser: report.accuser ?? "",
-});
+export const toMemberMessage = (report: MemberIdentity & Partial<MemberReport>): MemberMessage => {
+    const known = memberMessages.get(report);
+    if (known) {
+        return known;
+    }
+    const message = create(MemberSchema, {
+        name: report.name,
+        role: ROLE_NUMBERS[report.role],
+        dataCentre: report.dataCentre,
+        address: report.address,
+        incarnation: BigInt(report.incarnation ?? 0),
+        state: STATE_NUMBERS[report.state ?? "alive"],
+        accuser: report.accuser ?? "",
+    });
+    memberMessages.set(report, message);
+    return message;
+};
 
 /**
  * Reads a member.
--- a/packages/control/src/shared/plane/gossipSocket.ts
+++ b/packages/control/src/shared/plane/gossipSocket.ts
@@ -12,7 +12,7 @@
     MAX_DATAGRAM_BYTES,
     type Runtime,
 } from "@magnolialock/kernel";
-import { type Gossip, GossipSchema, type MemberSchema, SealedMessageSchema } from "@magnolialock/protocol";
+import { type Gossip, GossipSchema, SealedMessageSchema } from "@magnolialock/protocol";
 import type { DataCentreSummary, MemberReport } from "../../types/member.ts";
 import { messageDropped } from "../controlEvents.ts";
 import type { Membership } from "../membership/membership.ts";
@@ -161,12 +161,11 @@
     ): Uint8Array {
         const { membership, digest, seal, runtime } = this.options;
         const nowMs = runtime.clock.nowMs();
-        const sender: MessageInitShape<typeof MemberSchema> = toMemberMessage(membership.selfReport);
         const payload = toBinary(
             GossipSchema,
             create(GossipSchema, {
-                sender,
                 kind,
+                sender: toMemberMessage(membership.selfReport),
                 digest: toDigestMessage(digest()),
                 updates: updates.map(toMemberMessage),
                 summaries: summaries.map(summary => toSummaryMessage(summary, nowMs)),
