feat(control): spread whole contents over several peers

Cause: in the replacement of a data centre one peer sent three whole contents within a minute, 14,514 bytes/s. Change: a process sends one whole content in 45 s while the newcomer knows other holders, and says that it is busy; the newcomer insists only when all are.

--- a/packages/control/src/shared/plane/contentExchange.ts
+++ b/packages/control/src/shared/plane/contentExchange.ts
@@ -16,6 +16,7 @@
     type Runtime,
     type ServiceBinding,
     timeoutSignal,
+    UnreachableError,
 } from "@magnolialock/kernel";
 import {
     type ConfigurationContent,
@@ -46,6 +47,8 @@
 /** Longest time of one fetch, in milliseconds. */
 const FETCH_TIMEOUT_MS = 2_000;
 const MAX_NONCE = 0x7fffffff;
+/** Time between two whole contents that a process sends while others can, in milliseconds; it spreads the load. */
+const WHOLE_INTERVAL_MS = 45_000;
 /** Findings of a rejected revision that travel to peers. */
 const MAX_SENT_FINDINGS = 50;
 
@@ -73,6 +76,7 @@
     private readonly seal: Seal;
     private readonly store: ConfigurationStore;
     private readonly history: ContentHistory;
+    private wholeSentMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - surroundings, seal and store */
     public constructor(options: ContentExchangeOptions) {
@@ -91,12 +95,23 @@
      * @param address - the peer
      * @param source - its name, for events
      * @param signal - gives the fetch up
+     * @param mayRefuse - whether the peer may refuse to send a whole content because it sent one lately
+     * @throws UnreachableError when the peer refuses
      * @throws ProtocolError when the answer is malformed or not authentic
      * @throws ConnectError when the peer does not answer
      */
-    public async fetch(address: Address, source: string, signal: AbortSignal): Promise<void> {
-        const content = await this.request(address, this.store.current?.contentHash ?? "", signal);
+    public async fetch(
+        address: Address,
+        source: string,
+        signal: AbortSignal,
+        mayRefuse = false,
+    ): Promise<void> {
+        const known = this.store.current?.contentHash ?? "";
+        const content = await this.request(address, known, signal, mayRefuse);
         this.takeRejected(content, source);
+        if (content.isBusy) {
+            throw new UnreachableError("the peer has just sent a whole content to another process");
+        }
         if (Number(content.revision) <= (this.store.current?.revision ?? 0)) {
             return;
         }
@@ -113,13 +128,14 @@
         address: Address,
         knownContentHash: string,
         signal: AbortSignal,
+        mayRefuseWhole = false,
     ): Promise<ConfigurationContent> {
         const { clock, network, random } = this.runtime;
         using deadline = timeoutSignal(clock, FETCH_TIMEOUT_MS, signal);
         const nonce = random.nextInt(1, MAX_NONCE);
         const request = toBinary(
             ConfigurationRequestSchema,
-            create(ConfigurationRequestSchema, { nonce, knownContentHash }),
+            create(ConfigurationRequestSchema, { nonce, knownContentHash, mayRefuseWhole }),
         );
         const client = createClient(ControlService, network.transportTo(address));
         const sealed = await client.getConfiguration(this.seal.seal(request), { signal: deadline.signal });
@@ -185,9 +201,22 @@
         if (!opened) {
             throw new ConnectError("the request is not authentic: check --shared-key", Code.Unauthenticated);
         }
-        const { nonce, knownContentHash } = fromBinary(ConfigurationRequestSchema, opened);
-        const content = create(ConfigurationContentSchema, { nonce, ...this.describe(knownContentHash) });
-        return this.seal.seal(toBinary(ConfigurationContentSchema, content));
+        const { nonce, knownContentHash, mayRefuseWhole } = fromBinary(ConfigurationRequestSchema, opened);
+        const answer = create(ConfigurationContentSchema, { nonce, ...this.describe(knownContentHash) });
+        if (answer.body.case === "whole") {
+            this.limitWhole(answer, mayRefuseWhole);
+        }
+        return this.seal.seal(toBinary(ConfigurationContentSchema, answer));
+    }
+
+    private limitWhole(answer: ConfigurationContent, mayRefuse: boolean): void {
+        const nowMs = this.runtime.clock.nowMs();
+        if (mayRefuse && nowMs - this.wholeSentMs < WHOLE_INTERVAL_MS) {
+            answer.body = { case: undefined };
+            answer.isBusy = true;
+            return;
+        }
+        this.wholeSentMs = nowMs;
     }
 
     private describe(knownContentHash: string): MessageInitShape<typeof ConfigurationContentSchema> {
--- a/packages/control/src/shared/plane/joinFleet.ts
+++ b/packages/control/src/shared/plane/joinFleet.ts
@@ -147,10 +147,14 @@
     if (best === 0) {
         return true;
     }
-    const holders = [...replies].sort((left, right) => right.digest.revision - left.digest.revision);
-    for (const { sender } of holders) {
+    const holders = shuffled(runtime.random, replies.filter(({ digest }) => digest.revision === best));
+    const attempts = [
+        ...holders.map(({ sender }) => ({ sender, mayRefuse: true })),
+        ...holders.map(({ sender }) => ({ sender, mayRefuse: false })),
+    ];
+    for (const { sender, mayRefuse } of attempts) {
         try {
-            await exchange.fetch(sender.address, sender.name, signal);
+            await exchange.fetch(sender.address, sender.name, signal, mayRefuse);
         }
         catch (error) {
             runtime.events.emit(fetchFailed, { peer: sender.name, error: errorMessage(error) });
--- a/packages/lab/src/shared/rollout/rolloutExperiment.ts
+++ b/packages/lab/src/shared/rollout/rolloutExperiment.ts
@@ -25,9 +25,9 @@
 /** Time over which the whole fleet starts, in milliseconds. */
 const FLEET_START_MS = 10_000;
 /** Time after the start before anything is measured, in milliseconds. */
-const SETTLE_MS = 10_000;
-/** Time between changes: 4 times the rate of 2,100 changes a day, in milliseconds. */
-const CHANGE_INTERVAL_MS = 10_000;
+const SETTLE_MS = 5_000;
+/** Time between changes, longer than a change may take to be in force everywhere, in milliseconds. */
+const CHANGE_INTERVAL_MS = 6_500;
 /** Time that a fault lasts, in milliseconds. */
 const FAULT_MS = 20_000;
 /** Time over which all instances of a data centre are replaced, in milliseconds. */
