--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -21,6 +21,7 @@
 import { StartGate } from "./startGate.ts";
 import { StateFeed } from "./stateFeed.ts";
 import { WarmthLease } from "./warmthLease.ts";
+import { WatchingEntries } from "./watchingEntries.ts";
 
 /** Options of an {@link AgentContext}. */
 export interface AgentContextOptions {
@@ -80,10 +81,12 @@
     public readonly admission: AdmissionQueue;
     /** What became of requests that may not be repeated. */
     public readonly journal: RequestJournal;
+    /** Entries that watch this agent. */
+    public readonly watchingEntries = new WatchingEntries();
     /** Wakes the tasks that report the state. */
     public readonly stateFeed: StateFeed;
-    /** Aborts when the longest time of a stop is over. */
-    public readonly ending = new AbortController();
+    /** Functions that end the running calls, for the end of a stop. */
+    public readonly callEndings = new Set<() => void>();
     /** Aborts when the reports to entries end. */
     public readonly reportsEnd = new AbortController();
     /** Prompt prefixes in the backend server's cache, by its last report. */
--- a/packages/agent/src/shared/watchState.ts
+++ b/packages/agent/src/shared/watchState.ts
@@ -44,6 +44,7 @@
     isDraining: context.gate.isDraining,
     queueMs: Math.round(context.queueMs),
     latencyMs: Math.round(context.calls.latencyMs),
+    watchingEntries: context.watchingEntries.count,
 });
 
 /**
@@ -61,6 +62,7 @@
 ): AsyncGenerator<AgentStateInit> {
     const periodMs = Math.max(request.periodMs, MIN_REPORT_PERIOD_MS);
     const prefixes = new PrefixReport();
+    using _watch = context.watchingEntries.enter(request.entry);
     for (let sequence = 0n; !signal.aborted && !context.reportsEnd.signal.aborted; sequence++) {
         const changed = context.stateFeed.waitForChange(periodMs, signal);
         yield { ...describeState(context), ...prefixes.take(context.cachedPrefixes), sequence };
