feat(control): run the plane in entries and agents, and show it to operators

Cause: processes watched the platform alone, nobody answered GetStatus, and a process that was wrongly removed while it was cut off stayed removed after the cut healed (found by the test of the cut observer). Entries and agents answer ControlService and OperatorService on their control address; createAgent takes other services. A member that is taken for gone hears so in the next datagram and refutes it. Tests: traces 5, 6 and 14; each was seen to fail with its seeded fault (control.serve-before-asking-peers, control.adopt-rejected), the forged revision is taken only with control.skip-authentication.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -4,7 +4,14 @@
  * @packageDocumentation
  */
 
-import { type Address, errorMessage, ResourceScope, type Runtime, sleep } from "@magnolialock/kernel";
+import {
+    type Address,
+    errorMessage,
+    ResourceScope,
+    type Runtime,
+    type ServiceBinding,
+    sleep,
+} from "@magnolialock/kernel";
 import { AgentContext, type AgentContextOptions } from "./agentContext.ts";
 import {
     agentAddressTaken,
@@ -22,6 +29,8 @@
 export interface AgentOptions extends Omit<AgentContextOptions, "incarnation"> {
     /** Address to listen on. */
     readonly listen: Address;
+    /** Other services to answer on the same address. */
+    readonly services?: readonly ServiceBinding[];
     /** Longest time that a stop waits for running work, in milliseconds. */
     readonly drainTimeoutMs?: number;
     /** Gives up the wait for the address. */
@@ -52,7 +61,10 @@
     const { network, clock, events } = options.runtime;
     for (let attempt = 1;; attempt++) {
         try {
-            return await network.listen(options.listen, [createAgentService(context)]);
+            return await network.listen(options.listen, [
+                createAgentService(context),
+                ...(options.services ?? []),
+            ]);
         }
         catch (error) {
             if (!isAddressTaken(error)) {
--- a/packages/cli/src/node/cliMain.ts
+++ b/packages/cli/src/node/cliMain.ts
@@ -5,6 +5,8 @@
  */
 
 import "./commands/check.ts";
+import "./commands/rollout.ts";
+import "./commands/status.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { commands } from "./command.ts";
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./shared/membership/membership.ts";
 export * from "./shared/plane/controlPlane.ts";
 export * from "./shared/seal.ts";
+export * from "./shared/statusService.ts";
 export * from "./shared/watchRules.ts";
 export * from "./types/member.ts";
 export * from "./types/platform.ts";
--- a/packages/control/src/node/processSettings.ts
+++ b/packages/control/src/node/processSettings.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+    addressListSetting,
     addressSetting,
     requiredAddressSetting,
     requiredTextSetting,
@@ -26,5 +27,12 @@
         description: "Name of the instance list in that service",
         defaultValue: "magnolialock",
     }),
+    sharedKey: textSetting({
+        description:
+            "Key that all processes of the fleet share; give it by its variable, for flags can be seen by others",
+    }),
+    peers: addressListSetting({
+        description: "Control addresses of some processes, to find the fleet without the platform's list",
+    }),
     statsd: addressSetting({ description: "Address of a StatsD server for metrics" }),
 } as const;
--- a/packages/control/src/shared/membership/membership.ts
+++ b/packages/control/src/shared/membership/membership.ts
@@ -189,6 +189,20 @@
         }
     }
 
+    /**
+     * Takes the report of a process about itself. One that is taken for gone hears so in the next datagram, and
+     * can refute it.
+     *
+     * @param sender - the process that sent a datagram
+     */
+    public hearFrom(sender: MemberReport): void {
+        this.takeReport(sender);
+        const known = this.table.find(sender.name)?.report;
+        if (known?.state === "dead" || known?.state === "suspect") {
+            this.updates.add(known);
+        }
+    }
+
     /**
      * Takes a summary of another data centre.
      *
--- a/packages/control/src/shared/plane/controlPlane.ts
+++ b/packages/control/src/shared/plane/controlPlane.ts
@@ -136,6 +136,7 @@
     public async run(): Promise<void> {
         const { store, membership, prober, exchange, signal } = this;
         const { runtime, platform, seeds = [] } = this.options;
+        await this.socket.open(signal);
         await joinFleet({ runtime, platform, seeds, store, membership, prober, exchange, signal });
         this.isJoined = true;
         void this.probing.run();
@@ -241,13 +242,12 @@
  * Starts the control plane of a process.
  *
  * @param options - surroundings, identity, key, platform and seeds
- * @returns the plane, once its socket is open; it still joins the fleet
+ * @returns the plane, which still joins the fleet
  */
-export const startControlPlane = async (options: ControlPlaneOptions): Promise<ControlPlane> => {
+export const startControlPlane = (options: ControlPlaneOptions): ControlPlane => {
     const scope = new ResourceScope();
     const stopping = new AbortController();
     const tasks = new PlaneTasks(options, stopping.signal);
-    await tasks.socket.open();
     scope.use(tasks.socket);
     scope.defer(() => tasks.dispose());
     scope.defer(() => stopping.abort());
--- a/packages/control/src/shared/plane/gossipSocket.ts
+++ b/packages/control/src/shared/plane/gossipSocket.ts
@@ -11,6 +11,7 @@
     errorMessage,
     MAX_DATAGRAM_BYTES,
     type Runtime,
+    sleep,
 } from "@magnolialock/kernel";
 import { type Gossip, GossipSchema, SealedMessageSchema } from "@magnolialock/protocol";
 import type { DataCentreSummary, MemberReport } from "../../types/member.ts";
@@ -69,6 +70,8 @@
 const MEMBERS_PER_DATAGRAM = 8;
 /** Summaries of other data centres in an ordinary datagram. */
 const SUMMARIES_PER_DATAGRAM = 1;
+/** Time between two attempts to open a taken address, in milliseconds. */
+const OPEN_RETRY_MS = 200;
 
 /** Sends and receives datagrams. */
 export class GossipSocket implements AsyncDisposable {
@@ -79,13 +82,30 @@
     /** @param options - surroundings, seal and receivers */
     public constructor(private readonly options: GossipSocketOptions) {}
 
-    /** Opens the socket on the process's own address. */
-    public async open(): Promise<void> {
+    /**
+     * Opens the socket on the process's own address; waits while an earlier process still has it.
+     *
+     * @param signal - gives up
+     */
+    public async open(signal: AbortSignal): Promise<void> {
         const { runtime, membership } = this.options;
-        this.socket = await runtime.network.openDatagramSocket(
-            membership.self.address,
-            (from, bytes) => this.receive(from, bytes),
-        );
+        while (!this.socket && !signal.aborted) {
+            try {
+                this.socket = await runtime.network.openDatagramSocket(
+                    membership.self.address,
+                    (from, bytes) => this.receive(from, bytes),
+                );
+            }
+            catch (error) {
+                if (!errorMessage(error).includes("EADDRINUSE")) {
+                    throw error;
+                }
+                await sleep(runtime.clock, OPEN_RETRY_MS, signal).catch(() => {});
+            }
+        }
+        if (signal.aborted) {
+            await this[Symbol.asyncDispose]();
+        }
     }
 
     /**
@@ -182,7 +202,7 @@
         }
         const { membership, runtime, onGossip } = this.options;
         this.lastHeardMs = runtime.clock.nowMs();
-        membership.takeReport(sender);
+        membership.hearFrom(sender);
         for (const update of gossip.updates) {
             const report = fromMemberMessage(update);
             if (report) {
--- /dev/null
+++ b/packages/control/src/shared/statusService.ts
@@ -0,0 +1,108 @@
+/**
+ * The call by which operators' tools ask a process for its status.
+ *
+ * @packageDocumentation
+ */
+
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { type Clock, formatFinding, VERSION } from "@magnolialock/kernel";
+import type { GetStatusResponse, GetStatusResponseSchema } from "@magnolialock/protocol";
+import type { MemberIdentity } from "../types/member.ts";
+import type { ConfigurationStore } from "./configurationStore.ts";
+import type { Membership } from "./membership/membership.ts";
+
+/** What an agent adds to its status. */
+export interface AgentStatus {
+    /** Its backend server. */
+    readonly server: string;
+    /** Whether the backend server is cold, warming or warm. */
+    readonly warmth: string;
+    /** Calls that run. */
+    readonly running: number;
+    /** Calls that wait. */
+    readonly queued: number;
+    /** Calls that it admits at once now. */
+    readonly limit: number;
+    /** Whether it refuses new work. */
+    readonly isDraining: boolean;
+}
+
+/** Options of {@link createStatusReader}. */
+export interface StatusReaderOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** The process itself. */
+    readonly self: MemberIdentity;
+    /** Configuration in force. */
+    readonly store: ConfigurationStore;
+    /** Who is in the fleet; absent for a process that stands alone. */
+    readonly membership?: Membership | undefined;
+    /** What an agent adds; undefined before it has started. */
+    readonly agent?: () => AgentStatus | undefined;
+}
+
+/** Status of a process as a message. */
+export type StatusMessage = Exclude<MessageInitShape<typeof GetStatusResponseSchema>, GetStatusResponse>;
+
+const describeConfiguration = (store: ConfigurationStore, clock: Clock): StatusMessage => {
+    const { current, rejected, confirmedAtMs } = store;
+    const isRejectedNewer = rejected !== undefined && rejected.revision > (current?.revision ?? 0);
+    return {
+        revision: BigInt(current?.revision ?? 0),
+        contentHash: current?.contentHash ?? "",
+        rejectedRevision: BigInt(isRejectedNewer ? rejected.revision : 0),
+        rejectedFindings: isRejectedNewer ? rejected.findings.map(formatFinding) : [],
+        confirmedAgeMs: confirmedAtMs === undefined
+            ? undefined
+            : BigInt(Math.max(0, Math.round(clock.nowMs() - confirmedAtMs))),
+    };
+};
+
+const describeMembership = (membership: Membership, clock: Clock): StatusMessage => ({
+    incarnation: String(membership.selfReport.incarnation),
+    isLeaving: membership.selfReport.state === "leaving",
+    members: [
+        ...membership.members.map(({ name, role, dataCentre, address, state }) => ({
+            instance: name,
+            role,
+            dataCentre,
+            address,
+            state,
+        })),
+        ...membership.otherDataCentres.flatMap(({ contacts }) =>
+            contacts.map(({ name, role, dataCentre, address }) => ({
+                instance: name,
+                role,
+                dataCentre,
+                address,
+                state: "alive",
+            }))
+        ),
+    ],
+    dataCentres: membership.otherDataCentres.map(({ dataCentre, entryCount, agentCount, madeAtMs }) => ({
+        dataCentre,
+        entryCount,
+        agentCount,
+        ageMs: BigInt(Math.max(0, Math.round(clock.nowMs() - madeAtMs))),
+    })),
+});
+
+/**
+ * Creates the function that describes a process.
+ *
+ * @param options - identity, configuration and membership
+ * @returns the handler of `GetStatus`
+ */
+export const createStatusReader = (options: StatusReaderOptions): () => StatusMessage => {
+    const { clock, self, store, membership, agent } = options;
+    return () => ({
+        instance: self.name,
+        role: self.role,
+        dataCentre: self.dataCentre,
+        address: self.address,
+        version: VERSION,
+        ...describeConfiguration(store, clock),
+        ...(membership ? describeMembership(membership, clock) : {}),
+        ...agent?.(),
+    });
+};
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -25,7 +25,7 @@
 const main = async (): Promise<number> => {
     const settings = await resolveConfig(entryProgram, process.argv.slice(2));
     await using runtime = createProcessRuntime({ instance: settings.instance, statsd: settings.statsd });
-    await using feed = startConfigurationFeed({ ...settings, runtime });
+    await using feed = startConfigurationFeed({ ...settings, runtime, role: "entry" });
     const entry = createEntry({
         runtime,
         instance: branded<InstanceId>(settings.instance),
@@ -36,11 +36,13 @@
     });
     const app = createHttpFront({ entry, maxBodyBytes: settings.maxBodyBytes });
     await using listeners = new ResourceScope();
+    listeners.use(await runtime.network.listen(settings.control, feed.services));
     listeners.use(await listenHttp({ app, address: settings.listen, protocol: "http1" }));
     if (settings.listenHttp2) {
         listeners.use(await listenHttp({ app, address: settings.listenHttp2, protocol: "http2" }));
     }
     await waitForStopSignal();
+    await feed.leave();
     await entry.stop();
     return ExitCode.Success;
 };
--- a/packages/lab/src/shared/rollout/rolloutFleet.ts
+++ b/packages/lab/src/shared/rollout/rolloutFleet.ts
@@ -4,9 +4,16 @@
  * @packageDocumentation
  */
 
-import { type ControlPlane, type Platform, startControlPlane } from "@magnolialock/control";
+import {
+    type ControlPlane,
+    createStatusReader,
+    type MemberIdentity,
+    type Platform,
+    startControlPlane,
+} from "@magnolialock/control";
 import {
     type Address,
+    bindService,
     branded,
     createDeferred,
     createRandomSource,
@@ -15,6 +22,7 @@
     type RandomSource,
     UnreachableError,
 } from "@magnolialock/kernel";
+import { OperatorService } from "@magnolialock/protocol";
 import {
     createVirtualRuntime,
     LinkTable,
@@ -108,20 +116,23 @@
             random: this.random.fork(`${this.clock.nowMs()}`),
             eventCapacity: EVENT_CAPACITY,
         });
-        const address = branded<Address>(node.address);
-        const plane = await startControlPlane({
+        const self: MemberIdentity = {
+            role: node.role,
+            name: branded<InstanceId>(node.name),
+            dataCentre: branded<DataCentreId>(node.dataCentre),
+            address: branded<Address>(node.address),
+        };
+        const plane = startControlPlane({
             runtime,
+            self,
             sharedKey: SHARED_KEY,
             platform: this.platformFor(runtime),
             store: this.cache.createStore(runtime.events),
-            self: {
-                address,
-                role: node.role,
-                name: branded<InstanceId>(node.name),
-                dataCentre: branded<DataCentreId>(node.dataCentre),
-            },
         });
-        await runtime.network.listen(address, plane.services);
+        const { store, membership } = plane;
+        const getStatus = createStatusReader({ self, store, membership, clock: runtime.clock });
+        const operator = bindService(OperatorService, { getStatus });
+        await runtime.network.listen(self.address, [...plane.services, operator]);
         const life: NodeLife = { node, runtime, plane, startedMs: this.clock.nowMs(), readyMs: undefined };
         this.lives.set(node.name, life);
         plane.store.onChange(({ revision }) => {
