feat(entry): count the entries by the membership where there is one

Cause: without word from the other side of a cut, each side would allow the whole rate of an account. Change: the entry's limiter takes the number of live entries from the membership, which counts a data centre that is cut off as last heard; without a control plane the agents' count of watching entries stays in use. Conclusion: the trace under a cut with the control plane is still to be run.

--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -18,6 +18,7 @@
     waitForStopSignal,
 } from "@magnolialock/kernel";
 import { createEntry } from "../shared/entry.ts";
+import { MembershipEntryCount } from "../shared/membershipEntryCount.ts";
 import { entryProgram } from "./entryProgram.ts";
 import { createHttpFront } from "./httpFront.ts";
 import { listenHttp } from "./httpServer.ts";
@@ -33,6 +34,7 @@
         configuration: feed.store,
         policy: settings.policy,
         drainTimeoutMs: settings.drainTimeoutMs,
+        entryCount: feed.membership && new MembershipEntryCount(feed.membership),
     });
     const app = createHttpFront({ entry, maxBodyBytes: settings.maxBodyBytes });
     await using listeners = new ResourceScope();
--- a/packages/entry/src/shared/__tests__/limits.spec.ts
+++ b/packages/entry/src/shared/__tests__/limits.spec.ts
@@ -3,6 +3,7 @@
 import { VirtualClock } from "@magnolialock/test-support";
 import test from "ava";
 import { AccountLimiter } from "../accountLimiter.ts";
+import { MembershipEntryCount } from "../membershipEntryCount.ts";
 import { PeerHealth } from "../peerHealth.ts";
 import { RetryBudget } from "../retryBudget.ts";
 import { parseTicketChain } from "../ticketChain.ts";
@@ -35,6 +36,12 @@
     t.true(atThree >= 195 && atThree <= 205, `${atThree} at three entries`);
 });
 
+test("entries of a data centre that is cut off keep their share", t => {
+    const membership = { liveCount: (role: string) => role === "entry" ? 6 : 15 };
+    t.is(new MembershipEntryCount(membership).liveEntries, 6);
+    t.is(new MembershipEntryCount({ liveCount: () => 0 }).liveEntries, 1);
+});
+
 test("a new entry brings no burst of its own", t => {
     const limiter = new AccountLimiter({ clock: new VirtualClock(), entryCount: { liveEntries: 1 } });
     t.is(limiter.admit(account).kind, "admitted");
--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -40,7 +40,7 @@
     /** Name of the routing policy. */
     readonly policy?: string;
     /** How many entries share the limits of client accounts; by default what the agents report. */
-    readonly entryCount?: EntryCount;
+    readonly entryCount?: EntryCount | undefined;
     /** Longest time that a stop waits for running requests, in milliseconds. */
     readonly drainTimeoutMs?: number;
 }
