fix(entry): say outcome unknown when a status read's deadline ends its attempts

Change: only another attempt's answer makes an attempt's end unimportant; a test loses all answers to one entry. Seen to fail: the test before the change ("not run" where "outcome unknown" is expected).

--- a/packages/entry/src/shared/serveHedged.ts
+++ b/packages/entry/src/shared/serveHedged.ts
@@ -23,12 +23,20 @@
     readonly outcome: AttemptOutcome;
 }
 
+/** What ends an attempt. */
+interface HedgeSignals {
+    /** Another attempt was answered. */
+    readonly answered: AbortSignal;
+    /** That, or the request was given up. */
+    readonly either: AbortSignal;
+}
+
 /** Runs one attempt and keeps its pieces until it is whole. */
 const runBuffered = async (
     context: EntryContext,
     request: ServedRequest,
     peer: AgentPeer,
-    signal: AbortSignal,
+    signals: HedgeSignals,
 ): Promise<BufferedAttempt> => {
     const { runtime } = context;
     const pieces: AnswerEvent[] = [];
@@ -37,8 +45,9 @@
     runtime.events.emit(attemptSent, { requestId, attempt: message.attempt, server: peer.rule.name });
     request.exclude(peer);
     const consume = (event: AnswerEvent): void => void pieces.push(event);
-    const outcome = await runAttempt({ runtime, peer, request: message, signal, consume });
-    if (!signal.aborted) {
+    const outcome = await runAttempt({ runtime, peer, request: message, signal: signals.either, consume });
+    // The deadline is no reason to forget that the attempt may have run.
+    if (!signals.answered.aborted) {
         noteOutcome(context, request, outcome, message.attempt);
     }
     return { peer, pieces, outcome };
@@ -85,14 +94,14 @@
         return serveRepeatable(context, request, signal);
     }
     const winner = new AbortController();
-    const attemptSignal = AbortSignal.any([signal, winner.signal]);
-    const attempts = [runBuffered(context, request, peer, attemptSignal)];
+    const signals = { answered: winner.signal, either: AbortSignal.any([signal, winner.signal]) };
+    const attempts = [runBuffered(context, request, peer, signals)];
     const isSettled = { value: false };
     void attempts[0]?.then(() => isSettled.value = true);
     await waitForHedge(context.runtime.clock, attempts[0] as Promise<unknown>);
     const other = isSettled.value ? undefined : request.chooseAgent();
     if (other && !signal.aborted && context.retryBudgets.urgent.tryTake()) {
-        attempts.push(runBuffered(context, request, other, attemptSignal));
+        attempts.push(runBuffered(context, request, other, signals));
     }
     const { peer: answeredBy, pieces, outcome } = await firstAnswered(attempts);
     winner.abort();
--- a/packages/lab/src/shared/fleet/__tests__/entryTraces.spec.ts
+++ b/packages/lab/src/shared/fleet/__tests__/entryTraces.spec.ts
@@ -103,6 +103,19 @@
     t.is((await loseBooking()).called.safety.falseNotRun, 1);
 });
 
+test.serial("a status read whose answers are all lost is not called not run at its deadline", async t => {
+    const called = await CalledFleet.start(13);
+    called.fleet.links.cutOneWay(
+        ({ name }) => name.startsWith("agent-"),
+        ({ name }) => name === "entry-recife-1",
+    );
+    const record = called.send("entry-recife-1", "status", { timeoutMs: 1_000 });
+    await called.fleet.clock.advance(3_000);
+    t.true(called.starts.length > 0);
+    t.is(record.ending.kind === "failed" ? record.ending.ran : undefined, "outcome unknown");
+    t.is(called.safety.falseNotRun, 0);
+});
+
 test.serial("a broken stream resumes with no token twice and none missing", async t => {
     t.is((await breakDraft()).ending.kind, "whole");
     using _fault = seedFaults(["entry.resume-off-by-one"]);
