fix(kernel): let a command read only its own variables

Cause: yargs took every variable with the prefix MAGNOLIALOCK_ as a flag, so that a shared key in the environment made each command fail with an unknown argument; the demo with authenticated gossip found it. Change: a command takes the variables of the flags that it declares, with their types. The demo's fleet has a shared key, publishes its instance list and prints a status line to try; a failed start ends the processes that it began. Conclusion: settings of one program no longer break another.

--- a/packages/kernel/src/node/commandLine.ts
+++ b/packages/kernel/src/node/commandLine.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 
+import { match } from "ts-pattern";
 import yargs, { type ArgumentsCamelCase, type Argv } from "yargs";
 import { SettingsError } from "../shared/errors.ts";
 import type { Plugin, PluginRegistry } from "../shared/plugins.ts";
 import { VERSION } from "../shared/version.ts";
-import { ExitCode } from "./settings.ts";
+import { environmentVariable, ExitCode } from "./settings.ts";
 
 /** One command of a program. */
 export interface Command extends Plugin {
@@ -33,12 +34,48 @@
     readonly programName: string;
     /** Its commands. */
     readonly commands: PluginRegistry<Command>;
+    /** Arguments without the program's name; those of the process by default. */
+    readonly argv?: readonly string[];
+    /** Environment variables; those of the process by default. */
+    readonly environment?: NodeJS.ProcessEnv;
 }
 
-/** Prefix of the environment variables of all flags. */
-const ENVIRONMENT_PREFIX = "MAGNOLIALOCK";
 const HELP_WIDTH = 100;
 
+/** What yargs knows of the flags that a command has declared; it has no type for it. */
+interface DeclaredFlags {
+    getOptions(): {
+        readonly key: Readonly<Record<string, unknown>>;
+        readonly array: readonly string[];
+        readonly boolean: readonly string[];
+        readonly number: readonly string[];
+    };
+}
+
+/**
+ * Takes the values of a command's own flags from their variables. Variables of other programs are none of its business.
+ *
+ * @param declared - parser on which the command has declared its flags
+ * @param environment - environment variables
+ * @returns the same parser
+ */
+const readVariables = (declared: Argv, environment: NodeJS.ProcessEnv): Argv => {
+    const flags = (declared as unknown as DeclaredFlags).getOptions();
+    for (const name of Object.keys(flags.key)) {
+        const text = environment[environmentVariable(name)];
+        if (text === undefined || name === "help" || name === "version") {
+            continue;
+        }
+        const value = match(name)
+            .when(key => flags.number.includes(key), () => Number(text))
+            .when(key => flags.boolean.includes(key), () => text === "true" || text === "1")
+            .when(key => flags.array.includes(key), () => text.split(","))
+            .otherwise(() => text);
+        declared.default(name, value);
+    }
+    return declared;
+};
+
 /**
  * Runs the command that the process was called with.
  *
@@ -48,10 +85,10 @@
  */
 export const runCommandLine = async (options: CommandLineOptions): Promise<number> => {
     let exitCode: number = ExitCode.Success;
-    let parser = yargs(process.argv.slice(2))
+    const environment = options.environment ?? process.env;
+    let parser = yargs([...(options.argv ?? process.argv.slice(2))])
         .scriptName(options.programName)
         .version(VERSION)
-        .env(ENVIRONMENT_PREFIX)
         .strictCommands()
         .strictOptions()
         .wrap(HELP_WIDTH)
@@ -64,7 +101,8 @@
             throw error ?? new SettingsError(`${message}: see ${options.programName} --help`);
         });
     for (const command of options.commands.all()) {
-        parser = parser.command(command.usage, command.description, command.builder, async args => {
+        const builder = (declared: Argv): Argv => readVariables(command.builder(declared), environment);
+        parser = parser.command(command.usage, command.description, builder, async args => {
             exitCode = await command.run(args);
         });
     }
--- a/playground/demo/demo.ts
+++ b/playground/demo/demo.ts
@@ -102,6 +102,7 @@
             + `${entry?.url}/redator/v1/completions`,
     );
     say(`  curl -i -H 'Authorization: Bearer ${key}' -d 'three springs' ${entry?.url}/painel/bookings`);
+    say(`  node dist/magnolialock.js status --peers ${entry?.control}`);
 };
 
 const main = async (): Promise<number> => {
--- a/playground/shared/localFleet.ts
+++ b/playground/shared/localFleet.ts
@@ -2,6 +2,8 @@
  * A fleet of real processes on loopback, before stand-ins. Used by the demo and the benchmarks.
  */
 
+import type { ListedInstance } from "@magnolialock/control";
+import { type Address, branded, type DataCentreId, type InstanceId } from "@magnolialock/kernel";
 import {
     type FleetChanges,
     fleetRules,
@@ -9,9 +11,11 @@
     fleetServers,
     type FleetShape,
 } from "@magnolialock/lab";
+import { randomBytes } from "node:crypto";
 import { freePorts, ProcessGroup, waitUntilReady } from "./processes.ts";
 
 const HOST = "127.0.0.1";
+const SHARED_KEY_BYTES = 32;
 
 /** Options of {@link startLocalFleet}. */
 export interface LocalFleetOptions {
@@ -29,6 +33,8 @@
     readonly dataCentre: string;
     /** Where callers reach it. */
     readonly url: string;
+    /** Where other processes and operators reach it. */
+    readonly control: string;
     /** Identifier of its process. */
     readonly pid: number;
 }
@@ -53,6 +59,19 @@
     publish(changes: FleetChanges): Promise<void>;
 }
 
+const listedInstance = (
+    name: string,
+    role: ListedInstance["role"],
+    dataCentre: string,
+    address: string,
+): ListedInstance => ({
+    name: branded<InstanceId>(name),
+    role,
+    dataCentre: branded<DataCentreId>(dataCentre),
+    address: branded<Address>(address),
+    isLeaving: false,
+});
+
 /**
  * Starts a fleet: the platform, one stand-in and one agent for each backend server, and the entries.
  *
@@ -60,8 +79,20 @@
  * @returns the fleet, once all entries are ready
  */
 export const startLocalFleet = async (options: LocalFleetOptions): Promise<LocalFleet> => {
-    const { shape, seed } = options;
+    // Processes inherit the key by their environment, where no process list shows it.
+    process.env["MAGNOLIALOCK_SHARED_KEY"] ??= randomBytes(SHARED_KEY_BYTES).toString("hex");
     const group = new ProcessGroup({ showLogs: options.showLogs ?? false });
+    try {
+        return await startProcesses(options, group);
+    }
+    catch (error) {
+        await group[Symbol.asyncDispose]();
+        throw error;
+    }
+};
+
+const startProcesses = async (options: LocalFleetOptions, group: ProcessGroup): Promise<LocalFleet> => {
+    const { shape, seed } = options;
     const serverCount = shape.modelReplicas + shape.plainReplicas;
     const entryCount = shape.dataCentres.length * shape.entriesPerDataCentre;
     const ports = await freePorts(1 + serverCount * 2 + entryCount * 2);
@@ -79,6 +110,7 @@
     };
     await publish({});
 
+    const listed: ListedInstance[] = [];
     const backends = servers.map((server): LocalBackend => {
         const address = nextAddress();
         const isModel = server.service === shape.modelService;
@@ -94,6 +126,7 @@
             String(seed),
             ...limitFlags,
         ]);
+        listed.push(listedInstance(`agent-${server.name}`, "agent", server.dataCentre, server.agent));
         group.start("magnolialock-agent", [
             ...["--instance", `agent-${server.name}`, "--data-centre", server.dataCentre],
             ...["--control", server.agent, "--platform", platform],
@@ -105,14 +138,17 @@
 
     const entries = shape.dataCentres.flatMap(dataCentre =>
         Array.from({ length: shape.entriesPerDataCentre }, (_, index): LocalEntry => {
-            const address = nextAddress();
+            const [address, control] = [nextAddress(), nextAddress()];
+            const instance = `entry-${dataCentre}-${index + 1}`;
+            listed.push(listedInstance(instance, "entry", dataCentre, control));
             const child = group.start("magnolialock-entry", [
-                ...["--instance", `entry-${dataCentre}-${index + 1}`, "--data-centre", dataCentre],
-                ...["--control", nextAddress(), "--platform", platform, "--listen", address],
+                ...["--instance", instance, "--data-centre", dataCentre],
+                ...["--control", control, "--platform", platform, "--listen", address],
             ]);
-            return { dataCentre, url: `http://${address}`, pid: child.pid as number };
+            return { dataCentre, control, url: `http://${address}`, pid: child.pid as number };
         })
     );
+    await fetch(`http://${platform}/stand-in/instances`, { method: "PUT", body: JSON.stringify(listed) });
     await Promise.all(entries.map(({ url }) => waitUntilReady(`${url}/readyz`)));
     return {
         entries,
