fix(kernel): keep the handlers of stop signals

Cause: the handlers were registered for one signal; a second SIGTERM during the drain met the default action and ended the process with its running requests. Change: the handlers stay; a second signal does nothing. SIGKILL still ends a process that hangs. Conclusion: ending at once on the second signal was ruled out, for platforms repeat their signals.

--- a/packages/kernel/src/node/processRuntime.ts
+++ b/packages/kernel/src/node/processRuntime.ts
@@ -60,8 +60,9 @@
  */
 export const waitForStopSignal = (): Promise<NodeJS.Signals> =>
     new Promise(resolve => {
-        process.once("SIGTERM", resolve);
-        process.once("SIGINT", resolve);
+        // The handlers stay: without one, a second signal would end the process in the middle of its drain.
+        process.on("SIGTERM", resolve);
+        process.on("SIGINT", resolve);
     });
 
 /**
