fix(agent): let a suspended lease refuse no waiting calls

Cause: a lease that was suspended for one slow answer made the estimate of the wait use the cold limit, so calls that had time were refused as late. Change: estimates use what the evidence covers; starts still stop at the cold limit. Evidence also looks at the lease's expiry before it renews it; each arrival does so already, so that is a second line only. The test of the idle server passes with and without the second line. Conclusion: refusing on the cold limit's estimate stays for a lease that has ended.

--- a/packages/agent/src/shared/__tests__/warmth.spec.ts
+++ b/packages/agent/src/shared/__tests__/warmth.spec.ts
@@ -180,3 +180,29 @@
     await fixture.sendAndWait("fast");
     t.is(fixture.backend.runsOf("fast"), 0);
 });
+
+test.serial("a suspended lease refuses no waiting call as late, an ended one does", async t => {
+    const fixture = await AgentFixture.start({ cold: 1, warm: 8, warmTime: "100ms" });
+    await fixture.warmUp();
+    await fixture.serve(20, 70);
+    const running = await fill(fixture, 8);
+    for (let index = 0; index < 8; index++) {
+        fixture.send(`waiting-${index}`, { remainingMs: 500 });
+    }
+    await fixture.clock.advance(115);
+    t.is(fixture.agent.context.limit, 1);
+    t.is(fixture.agent.context.admission.queued, 8);
+    await fixture.clock.advance(100);
+    t.is(fixture.agent.context.limit, 1);
+    t.true(fixture.agent.context.admission.queued < 4);
+    t.is(running.length, 8);
+});
+
+test.serial("a lease that was suspended before a long silence is not restored by the first fast answer", async t => {
+    const fixture = await AgentFixture.start({ warmTime: "20ms" });
+    await fixture.warmUp();
+    await fixture.serve(1, 30);
+    await fixture.clock.advance(11_000);
+    await fixture.serve(1, 10);
+    t.is(fixture.agent.context.limit, 2);
+});
--- a/packages/agent/src/shared/admissionQueue.ts
+++ b/packages/agent/src/shared/admissionQueue.ts
@@ -24,6 +24,8 @@
     readonly clock: Clock;
     /** Calls that may run at once now. */
     readonly limit: () => number;
+    /** Calls that will run at once for the next while, for estimates; a suspended lease may soon be restored. */
+    readonly expectedLimit: () => number;
     /** Calls that may wait now. */
     readonly queueLimit: () => number;
     /** Measured service times. */
@@ -145,7 +147,7 @@
 
     /** Time until a new call of a class would start, by what waits before it. */
     private waitMs(priority: number): number {
-        const limit = Math.max(1, this.options.limit());
+        const limit = Math.max(1, this.options.expectedLimit());
         const workMs = this.waiting.countByPriority()
             .filter(entry => entry.priority <= priority)
             .reduce((sumMs, entry) => sumMs + entry.count * this.expectedMs(entry.priority), 0);
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -136,6 +136,7 @@
             clock,
             serviceTimes: this.serviceTimes,
             limit: () => options.hasAdmissionControl === false ? Number.POSITIVE_INFINITY : this.limit,
+            expectedLimit: () => this.ownShareOf(this.lease.coveredLimit),
             queueLimit: () => this.rule?.queueLimit ?? 0,
             checkStart: () => this.gate.check(),
             onChange: () => this.noteStateChange(),
@@ -156,8 +157,7 @@
     /** Own calls that may run at once now. */
     public get limit(): number {
         this.calls.checkSilence();
-        const borne = this.latencyLimit.under(this.lease.limit);
-        return Math.max(0, borne - this.inherited.count);
+        return this.ownShareOf(this.lease.limit);
     }
 
     /** Recent time in the queue, in milliseconds. */
@@ -231,6 +231,10 @@
         this.gate[Symbol.dispose]();
     }
 
+    private ownShareOf(borne: number): number {
+        return Math.max(0, this.latencyLimit.under(borne) - this.inherited.count);
+    }
+
     private notePause(): void {
         this.lease.fall("pause");
         this.admission.refuseWaiting(
--- a/packages/agent/src/shared/warmthLease.ts
+++ b/packages/agent/src/shared/warmthLease.ts
@@ -74,14 +74,17 @@
 
     /** Calls that the backend server bears in its proven state. */
     public get limit(): number {
-        const { coldLimit, warmLimit } = this.options.limits();
         if (isFaultSeeded("agent.skip-cold-limit")) {
-            return warmLimit;
+            return this.options.limits().warmLimit;
         }
+        const { coveredLimit } = this;
+        return this.suspectedMs === undefined ? coveredLimit : this.options.limits().coldLimit;
+    }
+
+    /** Calls that the evidence covers, also while the lease is suspended; for estimates only. */
+    public get coveredLimit(): number {
         this.expireWithoutEvidence();
-        if (this.suspectedMs !== undefined) {
-            return coldLimit;
-        }
+        const { coldLimit, warmLimit } = this.options.limits();
         return Math.max(coldLimit, Math.min(this.provenLimit, warmLimit));
     }
 
@@ -107,6 +110,7 @@
      * @param running - calls that run
      */
     public noteWarm(sinceMs: number, isCompletion: boolean, running: number): void {
+        this.expireWithoutEvidence();
         if (sinceMs < this.signMs || (this.suspectedMs !== undefined && sinceMs < this.suspectedMs)) {
             return;
         }
