fix(agent): estimate the wait of a call by its own turn

Cause: a new call counted all that waits in its class, also what comes after it by the turns of the accounts. Under overload the deadline refused calls in the order of arrival, so the account that sent most got most, and the queue never became full enough for its own rule to act. After a fall of the limit calls at the front were refused for calls behind them. Change: the estimate counts what has its turn before the call: its own account's calls, and of each other account as many as its weight allows until then. Conclusion: a separate bound a client account was ruled out, for it leaves room unused when few accounts wait.

--- a/packages/agent/src/shared/__tests__/admission.spec.ts
+++ b/packages/agent/src/shared/__tests__/admission.spec.ts
@@ -108,3 +108,16 @@
     await fixture.clock.advance(10);
     t.is(fixture.agent.context.admission.queued, 0);
 });
+
+test.serial("the backlog of one account makes no call of another one late", async t => {
+    const fixture = await AgentFixture.start({ cold: 1, warm: 1, warmTime: "10s" });
+    await fixture.serve(5, 500);
+    await fixture.sendAndWait("running");
+    for (let index = 0; index < 6; index++) {
+        await fixture.sendAndWait(`flood-${index}`, { clientAccount: "flood" });
+    }
+    const own = await fixture.sendAndWait("own", { clientAccount: "small", remainingMs: 2_500 });
+    const more = await fixture.sendAndWait("more", { clientAccount: "flood", remainingMs: 2_500 });
+    t.is(lastCase(own), undefined);
+    t.is(refusalOf(more)?.reason, RefusalReason.DEADLINE);
+});
--- a/packages/agent/src/shared/__tests__/fairQueue.spec.ts
+++ b/packages/agent/src/shared/__tests__/fairQueue.spec.ts
@@ -99,3 +99,21 @@
         { seed: 4, numRuns: 200 },
     );
 });
+
+test("the estimate of what goes first is exact to one round", t => {
+    const accounts = [["a", 1], ["b", 2], ["c", 4]] as const;
+    fc.assert(
+        fc.property(fc.array(fc.nat(2), { minLength: 1, maxLength: 60 }), fc.nat(2), (picks, own) => {
+            const queue = new FairQueue<Item>();
+            picks.forEach((pick, id) => queue.push(item(id, 3, ...accounts[pick] as [string, number])));
+            const added = item(1_000, 3, ...accounts[own] as [string, number]);
+            const [ahead] = queue.countAhead(added);
+            queue.push(added);
+            const place = drain(queue).indexOf(added);
+            // One round of all accounts is the sum of their weights over the weight of the own one.
+            const roundLength = Math.ceil(7 / added.weight) + accounts.length;
+            t.true(Math.abs((ahead?.count ?? 0) - place) <= roundLength);
+        }),
+        { seed: 4, numRuns: 200 },
+    );
+});
--- a/packages/agent/src/shared/admissionQueue.ts
+++ b/packages/agent/src/shared/admissionQueue.ts
@@ -6,7 +6,7 @@
 
 import { AbortedError, type Clock, createDeferred, isFaultSeeded } from "@magnolialock/kernel";
 import { RefusalReason } from "@magnolialock/protocol";
-import { FairQueue, type FairQueueItem } from "./fairQueue.ts";
+import { type ClassCount, FairQueue, type FairQueueItem } from "./fairQueue.ts";
 import { RefusedError } from "./refusedError.ts";
 import type { ServiceTimes } from "./serviceTimes.ts";
 
@@ -85,7 +85,6 @@
         if (startsNow || isFaultSeeded("agent.skip-admission")) {
             return this.takeSlot();
         }
-        this.requireTime(request);
         return this.wait(request);
     }
 
@@ -116,10 +115,10 @@
 
     /** Refuses the waiters that can no longer finish in time; called when the limit falls. */
     public refuseLate(): void {
-        for (const waiter of this.waiting.items()) {
-            const { deadlineMs, priority } = waiter.request;
-            if (this.waitMs(priority) + this.expectedMs(priority) > deadlineMs - this.options.clock.nowMs()) {
-                waiter.refuse(this.lateError());
+        for (const { item, ownAhead } of this.waiting.positions()) {
+            const ahead = this.waiting.countAhead(item, ownAhead);
+            if (this.isLate(item.request, ahead)) {
+                item.refuse(this.lateError());
             }
         }
     }
@@ -130,7 +129,7 @@
      * @returns time until the present queue is worked off, in milliseconds
      */
     public retryAfterMs(): number {
-        const waitMs = this.waitMs(Number.POSITIVE_INFINITY);
+        const waitMs = this.workMs(this.waiting.countByPriority());
         const adviceMs = waitMs > 0 ? waitMs : DEFAULT_RETRY_AFTER_MS;
         return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, adviceMs)));
     }
@@ -145,20 +144,17 @@
         return this.options.serviceTimes.expectedMs(priority);
     }
 
-    /** Time until a new call of a class would start, by what waits before it. */
-    private waitMs(priority: number): number {
+    /** Time to work calls off, by the measured times of their classes. */
+    private workMs(counts: readonly ClassCount[]): number {
         const limit = Math.max(1, this.options.expectedLimit());
-        const workMs = this.waiting.countByPriority()
-            .filter(entry => entry.priority <= priority)
-            .reduce((sumMs, entry) => sumMs + entry.count * this.expectedMs(entry.priority), 0);
-        return workMs / limit;
+        const sumMs = counts.reduce((sum, { priority, count }) => sum + count * this.expectedMs(priority), 0);
+        return sumMs / limit;
     }
 
-    private requireTime(request: AdmissionRequest): void {
-        const remainingMs = request.deadlineMs - this.options.clock.nowMs();
-        if (this.waitMs(request.priority) + this.expectedMs(request.priority) > remainingMs) {
-            throw this.lateError();
-        }
+    /** Whether a call cannot finish in time behind some others. */
+    private isLate({ deadlineMs, priority }: AdmissionRequest, ahead: readonly ClassCount[]): boolean {
+        const remainingMs = deadlineMs - this.options.clock.nowMs();
+        return this.workMs(ahead) + this.expectedMs(priority) > remainingMs;
     }
 
     private lateError(): Error {
@@ -218,6 +214,9 @@
                 reject(error);
             },
         };
+        if (this.isLate(request, this.waiting.countAhead(waiter))) {
+            throw this.lateError();
+        }
         const onAbort = (): void => waiter.refuse(new AbortedError("the call was given up in the queue"));
         this.enqueue(waiter);
         const latestStartMs = request.deadlineMs - this.expectedMs(priority);
--- a/packages/agent/src/shared/fairQueue.ts
+++ b/packages/agent/src/shared/fairQueue.ts
@@ -16,6 +16,22 @@
     readonly weight: number;
 }
 
+/** Place of a waiting item. */
+export interface QueuePosition<T> {
+    /** The item. */
+    readonly item: T;
+    /** Items of its own account and class before it. */
+    readonly ownAhead: number;
+}
+
+/** How much waits in one class. */
+export interface ClassCount {
+    /** The class. */
+    readonly priority: number;
+    /** Items. */
+    readonly count: number;
+}
+
 interface AccountBacklog<T> {
     readonly account: string;
     weight: number;
@@ -89,6 +105,18 @@
         return true;
     }
 
+    /** Counts the items that have their turn before an item with some of its own account before it. */
+    public countAhead({ account, weight }: T, ownAhead: number): number {
+        const rounds = (ownAhead + 1) / Math.max(MIN_WEIGHT, weight);
+        let count = ownAhead;
+        for (const backlog of this.backlogs.values()) {
+            if (backlog.account !== account) {
+                count += Math.min(backlog.items.length, Math.ceil(rounds * backlog.weight));
+            }
+        }
+        return count;
+    }
+
     /** Account with the longest backlog for its weight. */
     public longestBacklog(): AccountBacklog<T> | undefined {
         let longest: AccountBacklog<T> | undefined;
@@ -104,6 +132,12 @@
         return this.round.toArray().flatMap(({ items }) => items.toArray());
     }
 
+    public positions(): QueuePosition<T>[] {
+        return this.round.toArray().flatMap(({ items }) =>
+            items.toArray().map((item, ownAhead) => ({ item, ownAhead }))
+        );
+    }
+
     private keepTurn(backlog: AccountBacklog<T>): void {
         if (backlog.items.length === 0) {
             this.backlogs.delete(backlog.account);
@@ -168,12 +202,36 @@
     /**
      * Counts what waits in each class.
      *
-     * @returns pairs of class and count, the most urgent class first
+     * @returns the counts
+     */
+    public countByPriority(): ClassCount[] {
+        return [...this.classes].map(([priority, queue]) => ({ priority, count: queue.size }));
+    }
+
+    /**
+     * Estimates what has its turn before an item, exact to one round of the accounts.
+     *
+     * @param item - the item, waiting or new
+     * @param ownAhead - items of its own account and class before it; by default all that wait
+     * @returns the counts of the item's class and of the more urgent ones
      */
-    public countByPriority(): { readonly priority: number; readonly count: number; }[] {
+    public countAhead(item: T, ownAhead?: number): ClassCount[] {
         return [...this.classes]
-            .map(([priority, queue]) => ({ priority, count: queue.size }))
-            .sort((left, right) => left.priority - right.priority);
+            .filter(([priority]) => priority <= item.priority)
+            .map(([priority, queue]) => {
+                const isOwnClass = priority === item.priority;
+                const own = ownAhead ?? queue.backlogOf(item.account);
+                return { priority, count: isOwnClass ? queue.countAhead(item, own) : queue.size };
+            });
+    }
+
+    /**
+     * Lists what waits with its places.
+     *
+     * @returns the places, the most urgent class first
+     */
+    public positions(): QueuePosition<T>[] {
+        return this.byUrgency().flatMap(queue => queue.positions());
     }
 
     /**
