--- a/packages/agent/src/shared/__tests__/fairQueue.spec.ts
+++ b/packages/agent/src/shared/__tests__/fairQueue.spec.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
-import { FairQueue, type FairQueueItem } from "../fairQueue.ts";
+import { FairQueue } from "../fairQueue.ts";
+import type { FairQueueItem } from "../priorityClassQueue.ts";
 
 interface Item extends FairQueueItem {
     readonly id: number;
--- a/packages/agent/src/shared/admissionQueue.ts
+++ b/packages/agent/src/shared/admissionQueue.ts
@@ -6,7 +6,8 @@
 
 import { AbortedError, type Clock, createDeferred, isFaultSeeded } from "@magnolialock/kernel";
 import { RefusalReason } from "@magnolialock/protocol";
-import { type ClassCount, FairQueue, type FairQueueItem } from "./fairQueue.ts";
+import { type ClassCount, FairQueue } from "./fairQueue.ts";
+import type { FairQueueItem } from "./priorityClassQueue.ts";
 import { RefusedError } from "./refusedError.ts";
 import type { ServiceTimes } from "./serviceTimes.ts";
 
--- a/packages/agent/src/shared/callMeter.ts
+++ b/packages/agent/src/shared/callMeter.ts
@@ -1,5 +1,5 @@
 /**
- * Measures running calls and turns the measurements into evidence of warmth or signs of a cold server.
+ * Measures one running call and turns the measurements into evidence of warmth or signs of a cold server.
  *
  * @packageDocumentation
  */
@@ -10,8 +10,8 @@
 import type { ServiceTimes } from "./serviceTimes.ts";
 import type { WarmthLease } from "./warmthLease.ts";
 
-/** Options of {@link RunningCalls}. */
-export interface RunningCallsOptions {
+/** Where the measurements of running calls go. */
+export interface MeasurementTakers {
     /** Source of time. */
     readonly clock: Clock;
     /** Judges measured times. */
@@ -24,6 +24,18 @@
     readonly serviceTimes: ServiceTimes;
 }
 
+/** The running calls that a measured one belongs to. */
+export interface MeterOwner {
+    /** Where the measurements go. */
+    readonly takers: MeasurementTakers;
+    /** Calls that run. */
+    readonly running: number;
+    /** Forgets a call that has ended. */
+    remove(meter: CallMeter): void;
+    /** Notes the time to a first token or a whole plain answer, in milliseconds. */
+    noteLatency(latencyMs: number): void;
+}
+
 /** What is known of a call when it starts. */
 export interface MeteredCall {
     /** Class of urgency. */
@@ -36,7 +48,6 @@
 const FIRST_TOKEN_FACTOR = 20;
 /** Tokens that arrive together measure nothing; they count with the next interval, in milliseconds. */
 const MIN_INTERVAL_MS = 4;
-const LATENCY_SMOOTHING = 0.2;
 const PIECE_SMOOTHING = 0.1;
 
 /** Measures one running call. */
@@ -52,8 +63,8 @@
      * @param calls - all running calls
      * @param call - what is known of this one
      */
-    public constructor(private readonly calls: RunningCalls, private readonly call: MeteredCall) {
-        this.startedMs = calls.options.clock.nowMs();
+    public constructor(private readonly calls: MeterOwner, private readonly call: MeteredCall) {
+        this.startedMs = calls.takers.clock.nowMs();
         this.intervalStartMs = this.startedMs;
     }
 
@@ -63,7 +74,7 @@
      * @returns "verySlow" for a silence that is a sign by itself
      */
     public judgeSilence(): SpeedVerdict {
-        const { speed, clock } = this.calls.options;
+        const { speed, clock } = this.calls.takers;
         const silentMs = clock.nowMs() - this.intervalStartMs;
         const isBeforeFirstToken = this.call.isModel && this.pieceTokens === 0;
         if (isBeforeFirstToken) {
@@ -78,7 +89,7 @@
      * @param count - how many came
      */
     public noteTokens(count: number): void {
-        const nowMs = this.calls.options.clock.nowMs();
+        const nowMs = this.calls.takers.clock.nowMs();
         if (this.pieceTokens === 0) {
             this.pieceTokens = count;
             this.noteFirstToken(nowMs - this.startedMs);
@@ -103,24 +114,24 @@
      * @param isWhole - whether the answer is whole and no error of the server
      */
     public finish(isWhole: boolean): void {
-        const { options } = this.calls;
+        const { takers } = this.calls;
         this.calls.remove(this);
         if (!isWhole) {
             return;
         }
-        const durationMs = options.clock.nowMs() - this.startedMs;
-        options.serviceTimes.note(this.call.priority, durationMs);
+        const durationMs = takers.clock.nowMs() - this.startedMs;
+        takers.serviceTimes.note(this.call.priority, durationMs);
         if (!this.call.isModel) {
             this.calls.noteLatency(durationMs);
             this.judge(durationMs, this.startedMs);
         }
         if (this.lastVerdict?.speed === "warm") {
-            options.lease.noteWarm(this.lastVerdict.sinceMs, true, this.calls.running + 1);
+            takers.lease.noteWarm(this.lastVerdict.sinceMs, true, this.calls.running + 1);
         }
     }
 
     private noteFirstToken(firstTokenMs: number): void {
-        const { speed, lease } = this.calls.options;
+        const { speed, lease } = this.calls.takers;
         this.calls.noteLatency(firstTokenMs);
         if (firstTokenMs > speed.warmTimeMs * FIRST_TOKEN_FACTOR) {
             lease.fall("verySlow");
@@ -132,7 +143,7 @@
     }
 
     private judge(timeMs: number, sinceMs: number): void {
-        const { speed, lease, latencyLimit } = this.calls.options;
+        const { speed, lease, latencyLimit } = this.calls.takers;
         const verdict = speed.judge(timeMs);
         this.lastVerdict = { speed: verdict, sinceMs };
         // A cold server is slow at any load: only the times of a warm one say something about the load.
@@ -155,78 +166,3 @@
         }
     }
 }
-
-/** All running calls of the backend server. */
-export class RunningCalls {
-    /** Where the measurements go. */
-    public readonly options: RunningCallsOptions;
-    private readonly meters = new Set<CallMeter>();
-    private smoothedLatencyMs: number | undefined;
-
-    /** @param options - clock and takers of the measurements */
-    public constructor(options: RunningCallsOptions) {
-        this.options = options;
-    }
-
-    /** Calls that run. */
-    public get running(): number {
-        return this.meters.size;
-    }
-
-    /** Recent time to the first token or to the whole plain answer, in milliseconds; 0 before the first. */
-    public get latencyMs(): number {
-        return this.smoothedLatencyMs ?? 0;
-    }
-
-    /**
-     * Notes the time to a first token or a whole plain answer.
-     *
-     * @param latencyMs - the time, in milliseconds
-     */
-    public noteLatency(latencyMs: number): void {
-        this.smoothedLatencyMs ??= latencyMs;
-        this.smoothedLatencyMs += LATENCY_SMOOTHING * (latencyMs - this.smoothedLatencyMs);
-    }
-
-    /**
-     * Starts to measure a call.
-     *
-     * @param call - what is known of it
-     * @returns its meter
-     */
-    public start(call: MeteredCall): CallMeter {
-        const meter = new CallMeter(this, call);
-        this.meters.add(meter);
-        return meter;
-    }
-
-    /**
-     * Forgets a call.
-     *
-     * @param meter - its meter
-     */
-    public remove(meter: CallMeter): void {
-        this.meters.delete(meter);
-    }
-
-    /** Suspends or ends the lease of warmth when all running calls are silent for longer than a warm server would be. */
-    public checkSilence(): void {
-        const { lease } = this.options;
-        if (this.meters.size === 0 || !lease.isProven) {
-            return;
-        }
-        let isVerySlow = true;
-        for (const meter of this.meters) {
-            const verdict = meter.judgeSilence();
-            if (verdict === "warm") {
-                return;
-            }
-            isVerySlow &&= verdict === "verySlow";
-        }
-        if (isVerySlow) {
-            lease.fall("silent");
-            return;
-        }
-        lease.suspend();
-    }
-}
--- a/packages/agent/src/shared/fairQueue.ts
+++ b/packages/agent/src/shared/fairQueue.ts
@@ -4,25 +4,12 @@
  * @packageDocumentation
  */
 
-import Denque from "denque";
-
-/** What the queue needs to know of an item. */
-export interface FairQueueItem {
-    /** Class of urgency, smaller is more urgent. */
-    readonly priority: number;
-    /** Client account that it belongs to. */
-    readonly account: string;
-    /** Share of the account under contention. */
-    readonly weight: number;
-}
-
-/** Place of a waiting item. */
-export interface QueuePosition<T> {
-    /** The item. */
-    readonly item: T;
-    /** Items of its own account and class before it. */
-    readonly ownAhead: number;
-}
+import {
+    type FairQueueItem,
+    MIN_WEIGHT,
+    PriorityClassQueue,
+    type QueuePosition,
+} from "./priorityClassQueue.ts";
 
 /** How much waits in one class. */
 export interface ClassCount {
@@ -32,121 +19,6 @@
     readonly count: number;
 }
 
-interface AccountBacklog<T> {
-    readonly account: string;
-    weight: number;
-    /** Starts that the account has earned, in units of one start. */
-    deficit: number;
-    readonly items: Denque<T>;
-}
-
-const MIN_WEIGHT = 1;
-
-/** Accounts of one class in the order of their turns. */
-class PriorityClassQueue<T extends FairQueueItem> {
-    private readonly backlogs = new Map<string, AccountBacklog<T>>();
-    private readonly round = new Denque<AccountBacklog<T>>();
-    private count = 0;
-
-    public get size(): number {
-        return this.count;
-    }
-
-    public backlogOf(account: string): number {
-        return this.backlogs.get(account)?.items.length ?? 0;
-    }
-
-    public push(item: T): void {
-        const weight = Math.max(MIN_WEIGHT, item.weight);
-        let backlog = this.backlogs.get(item.account);
-        if (!backlog) {
-            backlog = { account: item.account, weight, deficit: 0, items: new Denque() };
-            this.backlogs.set(item.account, backlog);
-            this.round.push(backlog);
-        }
-        backlog.weight = weight;
-        backlog.items.push(item);
-        this.count++;
-    }
-
-    public shift(): T | undefined {
-        if (this.count === 0) {
-            return undefined;
-        }
-        // The heaviest account earns a whole start in each round, so this ends within one round.
-        const heaviest = Math.max(...[...this.backlogs.values()].map(({ weight }) => weight));
-        for (;;) {
-            const backlog = this.round.shift() as AccountBacklog<T>;
-            backlog.deficit += backlog.weight / heaviest;
-            if (backlog.deficit < 1) {
-                this.round.push(backlog);
-                continue;
-            }
-            backlog.deficit -= 1;
-            const item = backlog.items.shift();
-            this.count--;
-            this.keepTurn(backlog);
-            return item;
-        }
-    }
-
-    public remove(item: T): boolean {
-        const backlog = this.backlogs.get(item.account);
-        const index = backlog?.items.toArray().indexOf(item) ?? -1;
-        if (!backlog || index < 0) {
-            return false;
-        }
-        backlog.items.removeOne(index);
-        this.count--;
-        if (backlog.items.length === 0) {
-            this.round.removeOne(this.round.toArray().indexOf(backlog));
-            this.backlogs.delete(backlog.account);
-        }
-        return true;
-    }
-
-    /** Counts the items that have their turn before an item with some of its own account before it. */
-    public countAhead({ account, weight }: T, ownAhead: number): number {
-        const rounds = (ownAhead + 1) / Math.max(MIN_WEIGHT, weight);
-        let count = ownAhead;
-        for (const backlog of this.backlogs.values()) {
-            if (backlog.account !== account) {
-                count += Math.min(backlog.items.length, Math.ceil(rounds * backlog.weight));
-            }
-        }
-        return count;
-    }
-
-    /** Account with the longest backlog for its weight. */
-    public longestBacklog(): AccountBacklog<T> | undefined {
-        let longest: AccountBacklog<T> | undefined;
-        for (const backlog of this.backlogs.values()) {
-            if (!longest || backlog.items.length / backlog.weight > longest.items.length / longest.weight) {
-                longest = backlog;
-            }
-        }
-        return longest;
-    }
-
-    public items(): T[] {
-        return this.round.toArray().flatMap(({ items }) => items.toArray());
-    }
-
-    public positions(): QueuePosition<T>[] {
-        return this.round.toArray().flatMap(({ items }) =>
-            items.toArray().map((item, ownAhead) => ({ item, ownAhead }))
-        );
-    }
-
-    private keepTurn(backlog: AccountBacklog<T>): void {
-        if (backlog.items.length === 0) {
-            this.backlogs.delete(backlog.account);
-            return;
-        }
-        this.round.push(backlog);
-    }
-}
-
 /** Queue of waiting calls. */
 export class FairQueue<T extends FairQueueItem> {
     private readonly classes = new Map<number, PriorityClassQueue<T>>();
--- /dev/null
+++ b/packages/agent/src/shared/priorityClassQueue.ts
@@ -0,0 +1,176 @@
+/**
+ * What waits in one class of urgency; client accounts take turns by weight.
+ *
+ * @packageDocumentation
+ */
+
+import Denque from "denque";
+
+/** What the queue needs to know of an item. */
+export interface FairQueueItem {
+    /** Class of urgency, smaller is more urgent. */
+    readonly priority: number;
+    /** Client account that it belongs to. */
+    readonly account: string;
+    /** Share of the account under contention. */
+    readonly weight: number;
+}
+
+/** Place of a waiting item. */
+export interface QueuePosition<T> {
+    /** The item. */
+    readonly item: T;
+    /** Items of its own account and class before it. */
+    readonly ownAhead: number;
+}
+
+/** What waits of one account. */
+export interface AccountBacklog<T> {
+    /** The account. */
+    readonly account: string;
+    /** Its share under contention. */
+    weight: number;
+    /** Starts that the account has earned, in units of one start. */
+    deficit: number;
+    /** Its items in the order of their arrival. */
+    readonly items: Denque<T>;
+}
+
+/** Weight of an account that has none. */
+export const MIN_WEIGHT = 1;
+
+/** Accounts of one class in the order of their turns (deficit round robin). */
+export class PriorityClassQueue<T extends FairQueueItem> {
+    private readonly backlogs = new Map<string, AccountBacklog<T>>();
+    private readonly round = new Denque<AccountBacklog<T>>();
+    private count = 0;
+
+    /** Items that wait. */
+    public get size(): number {
+        return this.count;
+    }
+
+    /**
+     * Counts what waits of an account.
+     *
+     * @param account - the account
+     * @returns number of items
+     */
+    public backlogOf(account: string): number {
+        return this.backlogs.get(account)?.items.length ?? 0;
+    }
+
+    /**
+     * Adds an item behind those of its account.
+     *
+     * @param item - the item
+     */
+    public push(item: T): void {
+        const weight = Math.max(MIN_WEIGHT, item.weight);
+        let backlog = this.backlogs.get(item.account);
+        if (!backlog) {
+            backlog = { account: item.account, weight, deficit: 0, items: new Denque() };
+            this.backlogs.set(item.account, backlog);
+            this.round.push(backlog);
+        }
+        backlog.weight = weight;
+        backlog.items.push(item);
+        this.count++;
+    }
+
+    /**
+     * Takes the item whose turn it is.
+     *
+     * @returns the item, or undefined when nothing waits
+     */
+    public shift(): T | undefined {
+        if (this.count === 0) {
+            return undefined;
+        }
+        // The heaviest account earns a whole start in each round, so this ends within one round.
+        const heaviest = Math.max(...[...this.backlogs.values()].map(({ weight }) => weight));
+        for (;;) {
+            const backlog = this.round.shift() as AccountBacklog<T>;
+            backlog.deficit += backlog.weight / heaviest;
+            if (backlog.deficit < 1) {
+                this.round.push(backlog);
+                continue;
+            }
+            backlog.deficit -= 1;
+            const item = backlog.items.shift();
+            this.count--;
+            this.keepTurn(backlog);
+            return item;
+        }
+    }
+
+    /**
+     * Removes an item.
+     *
+     * @param item - the item
+     * @returns false when it does not wait here
+     */
+    public remove(item: T): boolean {
+        const backlog = this.backlogs.get(item.account);
+        const index = backlog?.items.toArray().indexOf(item) ?? -1;
+        if (!backlog || index < 0) {
+            return false;
+        }
+        backlog.items.removeOne(index);
+        this.count--;
+        if (backlog.items.length === 0) {
+            this.round.removeOne(this.round.toArray().indexOf(backlog));
+            this.backlogs.delete(backlog.account);
+        }
+        return true;
+    }
+
+    /**
+     * Estimates what has its turn before an item, exact to one round.
+     *
+     * @param item - the item, waiting or new
+     * @param ownAhead - items of its own account before it
+     * @returns number of items
+     */
+    public countAhead({ account, weight }: T, ownAhead: number): number {
+        const rounds = (ownAhead + 1) / Math.max(MIN_WEIGHT, weight);
+        let count = ownAhead;
+        for (const backlog of this.backlogs.values()) {
+            if (backlog.account !== account) {
+                count += Math.min(backlog.items.length, Math.ceil(rounds * backlog.weight));
+            }
+        }
+        return count;
+    }
+
+    /** Account with the longest backlog for its weight. */
+    public longestBacklog(): AccountBacklog<T> | undefined {
+        let longest: AccountBacklog<T> | undefined;
+        for (const backlog of this.backlogs.values()) {
+            if (!longest || backlog.items.length / backlog.weight > longest.items.length / longest.weight) {
+                longest = backlog;
+            }
+        }
+        return longest;
+    }
+
+    /** Items of each account in their order, account after account. */
+    public items(): T[] {
+        return this.round.toArray().flatMap(({ items }) => items.toArray());
+    }
+
+    /** Items with their places. */
+    public positions(): QueuePosition<T>[] {
+        return this.round.toArray().flatMap(({ items }) =>
+            items.toArray().map((item, ownAhead) => ({ item, ownAhead }))
+        );
+    }
+
+    private keepTurn(backlog: AccountBacklog<T>): void {
+        if (backlog.items.length === 0) {
+            this.backlogs.delete(backlog.account);
+            return;
+        }
+        this.round.push(backlog);
+    }
+}
