fix(agent): let a refused account keep earning its turn

Change: an account that was refused stays in the round and earns up to one start ahead; claims are compared by the turns that an item would still wait.

--- a/packages/agent/src/shared/__tests__/fairQueue.spec.ts
+++ b/packages/agent/src/shared/__tests__/fairQueue.spec.ts
@@ -118,3 +118,26 @@
         { seed: 4, numRuns: 200 },
     );
 });
+
+test("in a queue that is shorter than a round a light account still gets its share", t => {
+    const queue = new FairQueue<Item>();
+    const accounts = [["a", 4], ["b", 4], ["c", 4], ["light", 1]] as const;
+    const starts = new Map<string, number>();
+    for (let step = 0; step < 4_000; step++) {
+        // Every account asks four times for each start: all are backlogged.
+        accounts.forEach(([account, weight], index) => {
+            const added = item(step * 10 + index, 3, account, weight);
+            const victim = queue.size >= 6 ? queue.findVictim(added) : undefined;
+            if (victim) {
+                queue.remove(victim);
+            }
+            if (queue.size < 6) {
+                queue.push(added);
+            }
+        });
+        const account = queue.shift()?.account ?? "";
+        starts.set(account, (starts.get(account) ?? 0) + 1);
+    }
+    const share = (starts.get("light") ?? 0) / 4_000 / (1 / 13);
+    t.true(share >= 0.8 && share <= 1.2, `light account got ${share.toFixed(2)} of its share`);
+});
--- a/packages/agent/src/shared/fairQueue.ts
+++ b/packages/agent/src/shared/fairQueue.ts
@@ -4,12 +4,7 @@
  * @packageDocumentation
  */
 
-import {
-    type FairQueueItem,
-    MIN_WEIGHT,
-    PriorityClassQueue,
-    type QueuePosition,
-} from "./priorityClassQueue.ts";
+import { type FairQueueItem, PriorityClassQueue, type QueuePosition } from "./priorityClassQueue.ts";
 
 /** How much waits in one class. */
 export interface ClassCount {
@@ -107,8 +102,8 @@
     }
 
     /**
-     * Finds the item that should give its place to a new one when the queue is full: the newest of the account with
-     * the longest backlog for its weight in the least urgent class.
+     * Finds the item that should give its place to a new one when the queue is full: in the least urgent class, the
+     * newest item of the account that waits longest for its turn there.
      *
      * @param item - the new item
      * @returns the item to refuse, or undefined when the new one has the weakest claim
@@ -124,14 +119,12 @@
             return undefined;
         }
         const [priority, queue] = worst;
-        const longest = queue.longestBacklog();
-        if (priority === item.priority && longest) {
-            const ownShare = (queue.backlogOf(item.account) + 1) / Math.max(MIN_WEIGHT, item.weight);
-            if (longest.account === item.account || longest.items.length / longest.weight <= ownShare) {
-                return undefined;
-            }
+        const weakest = queue.weakestClaim();
+        if (priority === item.priority && (weakest?.turns ?? 0) <= queue.turnsOfNew(item)) {
+            queue.noteRefused(item);
+            return undefined;
         }
-        return longest?.items.peekBack();
+        return weakest?.item;
     }
 
     /**
--- a/packages/agent/src/shared/priorityClassQueue.ts
+++ b/packages/agent/src/shared/priorityClassQueue.ts
@@ -34,8 +34,15 @@
     deficit: number;
     /** Its items in the order of their arrival. */
     readonly items: Denque<T>;
+    /** Turns in a row in which it had nothing waiting. */
+    idleTurns: number;
 }
 
+/** Most starts that an account can earn ahead. */
+const MAX_DEFICIT = 1;
+/** An account that was refused keeps earning its turn for so many rounds. */
+const MAX_IDLE_TURNS = 32;
+
 /** Weight of an account that has none. */
 export const MIN_WEIGHT = 1;
 
@@ -66,18 +73,22 @@
      * @param item - the item
      */
     public push(item: T): void {
-        const weight = Math.max(MIN_WEIGHT, item.weight);
-        let backlog = this.backlogs.get(item.account);
-        if (!backlog) {
-            backlog = { account: item.account, weight, deficit: 0, items: new Denque() };
-            this.backlogs.set(item.account, backlog);
-            this.round.push(backlog);
-        }
-        backlog.weight = weight;
+        const backlog = this.join(item);
         backlog.items.push(item);
+        backlog.idleTurns = 0;
         this.count++;
     }
 
+    /**
+     * Notes that an item found no place. Its account keeps earning its turn, else one with a small weight would never
+     * have the better claim in a short queue.
+     *
+     * @param item - the item
+     */
+    public noteRefused(item: T): void {
+        this.join(item).idleTurns = 0;
+    }
+
     /**
      * Takes the item whose turn it is.
      *
@@ -88,10 +99,18 @@
             return undefined;
         }
         // The heaviest account earns a whole start in each round, so this ends within one round.
-        const heaviest = Math.max(...[...this.backlogs.values()].map(({ weight }) => weight));
+        const heaviest = Math.max(
+            ...[...this.backlogs.values()].filter(({ items }) => items.length > 0).map(({ weight }) =>
+                weight
+            ),
+        );
         for (;;) {
             const backlog = this.round.shift() as AccountBacklog<T>;
-            backlog.deficit += backlog.weight / heaviest;
+            backlog.deficit = Math.min(MAX_DEFICIT, backlog.deficit + backlog.weight / heaviest);
+            if (backlog.items.length === 0) {
+                this.keepClaim(backlog);
+                continue;
+            }
             if (backlog.deficit < 1) {
                 this.round.push(backlog);
                 continue;
@@ -118,10 +137,6 @@
         }
         backlog.items.removeOne(index);
         this.count--;
-        if (backlog.items.length === 0) {
-            this.round.removeOne(this.round.toArray().indexOf(backlog));
-            this.backlogs.delete(backlog.account);
-        }
         return true;
     }
 
@@ -143,15 +158,29 @@
         return count;
     }
 
-    /** Account with the longest backlog for its weight. */
-    public longestBacklog(): AccountBacklog<T> | undefined {
-        let longest: AccountBacklog<T> | undefined;
-        for (const backlog of this.backlogs.values()) {
-            if (!longest || backlog.items.length / backlog.weight > longest.items.length / longest.weight) {
-                longest = backlog;
+    /**
+     * Tells how long an item at the end of its account's backlog would wait, in turns of the account.
+     *
+     * @param item - the item
+     * @returns the turns; an item that waits less has the better claim
+     */
+    public turnsOfNew(item: T): number {
+        const backlog = this.backlogs.get(item.account);
+        const count = (backlog?.items.length ?? 0) + 1;
+        return (count - (backlog?.deficit ?? 0)) / Math.max(MIN_WEIGHT, item.weight);
+    }
+
+    /** Item that waits longest by the turns of its account, with those turns. */
+    public weakestClaim(): { readonly item: T; readonly turns: number; } | undefined {
+        let weakest: { readonly item: T; readonly turns: number; } | undefined;
+        for (const { items, deficit, weight } of this.backlogs.values()) {
+            const item = items.peekBack();
+            const turns = (items.length - deficit) / weight;
+            if (item && (!weakest || turns > weakest.turns)) {
+                weakest = { item, turns };
             }
         }
-        return longest;
+        return weakest;
     }
 
     /** Items of each account in their order, account after account. */
@@ -166,6 +195,28 @@
         );
     }
 
+    /** Gives an account its place in the round. */
+    private join({ account, weight: givenWeight }: T): AccountBacklog<T> {
+        const weight = Math.max(MIN_WEIGHT, givenWeight);
+        let backlog = this.backlogs.get(account);
+        if (!backlog) {
+            backlog = { account, weight, deficit: 0, items: new Denque(), idleTurns: 0 };
+            this.backlogs.set(account, backlog);
+            this.round.push(backlog);
+        }
+        backlog.weight = weight;
+        return backlog;
+    }
+
+    private keepClaim(backlog: AccountBacklog<T>): void {
+        backlog.idleTurns++;
+        if (backlog.idleTurns > MAX_IDLE_TURNS) {
+            this.backlogs.delete(backlog.account);
+            return;
+        }
+        this.round.push(backlog);
+    }
+
     private keepTurn(backlog: AccountBacklog<T>): void {
         if (backlog.items.length === 0) {
             this.backlogs.delete(backlog.account);
