fix(agent): let a served account keep earning, up to two starts

Change: accounts that were served or refused earn up to two starts ahead for 32 rounds of nothing waiting.

--- a/packages/agent/src/shared/priorityClassQueue.ts
+++ b/packages/agent/src/shared/priorityClassQueue.ts
@@ -39,8 +39,8 @@
 }
 
 /** Most starts that an account can earn ahead. */
-const MAX_DEFICIT = 1;
-/** An account that was refused keeps earning its turn for so many rounds. */
+const MAX_DEFICIT = 2;
+/** An account that was served or refused keeps earning its turn for so many rounds. */
 const MAX_IDLE_TURNS = 32;
 
 /** Weight of an account that has none. */
@@ -208,6 +208,7 @@
         return backlog;
     }
 
+    /** An account with nothing waiting keeps earning for a while: its next call may come in a moment. */
     private keepClaim(backlog: AccountBacklog<T>): void {
         backlog.idleTurns++;
         if (backlog.idleTurns > MAX_IDLE_TURNS) {
@@ -218,10 +219,7 @@
     }
 
     private keepTurn(backlog: AccountBacklog<T>): void {
-        if (backlog.items.length === 0) {
-            this.backlogs.delete(backlog.account);
-            return;
-        }
+        backlog.idleTurns = 0;
         this.round.push(backlog);
     }
 }
