--- a/packages/control/src/shared/plane/contentExchange.ts
+++ b/packages/control/src/shared/plane/contentExchange.ts
@@ -16,6 +16,7 @@
     type Runtime,
     type ServiceBinding,
     timeoutSignal,
+    UnreachableError,
 } from "@magnolialock/kernel";
 import {
     type ConfigurationContent,
@@ -31,6 +32,7 @@
 import { applyDelta, type ContentSteps } from "../contentDelta.ts";
 import { ContentHistory } from "../contentHistory.ts";
 import type { Seal } from "../seal.ts";
+import { compress, expand } from "./compression.ts";
 
 /** Options of {@link ContentExchange}. */
 export interface ContentExchangeOptions {
@@ -45,6 +47,8 @@
 /** Longest time of one fetch, in milliseconds. */
 const FETCH_TIMEOUT_MS = 2_000;
 const MAX_NONCE = 0x7fffffff;
+/** Time between two whole contents that a process sends while others can, in milliseconds; it spreads the load. */
+const WHOLE_INTERVAL_MS = 45_000;
 /** Findings of a rejected revision that travel to peers. */
 const MAX_SENT_FINDINGS = 50;
 
@@ -72,6 +76,7 @@
     private readonly seal: Seal;
     private readonly store: ConfigurationStore;
     private readonly history: ContentHistory;
+    private wholeSentMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - surroundings, seal and store */
     public constructor(options: ContentExchangeOptions) {
@@ -90,12 +95,23 @@
      * @param address - the peer
      * @param source - its name, for events
      * @param signal - gives the fetch up
+     * @param mayRefuse - whether the peer may refuse to send a whole content because it sent one lately
+     * @throws UnreachableError when the peer refuses
      * @throws ProtocolError when the answer is malformed or not authentic
      * @throws ConnectError when the peer does not answer
      */
-    public async fetch(address: Address, source: string, signal: AbortSignal): Promise<void> {
-        const content = await this.request(address, this.store.current?.contentHash ?? "", signal);
+    public async fetch(
+        address: Address,
+        source: string,
+        signal: AbortSignal,
+        mayRefuse = false,
+    ): Promise<void> {
+        const known = this.store.current?.contentHash ?? "";
+        const content = await this.request(address, known, signal, mayRefuse);
         this.takeRejected(content, source);
+        if (content.isBusy) {
+            throw new UnreachableError("the peer has just sent a whole content to another process");
+        }
         if (Number(content.revision) <= (this.store.current?.revision ?? 0)) {
             return;
         }
@@ -112,13 +128,14 @@
         address: Address,
         knownContentHash: string,
         signal: AbortSignal,
+        mayRefuseWhole = false,
     ): Promise<ConfigurationContent> {
         const { clock, network, random } = this.runtime;
         using deadline = timeoutSignal(clock, FETCH_TIMEOUT_MS, signal);
         const nonce = random.nextInt(1, MAX_NONCE);
         const request = toBinary(
             ConfigurationRequestSchema,
-            create(ConfigurationRequestSchema, { nonce, knownContentHash }),
+            create(ConfigurationRequestSchema, { nonce, knownContentHash, mayRefuseWhole }),
         );
         const client = createClient(ControlService, network.transportTo(address));
         const sealed = await client.getConfiguration(this.seal.seal(request), { signal: deadline.signal });
@@ -137,7 +154,8 @@
     private build(content: ConfigurationContent): Uint8Array | undefined {
         const { current } = this.store;
         if (content.body.case === "whole") {
-            return contentHash(content.body.value) === content.contentHash ? content.body.value : undefined;
+            const whole = expand(content.body.value, MAX_RULES_BYTES);
+            return contentHash(whole) === content.contentHash ? whole : undefined;
         }
         if (!current) {
             return undefined;
@@ -183,9 +201,22 @@
         if (!opened) {
             throw new ConnectError("the request is not authentic: check --shared-key", Code.Unauthenticated);
         }
-        const { nonce, knownContentHash } = fromBinary(ConfigurationRequestSchema, opened);
-        const content = create(ConfigurationContentSchema, { nonce, ...this.describe(knownContentHash) });
-        return this.seal.seal(toBinary(ConfigurationContentSchema, content));
+        const { nonce, knownContentHash, mayRefuseWhole } = fromBinary(ConfigurationRequestSchema, opened);
+        const answer = create(ConfigurationContentSchema, { nonce, ...this.describe(knownContentHash) });
+        if (answer.body.case === "whole") {
+            this.limitWhole(answer, mayRefuseWhole);
+        }
+        return this.seal.seal(toBinary(ConfigurationContentSchema, answer));
+    }
+
+    private limitWhole(answer: ConfigurationContent, mayRefuse: boolean): void {
+        const nowMs = this.runtime.clock.nowMs();
+        if (mayRefuse && nowMs - this.wholeSentMs < WHOLE_INTERVAL_MS) {
+            answer.body = { case: undefined };
+            answer.isBusy = true;
+            return;
+        }
+        this.wholeSentMs = nowMs;
     }
 
     private describe(knownContentHash: string): MessageInitShape<typeof ConfigurationContentSchema> {
@@ -197,7 +228,7 @@
             }
             return chain
                 ? { case: "deltas", value: { deltas: chain.map(toDeltaMessage) } }
-                : { case: "whole", value: current.bytes };
+                : { case: "whole", value: compress(current.bytes) };
         })();
         return {
             body,
