--- a/packages/agent/src/shared/__tests__/fairQueue.spec.ts
+++ b/packages/agent/src/shared/__tests__/fairQueue.spec.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
-import { FairQueue, type FairQueueItem } from "../fairQueue.ts";
+import { FairQueue } from "../fairQueue.ts";
+import type { FairQueueItem } from "../priorityClassQueue.ts";
 
 interface Item extends FairQueueItem {
     readonly id: number;
@@ -99,3 +100,44 @@
         { seed: 4, numRuns: 200 },
     );
 });
+
+test("the estimate of what goes first is exact to one round", t => {
+    const accounts = [["a", 1], ["b", 2], ["c", 4]] as const;
+    fc.assert(
+        fc.property(fc.array(fc.nat(2), { minLength: 1, maxLength: 60 }), fc.nat(2), (picks, own) => {
+            const queue = new FairQueue<Item>();
+            picks.forEach((pick, id) => queue.push(item(id, 3, ...accounts[pick] as [string, number])));
+            const added = item(1_000, 3, ...accounts[own] as [string, number]);
+            const [ahead] = queue.countAhead(added);
+            queue.push(added);
+            const place = drain(queue).indexOf(added);
+            // One round of all accounts is the sum of their weights over the weight of the own one.
+            const roundLength = Math.ceil(7 / added.weight) + accounts.length;
+            t.true(Math.abs((ahead?.count ?? 0) - place) <= roundLength);
+        }),
+        { seed: 4, numRuns: 200 },
+    );
+});
+
+test("in a queue that is shorter than a round a light account still gets its share", t => {
+    const queue = new FairQueue<Item>();
+    const accounts = [["a", 4], ["b", 4], ["c", 4], ["light", 1]] as const;
+    const starts = new Map<string, number>();
+    for (let step = 0; step < 4_000; step++) {
+        // Every account asks four times for each start: all are backlogged.
+        accounts.forEach(([account, weight], index) => {
+            const added = item(step * 10 + index, 3, account, weight);
+            const victim = queue.size >= 6 ? queue.findVictim(added) : undefined;
+            if (victim) {
+                queue.remove(victim);
+            }
+            if (queue.size < 6) {
+                queue.push(added);
+            }
+        });
+        const account = queue.shift()?.account ?? "";
+        starts.set(account, (starts.get(account) ?? 0) + 1);
+    }
+    const share = (starts.get("light") ?? 0) / 4_000 / (1 / 13);
+    t.true(share >= 0.8 && share <= 1.2, `light account got ${share.toFixed(2)} of its share`);
+});
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -10,12 +10,12 @@
 import type { ServerRule, ServiceRule } from "@magnolialock/rules";
 import type { Backend } from "../types/backend.ts";
 import { AdmissionQueue } from "./admissionQueue.ts";
-import { RunningCalls } from "./callMeter.ts";
 import type { ConfigurationFreshness } from "./configurationFreshness.ts";
 import { InheritedLoad } from "./inheritedLoad.ts";
 import { LatencyLimit } from "./latencyLimit.ts";
 import { RefusedError } from "./refusedError.ts";
 import { RequestJournal } from "./requestJournal.ts";
+import { RunningCalls } from "./runningCalls.ts";
 import { ServiceSpeed } from "./serviceSpeed.ts";
 import { ServiceTimes } from "./serviceTimes.ts";
 import { StartGate } from "./startGate.ts";
@@ -139,6 +139,7 @@
             clock,
             serviceTimes: { expectedMs: priority => this.expectedMs(priority) },
             limit: () => options.hasAdmissionControl === false ? Number.POSITIVE_INFINITY : this.limit,
+            expectedLimit: () => this.ownShareOf(this.lease.coveredLimit),
             queueLimit: () => this.rule?.queueLimit ?? 0,
             checkStart: () => this.gate.check(),
             onChange: () => this.noteStateChange(),
@@ -159,8 +160,7 @@
     /** Own calls that may run at once now. */
     public get limit(): number {
         this.calls.checkSilence();
-        const borne = this.latencyLimit.under(this.lease.limit);
-        return Math.max(0, borne - this.inherited.count);
+        return this.ownShareOf(this.lease.limit);
     }
 
     /** What waits when a server turns cold would otherwise be counted on to finish as fast as before. */
@@ -240,6 +240,10 @@
         this.gate[Symbol.dispose]();
     }
 
+    private ownShareOf(borne: number): number {
+        return Math.max(0, this.latencyLimit.under(borne) - this.inherited.count);
+    }
+
     private notePause(): void {
         this.lease.fall("pause");
         this.admission.refuseWaiting(
--- a/packages/agent/src/shared/fairQueue.ts
+++ b/packages/agent/src/shared/fairQueue.ts
@@ -1,142 +1,17 @@
 /**
- * Queue with priority classes; inside a class, the client account that has had the least for its weight goes first.
+ * Queue with priority classes; inside a class, client accounts take turns by weight (deficit round robin).
  *
  * @packageDocumentation
  */
 
-import Denque from "denque";
+import { type FairQueueItem, PriorityClassQueue, type QueuePosition } from "./priorityClassQueue.ts";
 
-/** What the queue needs to know of an item. */
-export interface FairQueueItem {
-    /** Class of urgency, smaller is more urgent. */
+/** How much waits in one class. */
+export interface ClassCount {
+    /** The class. */
     readonly priority: number;
-    /** Client account that it belongs to. */
-    readonly account: string;
-    /** Share of the account under contention. */
-    readonly weight: number;
-}
-
-interface Account<T> {
-    readonly name: string;
-    weight: number;
-    /** Starts that the account has had over its weight; grows to the queue's time while the account waits. */
-    timeStarts: number;
-    readonly items: Denque<T>;
-}
-
-const MIN_WEIGHT = 1;
-/** How far an account that did not get its share may lie behind the others, in starts over weight. */
-const CREDIT_STARTS = 2;
-/** Accounts that are remembered before those without credit are forgotten. */
-const MAX_IDLE_ACCOUNTS = 1_024;
-
-/** Accounts of one class; the one that has had the least for its weight is next. */
-class PriorityClassQueue<T extends FairQueueItem> {
-    private readonly accounts = new Map<string, Account<T>>();
-    private timeStarts = 0;
-    private count = 0;
-
-    public get size(): number {
-        return this.count;
-    }
-
-    public push(item: T): void {
-        const account = this.accountOf(item);
-        if (account.items.length === 0) {
-            account.timeStarts = Math.max(account.timeStarts, this.timeStarts - CREDIT_STARTS);
-        }
-        account.items.push(item);
-        this.count++;
-    }
-
-    public shift(): T | undefined {
-        let next: Account<T> | undefined;
-        for (const account of this.accounts.values()) {
-            const isWaiting = account.items.length > 0;
-            if (isWaiting && (!next || this.claimAfter(account, 1) < this.claimAfter(next, 1))) {
-                next = account;
-            }
-        }
-        if (!next) {
-            return undefined;
-        }
-        next.timeStarts = this.claimAfter(next, 1);
-        this.timeStarts = Math.max(this.timeStarts, next.timeStarts);
-        this.count--;
-        return next.items.shift();
-    }
-
-    public remove(item: T): boolean {
-        const account = this.accounts.get(item.account);
-        const index = account?.items.toArray().indexOf(item) ?? -1;
-        if (!account || index < 0) {
-            return false;
-        }
-        account.items.removeOne(index);
-        this.count--;
-        return true;
-    }
-
-    /** Newest item of the account that would be served last. */
-    public lastServed(): T | undefined {
-        return this.lastAccount()?.items.peekBack();
-    }
-
-    /** Whether a new item would be served after everything that waits, or only its own account waits last. */
-    public isLast(item: T): boolean {
-        const last = this.lastAccount();
-        if (!last || last.name === item.account) {
-            return true;
-        }
-        const account = this.accountOf(item);
-        const timeStarts = account.items.length === 0
-            ? Math.max(account.timeStarts, this.timeStarts - CREDIT_STARTS)
-            : account.timeStarts;
-        const claim = timeStarts + (account.items.length + 1) / account.weight;
-        return this.claimAfter(last, last.items.length) <= claim;
-    }
-
-    public items(): T[] {
-        return [...this.accounts.values()].flatMap(({ items }) => items.toArray());
-    }
-
-    private claimAfter({ timeStarts, weight }: Account<T>, starts: number): number {
-        return timeStarts + starts / weight;
-    }
-
-    private lastAccount(): Account<T> | undefined {
-        let last: Account<T> | undefined;
-        for (const account of this.accounts.values()) {
-            const claim = this.claimAfter(account, account.items.length);
-            if (account.items.length > 0 && (!last || claim > this.claimAfter(last, last.items.length))) {
-                last = account;
-            }
-        }
-        return last;
-    }
-
-    private accountOf(item: T): Account<T> {
-        const weight = Math.max(MIN_WEIGHT, item.weight);
-        let account = this.accounts.get(item.account);
-        if (!account) {
-            this.forgetIdle();
-            account = { name: item.account, weight, timeStarts: this.timeStarts, items: new Denque() };
-            this.accounts.set(item.account, account);
-        }
-        account.weight = weight;
-        return account;
-    }
-
-    private forgetIdle(): void {
-        if (this.accounts.size < MAX_IDLE_ACCOUNTS) {
-            return;
-        }
-        for (const { name, items } of [...this.accounts.values()]) {
-            if (items.length === 0) {
-                this.accounts.delete(name);
-            }
-        }
-    }
+    /** Items. */
+    readonly count: number;
 }
 
 /** Queue of waiting calls. */
@@ -194,17 +69,41 @@
     /**
      * Counts what waits in each class.
      *
-     * @returns pairs of class and count, the most urgent class first
+     * @returns the counts
+     */
+    public countByPriority(): ClassCount[] {
+        return [...this.classes].map(([priority, queue]) => ({ priority, count: queue.size }));
+    }
+
+    /**
+     * Estimates what has its turn before an item, exact to one round of the accounts.
+     *
+     * @param item - the item, waiting or new
+     * @param ownAhead - items of its own account and class before it; by default all that wait
+     * @returns the counts of the item's class and of the more urgent ones
      */
-    public countByPriority(): { readonly priority: number; readonly count: number; }[] {
+    public countAhead(item: T, ownAhead?: number): ClassCount[] {
         return [...this.classes]
-            .map(([priority, queue]) => ({ priority, count: queue.size }))
-            .sort((left, right) => left.priority - right.priority);
+            .filter(([priority]) => priority <= item.priority)
+            .map(([priority, queue]) => {
+                const isOwnClass = priority === item.priority;
+                const own = ownAhead ?? queue.backlogOf(item.account);
+                return { priority, count: isOwnClass ? queue.countAhead(item, own) : queue.size };
+            });
     }
 
     /**
-     * Finds the item that should give its place to a new one when the queue is full: the newest of the account
-     * that would be served last in the least urgent class.
+     * Lists what waits with its places.
+     *
+     * @returns the places, the most urgent class first
+     */
+    public positions(): QueuePosition<T>[] {
+        return this.byUrgency().flatMap(queue => queue.positions());
+    }
+
+    /**
+     * Finds the item that should give its place to a new one when the queue is full: in the least urgent class, the
+     * newest item of the account that waits longest for its turn there.
      *
      * @param item - the new item
      * @returns the item to refuse, or undefined when the new one has the weakest claim
@@ -220,7 +119,12 @@
             return undefined;
         }
         const [priority, queue] = worst;
-        return priority === item.priority && queue.isLast(item) ? undefined : queue.lastServed();
+        const weakest = queue.weakestClaim();
+        if (priority === item.priority && (weakest?.turns ?? 0) <= queue.turnsOfNew(item)) {
+            queue.noteRefused(item);
+            return undefined;
+        }
+        return weakest?.item;
     }
 
     /**
