--- a/packages/control/src/shared/plane/joinFleet.ts
+++ b/packages/control/src/shared/plane/joinFleet.ts
@@ -59,8 +59,10 @@
 const LIST_TIMEOUT_MS = 2_000;
 /** Time after which a process that reaches none of the known peers goes on without them, in milliseconds. */
 const ISOLATED_LIMIT_MS = 15_000;
+/** From this pass on, peers send a whole content although they have just sent one. */
+const INSISTING_PASS = 5;
 /** Time between two passes over the known peers, in milliseconds. */
-const PASS_INTERVAL_MS = 500;
+const PASS_INTERVAL_MS = 300;
 
 /** Takes one of each data centre in turn, so that the first batch covers several. */
 const interleave = (groups: readonly (readonly GossipTarget[])[]): GossipTarget[] => {
@@ -100,12 +102,13 @@
 class PeerSurvey {
     public readonly ready = new Map<InstanceId, ProbeReply>();
     private readonly unready = new Set<InstanceId>();
+    private wantedReady = WANTED_READY_PEERS;
 
     public constructor(private readonly options: JoinFleetOptions) {}
 
     /** Whether the answers suffice to go on. */
     public get isEnough(): boolean {
-        return this.ready.size >= WANTED_READY_PEERS
+        return this.ready.size >= this.wantedReady
             || (this.ready.size === 0 && this.unready.size >= ENOUGH_UNREADY_PEERS);
     }
 
@@ -114,6 +117,11 @@
         return this.ready.size + this.unready.size > 0;
     }
 
+    /** Asks for more peers, when those that were found are busy or silent. */
+    public widen(): void {
+        this.wantedReady += WANTED_READY_PEERS;
+    }
+
     public async pass(targets: readonly GossipTarget[]): Promise<void> {
         for (let start = 0; start < targets.length && !this.isEnough; start += BATCH_SIZE) {
             const batch = targets.slice(start, start + BATCH_SIZE);
@@ -141,18 +149,18 @@
     }
 }
 
-const fetchBest = async (options: JoinFleetOptions, replies: readonly ProbeReply[]): Promise<boolean> => {
+const fetchBest = async (
+    options: JoinFleetOptions,
+    replies: readonly ProbeReply[],
+    mayRefuse: boolean,
+): Promise<boolean> => {
     const { exchange, runtime, signal, store } = options;
     const best = Math.max(0, ...replies.map(({ digest }) => digest.revision));
     if (best === 0) {
         return true;
     }
     const holders = shuffled(runtime.random, replies.filter(({ digest }) => digest.revision === best));
-    const attempts = [
-        ...holders.map(({ sender }) => ({ sender, mayRefuse: true })),
-        ...holders.map(({ sender }) => ({ sender, mayRefuse: false })),
-    ];
-    for (const { sender, mayRefuse } of attempts) {
+    for (const { sender } of holders) {
         try {
             await exchange.fetch(sender.address, sender.name, signal, mayRefuse);
         }
@@ -179,16 +187,17 @@
     const startMs = runtime.clock.nowMs();
     const survey = new PeerSurvey(options);
     await readList(options);
-    while (!signal.aborted) {
+    for (let pass = 1; !signal.aborted; pass++) {
         const targets = listTargets(options);
         await survey.pass(targets);
         const isSettled = targets.length === 0 || survey.isHeard;
-        if (isSettled && await fetchBest(options, [...survey.ready.values()])) {
+        if (isSettled && await fetchBest(options, [...survey.ready.values()], pass < INSISTING_PASS)) {
             break;
         }
         if (runtime.clock.nowMs() - startMs >= ISOLATED_LIMIT_MS) {
             break;
         }
+        survey.widen();
         await sleep(runtime.clock, PASS_INTERVAL_MS, signal).catch(() => {});
     }
     runtime.events.emit(joined, {
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./shared/fleet/fleetRules.ts";
 export * from "./shared/fleet/virtualFleet.ts";
 export * from "./shared/rollout/rolloutFleet.ts";
+export * from "./shared/rollout/rolloutRules.ts";
 export * from "./shared/standIns/engineModel.ts";
 export * from "./shared/standIns/engineOrders.ts";
 export * from "./shared/standIns/modelBackends.ts";
