--- a/packages/control/src/shared/plane/joinFleet.ts
+++ b/packages/control/src/shared/plane/joinFleet.ts
@@ -60,7 +60,7 @@
 /** Time after which a process that reaches none of the known peers goes on without them, in milliseconds. */
 const ISOLATED_LIMIT_MS = 15_000;
 /** From this pass on, peers send a whole content although they have just sent one. */
-const INSISTING_PASS = 5;
+const INSISTING_PASS = 3;
 /** Time between two passes over the known peers, in milliseconds. */
 const PASS_INTERVAL_MS = 300;
 
--- a/packages/lab/src/shared/capacity/capacityInputs.ts
+++ b/packages/lab/src/shared/capacity/capacityInputs.ts
@@ -33,6 +33,7 @@
 export const PLANE_BYTES_PER_S: Readonly<Record<number, number>> = {
     100: 1_606,
     200: 1_750,
+    500: 2_240,
 };
 
 /** Bytes that one agent report has on the wire, with one cached and one evicted prefix. */
--- a/packages/lab/src/shared/rollout/rolloutExperiment.ts
+++ b/packages/lab/src/shared/rollout/rolloutExperiment.ts
@@ -26,6 +26,9 @@
 const FLEET_START_MS = 10_000;
 /** Time after the start before anything is measured, in milliseconds. */
 const SETTLE_MS = 5_000;
+/** The same before processes are replaced: peers that sent whole contents at the start send them again by then. */
+const SETTLE_BEFORE_NEWCOMERS_MS = 45_000;
+const FAULTS_WITH_NEWCOMERS: readonly RolloutFault[] = ["stale", "down", "replace-all"];
 /** Time between changes, longer than a change may take to be in force everywhere, in milliseconds. */
 const CHANGE_INTERVAL_MS = 6_500;
 /** Time that a fault lasts, in milliseconds. */
@@ -58,7 +61,8 @@
         await fleet.clock.advance(FLEET_START_MS);
         this.publish();
         await fleet.startAll(shuffled(fleet.random, fleet.nodes), FLEET_START_MS);
-        await fleet.clock.advance(SETTLE_MS);
+        const hasNewcomers = FAULTS_WITH_NEWCOMERS.includes(options.fault);
+        await fleet.clock.advance(hasNewcomers ? SETTLE_BEFORE_NEWCOMERS_MS : SETTLE_MS);
         this.measure.begin(fleet);
         await this.change();
         await match(options.fault)
