fix(control): let peers refuse whole contents to newcomers that heard of them by a probe

Change: such fetches may be refused too; after three failures the newcomer insists. A newcomer that knows nobody still takes the configuration of the first process that finds it, without asking several.

--- a/packages/control/src/shared/plane/spread.ts
+++ b/packages/control/src/shared/plane/spread.ts
@@ -36,6 +36,8 @@
 const SENDERS_PER_DATA_CENTRE = 6;
 /** Time before another peer is tried after a failed fetch, in milliseconds. */
 const FETCH_RETRY_MS = 100;
+/** After this many failures a peer sends a whole content although it has just sent one. */
+const INSISTING_FAILURES = 3;
 /** Peers that are remembered as holders of news. */
 const MAX_HOLDERS = 8;
 
@@ -49,6 +51,8 @@
 export class Spread implements Disposable {
     private holders: Holder[] = [];
     private isFetching = false;
+    /** Fetches that failed since the last good one. */
+    private failureCount = 0;
     private readonly subscriptions: readonly Disposable[];
 
     /** @param options - store, membership, socket and exchange */
@@ -122,12 +126,15 @@
         this.isFetching = true;
         for (let holder = this.nextHolder(); holder && !signal.aborted; holder = this.nextHolder()) {
             try {
-                await exchange.fetch(holder.address, holder.name, signal);
+                const mayRefuse = this.failureCount < INSISTING_FAILURES;
+                await exchange.fetch(holder.address, holder.name, signal, mayRefuse);
+                this.failureCount = 0;
             }
             catch (error) {
                 if (signal.aborted || isAborted(error)) {
                     break;
                 }
+                this.failureCount++;
                 runtime.events.emit(fetchFailed, { peer: holder.name, error: errorMessage(error) });
                 await sleep(runtime.clock, FETCH_RETRY_MS, signal).catch(() => {});
             }
