feat(lab): fuzz virtual fleets with fast-check's model-based commands

Cause: scripted scenarios find only what somebody thought of. Change: magnolialock-lab fuzz draws faults, decisions and requests as steps of the scenario language, judges each run by the oracle and prints the smallest failing run as a scenario file; crossed answers now cross within a session. Conclusion: commands that are scenario steps need no second printer for replays.

--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import "./commands/fuzz.ts";
 import "./commands/run.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/fuzzCommand.ts
@@ -0,0 +1,86 @@
+/**
+ * Commands of the fuzzer. Each is one step of the scenario language, so that a run prints as a scenario file.
+ *
+ * @packageDocumentation
+ */
+
+import { formatFinding } from "@magnolialock/kernel";
+import type { AsyncCommand } from "fast-check";
+import { parseScenario } from "../scenarios/parseScenario.ts";
+import type { ScenarioStep } from "../scenarios/scenario.ts";
+import type { ScenarioWorld } from "../scenarios/scenarioWorld.ts";
+
+/** What the fuzzer knows of a run: the steps so far, as lines of a scenario file. */
+export interface FuzzModel {
+    /** Lines of the file. */
+    readonly lines: string[];
+    /** Identifiers of requests that were sent. */
+    readonly requests: string[];
+}
+
+/** A step and the time since the step before. */
+export interface FuzzStep {
+    /** Time since the step before, in milliseconds. */
+    readonly delayMs: number;
+    /** Text of the step, without a time. `<new request>` and `<old request>` stand for names. */
+    readonly text: string;
+}
+
+const NEW_REQUEST = "<new request>";
+const OLD_REQUEST = "<old request>";
+
+const parseStep = (fleet: string, text: string): ScenarioStep => {
+    const parsed = parseScenario(`fleet ${fleet}\n${text}\n`, "fuzz");
+    const [step] = parsed.kind === "accepted" ? parsed.scenario.steps : [];
+    if (!step) {
+        throw new SyntaxError(
+            parsed.kind === "rejected" ? parsed.findings.map(formatFinding).join("\n") : text,
+        );
+    }
+    return step;
+};
+
+/** One command of the model-based run. */
+export class FuzzCommand implements AsyncCommand<FuzzModel, ScenarioWorld> {
+    /**
+     * @param fleet - name of the fleet
+     * @param step - step and delay
+     */
+    public constructor(private readonly fleet: string, private readonly step: FuzzStep) {}
+
+    /** Whether the command makes sense now: retries need a request. */
+    public check(model: Readonly<FuzzModel>): boolean {
+        return !this.step.text.includes(OLD_REQUEST) || model.requests.length > 0;
+    }
+
+    /**
+     * Advances the time and takes the step.
+     *
+     * @param model - steps so far
+     * @param world - the fleet
+     */
+    public async run(model: FuzzModel, world: ScenarioWorld): Promise<void> {
+        const text = this.fillNames(model);
+        const atMs = Math.round(world.nowMs) + this.step.delayMs;
+        model.lines.push(`at ${atMs} ms ${text}`);
+        await world.fleet.clock.runUntil(atMs);
+        const { step, args } = parseStep(this.fleet, text);
+        if (step.effect.kind === "action") {
+            await step.effect.run(world, args as never);
+        }
+    }
+
+    /** The step as it is printed in reports. */
+    public toString(): string {
+        return `after ${this.step.delayMs} ms ${this.step.text}`;
+    }
+
+    private fillNames(model: FuzzModel): string {
+        const { text } = this.step;
+        if (text.includes(NEW_REQUEST)) {
+            model.requests.push(`request-${model.requests.length + 1}`);
+        }
+        const newest = model.requests.at(-1) ?? "";
+        return text.replace(NEW_REQUEST, newest).replace(OLD_REQUEST, newest);
+    }
+}
--- a/packages/lab/src/shared/scenarios/callerLog.ts
+++ b/packages/lab/src/shared/scenarios/callerLog.ts
@@ -77,6 +77,11 @@
      */
     public constructor(private readonly fleet: VirtualFleet, private readonly shape: FleetShape) {}
 
+    /** Whether a caller still waits. */
+    public get hasOpenTries(): boolean {
+        return this.tries.some(attempt => attempt.endedMs === undefined && !attempt.isLost);
+    }
+
     /**
      * Sends a request.
      *
--- a/packages/lab/src/shared/scenarios/steps/networkSteps.ts
+++ b/packages/lab/src/shared/scenarios/steps/networkSteps.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EndpointInfo, EndpointSelector } from "@magnolialock/test-support";
+import { createAnswerCrosser } from "../answerCrosser.ts";
 import { defineStep } from "../step.ts";
 
 const PERCENT = 100;
@@ -80,10 +81,10 @@
     {
         kind: "action",
         run: (world, { percent }) => {
-            world.fleet.links.setQuality({
-                local: { crossProbability: percent / PERCENT },
-                remote: { crossProbability: percent / PERCENT },
-            });
+            world.fleet.network.tamper = createAnswerCrosser(
+                world.fleet.random.fork("crossed answers"),
+                percent / PERCENT,
+            );
         },
     },
 );
--- a/packages/test-support/src/shared/endpoint.ts
+++ b/packages/test-support/src/shared/endpoint.ts
@@ -25,18 +25,28 @@
     readonly traffic: TrafficCounters;
     /** Calls to break when the process is killed. */
     readonly openCalls: Set<() => void>;
-    /** Streams that the process reads now, for answers that cross. */
-    readonly openStreams: Set<OpenStream>;
 }
 
-/** A stream of answers that a process reads. */
-export interface OpenStream {
+/** One message of an answer on its way. */
+export interface AnswerMessage {
+    /** Who sends it. */
+    readonly from: EndpointInfo;
+    /** Who gets it. */
+    readonly to: EndpointInfo;
     /** Method that it answers. */
     readonly method: DescMethod;
-    /** Adds a message that belongs to another call. */
-    readonly receive: (message: Message) => void;
+    /** The message. */
+    readonly message: Message;
 }
 
+/**
+ * Changes messages of answers on their way.
+ *
+ * @param answer - the message
+ * @returns what arrives instead
+ */
+export type AnswerTamper = (answer: AnswerMessage) => Message;
+
 /** A server side that accepts calls. */
 export interface VirtualListener {
     /** Process that listens. */
@@ -56,6 +66,8 @@
     readonly links: LinkTable;
     /** Whether to encode every message to count its bytes. */
     readonly countBytes: boolean;
+    /** Changes messages of answers on their way; undefined leaves them alone. */
+    readonly tamper: AnswerTamper | undefined;
     /**
      * Finds who accepts calls at an address.
      *
--- a/packages/test-support/src/shared/link.ts
+++ b/packages/test-support/src/shared/link.ts
@@ -24,8 +24,6 @@
     readonly lossProbability: number;
     /** Probability that a datagram arrives twice. */
     readonly duplicateProbability: number;
-    /** Probability that a piece of an answer also arrives in another answer. */
-    readonly crossProbability: number;
 }
 
 /** Options of {@link LinkTable}. */
@@ -38,7 +36,7 @@
     readonly remote?: Partial<LinkQuality>;
 }
 
-const CLEAN_LINK = { lossProbability: 0, duplicateProbability: 0, crossProbability: 0 };
+const CLEAN_LINK = { lossProbability: 0, duplicateProbability: 0 };
 const LOCAL_LINK: LinkQuality = { ...CLEAN_LINK, delayMs: 0.2, jitterMs: 0.1 };
 const REMOTE_LINK: LinkQuality = { ...CLEAN_LINK, delayMs: 1, jitterMs: 0.5 };
 
@@ -148,18 +146,6 @@
         return this.random.nextFloat() < quality.duplicateProbability ? 2 : 1;
     }
 
-    /**
-     * Draws whether a piece of an answer also arrives in another answer.
-     *
-     * @param from - sender
-     * @param to - receiver
-     * @returns true when it does
-     */
-    public drawCrossing(from: EndpointInfo, to: EndpointInfo): boolean {
-        const { crossProbability } = this.qualityOf(from, to);
-        return crossProbability > 0 && this.random.nextFloat() < crossProbability;
-    }
-
     private qualityOf(from: EndpointInfo, to: EndpointInfo): LinkQuality {
         return from.dataCentre === to.dataCentre ? this.local : this.remote;
     }
--- a/packages/test-support/src/shared/virtualNetwork.ts
+++ b/packages/test-support/src/shared/virtualNetwork.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Address, Clock, DatagramSocket, Network, ServiceBinding } from "@magnolialock/kernel";
-import type { Endpoint, NetworkCore, VirtualListener } from "./endpoint.ts";
+import type { AnswerTamper, Endpoint, NetworkCore, VirtualListener } from "./endpoint.ts";
 import type { EndpointInfo } from "./link.ts";
 import type { LinkTable } from "./link.ts";
 import type { ProcessClock } from "./processClock.ts";
@@ -29,6 +29,8 @@
     public readonly links: LinkTable;
     /** Whether to encode every message to count its bytes. */
     public readonly countBytes: boolean;
+    /** Changes messages of answers on their way; undefined leaves them alone. */
+    public tamper: AnswerTamper | undefined;
     private readonly listeners = new Map<Address, VirtualListener>();
     private readonly sockets = new Map<Address, {
         readonly endpoint: Endpoint;
@@ -58,7 +60,6 @@
             process,
             traffic: { sentBytes: 0, sentMessages: 0 },
             openCalls: new Set(),
-            openStreams: new Set(),
         };
         return { endpoint, network: this.networkOf(endpoint) };
     }
--- a/packages/test-support/src/shared/virtualTransport.ts
+++ b/packages/test-support/src/shared/virtualTransport.ts
@@ -25,16 +25,7 @@
     type UnaryResponse,
 } from "@connectrpc/connect";
 import { type Address, AsyncQueue } from "@magnolialock/kernel";
-import {
-    CONNECTION_TIMEOUT_MS,
-    type Endpoint,
-    type NetworkCore,
-    type OpenStream,
-    type VirtualListener,
-} from "./endpoint.ts";
-
-/** Method whose answers may cross. */
-const CROSSED_METHOD = "Run";
+import { CONNECTION_TIMEOUT_MS, type Endpoint, type NetworkCore, type VirtualListener } from "./endpoint.ts";
 
 type Handler = (input: unknown, context: HandlerContext) => unknown;
 
@@ -83,7 +74,6 @@
     public readonly outputs: AsyncQueue<Message>;
     private readonly serverAbort = new AbortController();
     private readonly inputs = new AsyncQueue<Message>();
-    private readonly stream: OpenStream;
     private isOver = false;
     private server: Endpoint | undefined;
     private pipeToServer: OrderedPipe | undefined;
@@ -97,7 +87,6 @@
         private readonly signal: AbortSignal | undefined,
     ) {
         this.outputs = new AsyncQueue(() => this.cancel());
-        this.stream = { method, receive: message => this.outputs.push(message) };
     }
 
     public start(): void {
@@ -116,7 +105,6 @@
         this.pipeToClient = new OrderedPipe(this.network, server, this.client, onBroken);
         this.client.openCalls.add(this.onEndpointKilled);
         server.openCalls.add(this.onEndpointKilled);
-        this.client.openStreams.add(this.stream);
         this.signal?.addEventListener("abort", this.onAbort, { once: true });
         this.pipeToServer.send(() => void this.serve(listener));
     }
@@ -169,7 +157,6 @@
         this.isOver = true;
         this.signal?.removeEventListener("abort", this.onAbort);
         this.client.openCalls.delete(this.onEndpointKilled);
-        this.client.openStreams.delete(this.stream);
         this.server?.openCalls.delete(this.onEndpointKilled);
     }
 
@@ -188,10 +175,12 @@
                 throw new ConnectError(`${this.method.name} is not implemented`, Code.Unimplemented);
             }
             for await (const output of this.runHandler(handler)) {
-                const message = create(this.method.output, output as MessageInitShape<DescMessage>);
+                const message = this.tamper(
+                    listener.endpoint,
+                    create(this.method.output, output as MessageInitShape<DescMessage>),
+                );
                 this.count(listener.endpoint, this.method.output, message);
                 this.pipeToClient?.send(() => this.outputs.push(message));
-                this.cross(listener.endpoint, message);
             }
             this.pipeToClient?.send(() => this.end());
         }
@@ -200,17 +189,9 @@
         }
     }
 
-    /** Lets a message also arrive in another answer of the same method to the same client. */
-    private cross(server: Endpoint, message: Message): void {
-        if (this.method.name !== CROSSED_METHOD || !this.network.links.drawCrossing(server, this.client)) {
-            return;
-        }
-        const other = [...this.client.openStreams].find(stream =>
-            stream !== this.stream && stream.method === this.method
-        );
-        if (other) {
-            this.pipeToClient?.send(() => other.receive(message));
-        }
+    private tamper(from: Endpoint, message: Message): Message {
+        const { method, client: to } = this;
+        return this.network.tamper?.({ from, to, method, message }) ?? message;
     }
 
     private end(error?: ConnectError): void {
