--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -6,6 +6,8 @@
 
 import "./commands/fuzz.ts";
 import "./commands/run.ts";
+import "./commands/outage.ts";
+import "./commands/overload.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { labCommands } from "./labCommands.ts";
