feat(kernel): carry hybrid time on messages and read the time line of a process

Cause: wall clocks of two instances differ, so the events of several processes could not be put in causal order. Change: session batches, recalls and configuration reads carry the sender's hybrid time (connect interceptors over TCP, the same functions in the in-process network); a time more than 60 s ahead is ignored; EventLog.follow and readTimeline.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -10,5 +10,6 @@
 export * from "./node/watchRulesFile.ts";
 export * from "./shared/configurationStore.ts";
 export * from "./shared/controlEvents.ts";
+export * from "./shared/timelineService.ts";
 export * from "./shared/watchRules.ts";
 export * from "./types/platform.ts";
--- /dev/null
+++ b/packages/control/src/shared/timelineService.ts
@@ -0,0 +1,41 @@
+/**
+ * Answers operators who read the events of this process.
+ *
+ * @packageDocumentation
+ */
+
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { AsyncQueue, type EventLog, type EventRecord, toTimelineEntry } from "@magnolialock/kernel";
+import type { ReadTimelineRequest, TimelineEventSchema } from "@magnolialock/protocol";
+
+const toMessage = (record: EventRecord): MessageInitShape<typeof TimelineEventSchema> => {
+    const { time, ...entry } = toTimelineEntry(record);
+    return { ...entry, fields: { ...entry.fields }, wallMs: time.wallMs, counter: time.counter };
+};
+
+/**
+ * Reads the events that this process remembers, and follows new ones if asked.
+ *
+ * @param events - event log of the process
+ * @param request - whether to follow
+ * @param signal - aborts when the reader is gone
+ * @returns the events, oldest first
+ */
+export async function* readTimeline(
+    events: EventLog,
+    request: ReadTimelineRequest,
+    signal: AbortSignal,
+): AsyncGenerator<MessageInitShape<typeof TimelineEventSchema>> {
+    const newEvents = new AsyncQueue<EventRecord>();
+    using _following = events.follow(record => newEvents.push(record));
+    signal.addEventListener("abort", () => newEvents.close(), { once: true });
+    for (const record of events.recent()) {
+        yield toMessage(record);
+    }
+    if (!request.follow || signal.aborted) {
+        return;
+    }
+    for await (const record of newEvents) {
+        yield toMessage(record);
+    }
+}
--- a/packages/kernel/src/node/processRuntime.ts
+++ b/packages/kernel/src/node/processRuntime.ts
@@ -39,7 +39,8 @@
 export const createProcessRuntime = (options: ProcessRuntimeOptions): Runtime & AsyncDisposable => {
     const scope = new ResourceScope();
     const clock = createSystemClock();
-    const network = scope.use(createTcpNetwork());
+    const events = new EventLog({ clock, instance: options.instance, sinks: [createDebugSink()] });
+    const network = scope.use(createTcpNetwork({ hybridClock: events.hybridClock }));
     const metrics = options.statsd
         ? scope.use(createStatsdMetrics(options.statsd, { instance: options.instance }))
         : noMetrics;
@@ -48,7 +49,7 @@
         network,
         metrics,
         random: createRandomSource(options.seed ?? randomInt(MAX_SEED)),
-        events: new EventLog({ clock, instance: options.instance, sinks: [createDebugSink()] }),
+        events,
         [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
     };
 };
--- a/packages/kernel/src/node/tcpNetwork.ts
+++ b/packages/kernel/src/node/tcpNetwork.ts
@@ -4,13 +4,15 @@
  * @packageDocumentation
  */
 
-import type { Transport } from "@connectrpc/connect";
+import type { Interceptor, Transport } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { createSocket } from "node:dgram";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import { connect, isIPv6, type Socket } from "node:net";
 import type { Address } from "../shared/brand.ts";
 import { branded } from "../shared/brand.ts";
+import type { HybridClock } from "../shared/hybridClock.ts";
+import { createClientStamper, createServerStamper } from "../shared/hybridStamp.ts";
 import type { DatagramSocket, Network, ServiceBinding } from "../shared/network.ts";
 import { splitAddress } from "./address.ts";
 import { createSystemClock } from "./systemClock.ts";
@@ -62,8 +64,10 @@
 const serveBindings = async (
     address: Address,
     bindings: readonly ServiceBinding[],
+    interceptors: Interceptor[],
 ): Promise<AsyncDisposable> => {
     const handler = connectNodeAdapter({
+        interceptors,
         routes: router => {
             for (const { service, implementation } of bindings) {
                 router.service(service, implementation);
@@ -111,12 +115,20 @@
         });
     });
 
+/** Options of {@link createTcpNetwork}. */
+export interface TcpNetworkOptions {
+    /** Clock whose time messages carry; without it they carry none. */
+    readonly hybridClock?: HybridClock;
+}
+
 /**
  * Creates the network that real processes use.
  *
+ * @param options - hybrid clock
  * @returns the network; disposing it ends its outgoing connections
  */
-export const createTcpNetwork = (): Network & AsyncDisposable => {
+export const createTcpNetwork = (options: TcpNetworkOptions = {}): Network & AsyncDisposable => {
+    const { hybridClock } = options;
     const peers = new Map<
         Address,
         { readonly transport: Transport; readonly sessions: Http2SessionManager; }
@@ -140,13 +152,15 @@
             httpVersion: "2",
             sessionManager: sessions,
             readMaxBytes: MAX_MESSAGE_BYTES,
+            interceptors: hybridClock ? [createClientStamper(hybridClock)] : [],
         });
         peers.set(address, { transport, sessions });
         return transport;
     };
     return {
         transportTo: address => peers.get(address)?.transport ?? openPeer(address),
-        listen: serveBindings,
+        listen: (address, bindings) =>
+            serveBindings(address, bindings, hybridClock ? [createServerStamper(hybridClock)] : []),
         openDatagramSocket: openSocket,
         [Symbol.asyncDispose]: async () => {
             for (const { sessions } of peers.values()) {
--- a/packages/kernel/src/shared/events.ts
+++ b/packages/kernel/src/shared/events.ts
@@ -97,6 +97,7 @@
     /** Clock that orders events over processes. */
     public readonly hybridClock: HybridClock;
     private readonly records = new Denque<EventRecord>();
+    private readonly followers = new Set<(record: EventRecord) => void>();
     private readonly instance: string;
     private readonly sinks: readonly EventSink[];
     private readonly capacity: number;
@@ -129,6 +130,20 @@
         for (const sink of this.sinks) {
             sink.write(record);
         }
+        for (const follow of this.followers) {
+            follow(record);
+        }
+    }
+
+    /**
+     * Calls back for each new event.
+     *
+     * @param listener - what to call
+     * @returns disposing it ends the calls
+     */
+    public follow(listener: (record: EventRecord) => void): Disposable {
+        this.followers.add(listener);
+        return { [Symbol.dispose]: () => void this.followers.delete(listener) };
     }
 
     /** Events that the memory still holds, oldest first. */
--- a/packages/kernel/src/shared/hybridClock.ts
+++ b/packages/kernel/src/shared/hybridClock.ts
@@ -24,6 +24,9 @@
 export const compareHybridTimes = (left: HybridTime, right: HybridTime): number =>
     left.wallMs - right.wallMs || left.counter - right.counter;
 
+/** Times further ahead than this come from a wrong clock and are not followed, in milliseconds. */
+const MAX_DRIFT_MS = 60_000;
+
 /** Hybrid logical clock of one process. */
 export class HybridClock {
     private last: HybridTime = { wallMs: 0, counter: 0 };
@@ -45,12 +48,13 @@
     }
 
     /**
-     * Advances past the time of a message that arrived.
+     * Advances past the time of a message that arrived. A time that is far ahead or no number is ignored.
      *
      * @param remote - time that the message carried
      */
     public observe(remote: HybridTime): void {
-        if (compareHybridTimes(remote, this.last) > 0) {
+        const isCredible = remote.wallMs <= this.clock.wallMs() + MAX_DRIFT_MS;
+        if (isCredible && compareHybridTimes(remote, this.last) > 0) {
             this.last = remote;
         }
         this.tick();
--- a/packages/test-support/src/shared/endpoint.ts
+++ b/packages/test-support/src/shared/endpoint.ts
@@ -5,7 +5,7 @@
  */
 
 import type { DescMethod, Message } from "@bufbuild/protobuf";
-import type { Address, Clock, ServiceBinding } from "@magnolialock/kernel";
+import type { Address, Clock, HybridClock, ServiceBinding } from "@magnolialock/kernel";
 import type { EndpointInfo, LinkTable } from "./link.ts";
 import type { ProcessClock } from "./processClock.ts";
 
@@ -25,6 +25,8 @@
     readonly traffic: TrafficCounters;
     /** Calls to break when the process is killed. */
     readonly openCalls: Set<() => void>;
+    /** Clock whose time its messages carry; set once its event log exists. */
+    hybridClock: HybridClock | undefined;
 }
 
 /** One message of an answer on its way. */
--- a/packages/test-support/src/shared/virtualNetwork.ts
+++ b/packages/test-support/src/shared/virtualNetwork.ts
@@ -60,6 +60,7 @@
             process,
             traffic: { sentBytes: 0, sentMessages: 0 },
             openCalls: new Set(),
+            hybridClock: undefined,
         };
         return { endpoint, network: this.networkOf(endpoint) };
     }
--- a/packages/test-support/src/shared/virtualRuntime.ts
+++ b/packages/test-support/src/shared/virtualRuntime.ts
@@ -25,6 +25,8 @@
     readonly random: RandomSource;
     /** Seconds that the process's clock counts per true second. */
     readonly clockRate?: number;
+    /** Offset of the process's wall-clock time, in milliseconds. */
+    readonly wallOffsetMs?: number;
     /** Where events go. */
     readonly sinks?: readonly EventSink[];
     /** Metrics to record into. */
@@ -48,23 +50,29 @@
  * @returns the runtime
  */
 export const createVirtualRuntime = (options: VirtualRuntimeOptions): VirtualRuntime => {
-    const process = new ProcessClock({ clock: options.network.clock, rate: options.clockRate });
+    const process = new ProcessClock({
+        clock: options.network.clock,
+        rate: options.clockRate,
+        wallOffsetMs: options.wallOffsetMs,
+    });
     const { endpoint, network } = options.network.addEndpoint(
         { name: options.name, dataCentre: options.dataCentre },
         process,
     );
+    const events = new EventLog({
+        clock: process,
+        instance: options.name,
+        sinks: options.sinks,
+        capacity: options.eventCapacity,
+    });
+    endpoint.hybridClock = events.hybridClock;
     return {
         endpoint,
         process,
         network,
+        events,
         clock: process,
         random: options.random.fork(options.name),
-        events: new EventLog({
-            clock: process,
-            instance: options.name,
-            sinks: options.sinks,
-            capacity: options.eventCapacity,
-        }),
         metrics: options.metrics ?? noMetrics,
     };
 };
--- a/packages/test-support/src/shared/virtualTransport.ts
+++ b/packages/test-support/src/shared/virtualTransport.ts
@@ -24,7 +24,7 @@
     type Transport,
     type UnaryResponse,
 } from "@connectrpc/connect";
-import { type Address, AsyncQueue } from "@magnolialock/kernel";
+import { type Address, AsyncQueue, observeMessage, stampMessage } from "@magnolialock/kernel";
 import { CONNECTION_TIMEOUT_MS, type Endpoint, type NetworkCore, type VirtualListener } from "./endpoint.ts";
 
 type Handler = (input: unknown, context: HandlerContext) => unknown;
@@ -69,6 +69,18 @@
 
 const unavailable = (text: string): ConnectError => new ConnectError(text, Code.Unavailable);
 
+const stamp = (sender: Endpoint, schema: DescMessage, message: Message): void => {
+    if (sender.hybridClock) {
+        stampMessage(sender.hybridClock, schema, message);
+    }
+};
+
+const observe = (receiver: Endpoint | undefined, schema: DescMessage, message: Message): void => {
+    if (receiver?.hybridClock) {
+        observeMessage(receiver.hybridClock, schema, message);
+    }
+};
+
 /** One call between two endpoints. */
 class VirtualCall {
     public readonly outputs: AsyncQueue<Message>;
@@ -110,8 +122,13 @@
     }
 
     public sendInput(message: Message): void {
-        this.count(this.client, this.method.input, message);
-        this.pipeToServer?.send(() => this.inputs.push(message));
+        const { input } = this.method;
+        stamp(this.client, input, message);
+        this.count(this.client, input, message);
+        this.pipeToServer?.send(() => {
+            observe(this.server, input, message);
+            this.inputs.push(message);
+        });
     }
 
     public endInputs(): void {
@@ -179,8 +196,7 @@
                     listener.endpoint,
                     create(this.method.output, output as MessageInitShape<DescMessage>),
                 );
-                this.count(listener.endpoint, this.method.output, message);
-                this.pipeToClient?.send(() => this.outputs.push(message));
+                this.sendOutput(listener.endpoint, message);
             }
             this.pipeToClient?.send(() => this.end());
         }
@@ -189,6 +205,16 @@
         }
     }
 
+    private sendOutput(server: Endpoint, message: Message): void {
+        const { output } = this.method;
+        stamp(server, output, message);
+        this.count(server, output, message);
+        this.pipeToClient?.send(() => {
+            observe(this.client, output, message);
+            this.outputs.push(message);
+        });
+    }
+
     private tamper(from: Endpoint, message: Message): Message {
         const { method, client: to } = this;
         return this.network.tamper?.({ from, to, method, message }) ?? message;
