--- a/packages/cli/src/node/cliMain.ts
+++ b/packages/cli/src/node/cliMain.ts
@@ -5,6 +5,8 @@
  */
 
 import "./commands/check.ts";
+import "./commands/explain.ts";
+import "./commands/timeline.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { commands } from "./command.ts";
 
