test(agent): let the proof harness cut off calls at a stop

Cause: no seeded fault stood for the promise that a planned stop cuts off no request. Conclusion: one hook at the place of the wait.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -85,7 +85,7 @@
 const drain = async (runtime: Runtime, context: AgentContext, timeoutMs: number): Promise<void> => {
     context.beginStop();
     runtime.events.emit(agentDraining, { running: context.admission.running, timeoutMs });
-    await waitUntilIdle(runtime, context, timeoutMs);
+    await waitUntilIdle(runtime, context, isFaultSeeded("agent.cut-off-at-stop") ? 0 : timeoutMs);
     const unfinished = context.admission.running;
     if (unfinished > 0) {
         runtime.events.emit(agentHandedOver, { unfinished });
