test(lab): find seeded faults by fuzzing, one test a fault

Cause: a harness that finds nothing proves nothing. Conclusion: faults of a second line of defence need composite draws, for the first line hides them.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -8,6 +8,7 @@
     AbortedError,
     type Address,
     errorMessage,
+    isFaultSeeded,
     ResourceScope,
     type Runtime,
     sleep,
--- a/packages/lab/src/node/commands/fuzz.ts
+++ b/packages/lab/src/node/commands/fuzz.ts
@@ -39,6 +39,11 @@
                 describe: "faults to switch on in the product, to try the fuzzer itself",
             })
             .option("promise", { type: "string", array: true, describe: "judge by these promises only" })
+            .option("planned", {
+                type: "boolean",
+                default: false,
+                describe: "only what operators plan, no faults",
+            })
             .option("out", { type: "string", describe: "file for the failing run" })
             .option("json", { type: "boolean", default: false, describe: "print one JSON object" }),
     run: async args => {
@@ -48,6 +53,7 @@
             seed,
             runs: Number(args["runs"]),
             shrinks: Boolean(args["shrink"]),
+            isPlannedOnly: Boolean(args["planned"]),
             promises: args["promise"] as string[] | undefined,
         });
         const replayFile = report.replay && String(args["out"] ?? `fuzz-${seed}.scenario`);
--- a/packages/lab/src/shared/fleet/fleetRules.ts
+++ b/packages/lab/src/shared/fleet/fleetRules.ts
@@ -20,6 +20,8 @@
     readonly plainService: string;
     /** Replicas of the plain service. */
     readonly plainReplicas: number;
+    /** Mean time of a call to the plain service, in milliseconds. */
+    readonly plainServiceMs?: number;
     /** Client accounts with their weights. */
     readonly accounts: readonly {
         readonly name: string;
--- a/packages/lab/src/shared/fleet/virtualFleet.ts
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -318,7 +318,7 @@
                 ...this.options.engine,
             })
             : undefined;
-        const plain = isModel ? undefined : new PlainModel(common);
+        const plain = isModel ? undefined : new PlainModel({ ...common, serviceMs: shape.plainServiceMs });
         const life = await this.startAgent(server, engine, plain);
         this.backends.set(server.name, { server, engine, plain, ...life });
     }
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/agentCutOffAtStop.spec.ts
@@ -0,0 +1,3 @@
+import { findsFault } from "../_findsFault.ts";
+
+findsFault("agent.cut-off-at-stop", "graceful-stop", { isPlannedOnly: true });
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/controlAcceptLowerRevision.spec.ts
@@ -0,0 +1,3 @@
+import { findsFault } from "../_findsFault.ts";
+
+findsFault("control.accept-lower-revision", "configuration");
--- a/packages/lab/src/shared/fuzzing/fuzzFleet.ts
+++ b/packages/lab/src/shared/fuzzing/fuzzFleet.ts
@@ -23,6 +23,8 @@
     readonly shrinks?: boolean;
     /** Name of the fleet. */
     readonly fleet?: string;
+    /** Whether to draw only what operators plan, no faults. */
+    readonly isPlannedOnly?: boolean;
     /** Promises to judge by; all by default. */
     readonly promises?: readonly string[];
 }
@@ -132,7 +134,7 @@
     const fleet = options.fleet ?? DEFAULT_FLEET;
     const runner = new FuzzRunner(fleet, options.seed, options.promises);
     const property = fc.asyncProperty(
-        fuzzCommands(fleet, shapeOf(fleet)),
+        fuzzCommands(fleet, shapeOf(fleet), options.isPlannedOnly ?? false),
         commands => runner.run(commands),
     );
     const outcome = await fc.check(property, {
--- a/packages/lab/src/shared/scenarios/fleetShapes.ts
+++ b/packages/lab/src/shared/scenarios/fleetShapes.ts
@@ -18,6 +18,7 @@
     entriesPerDataCentre: 1,
     modelReplicas: 6,
     plainReplicas: 3,
+    plainServiceMs: 150,
     modelLimits: { cold: 1, warm: 4 },
     plainLimits: { cold: 1, warm: 4 },
 };
