--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./shared/scenarios/parseScenario.ts";
 export * from "./shared/scenarios/runScenario.ts";
 export * from "./shared/standIns/engineModel.ts";
+export * from "./shared/standIns/engineOrders.ts";
 export * from "./shared/standIns/modelBackends.ts";
 export * from "./shared/standIns/plainModel.ts";
 export * from "./shared/standIns/platformModel.ts";
--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -6,6 +6,7 @@
 
 import "./commands/fuzz.ts";
 import "./commands/run.ts";
+import "./commands/rollout.ts";
 import "./commands/outage.ts";
 import "./commands/overload.ts";
 import "./commands/standIn.ts";
