feat(lab): run scenarios and fuzzing with the control plane

Cause: the virtual fleet read the platform only, so that traces 5 and 6 failed although the control plane holds them. Change: VirtualFleet starts a control plane for each process when asked; scenarios and the fuzzer ask. Scenario and fuzz tests are split over files that run side by side. Conclusion: an option, because experiments compare with earlier runs without the plane.

--- a/packages/lab/src/shared/fleet/virtualFleet.ts
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -5,7 +5,13 @@
  */
 
 import { type Agent, createAgent } from "@magnolialock/agent";
-import { ConfigurationStore, type Platform, watchRules } from "@magnolialock/control";
+import {
+    ConfigurationStore,
+    type MemberIdentity,
+    type Platform,
+    startControlPlane,
+    watchRules,
+} from "@magnolialock/control";
 import { type AnswerEvent, type CallerRequest, createEntry, type Entry } from "@magnolialock/entry";
 import {
     type Address,
@@ -51,6 +57,8 @@
     readonly engine?: Partial<EngineModelOptions>;
     /** Whether the agents control admission; experiments switch it off to measure what it brings. */
     readonly hasAdmissionControl?: boolean;
+    /** Whether processes share the configuration by gossip; without it each reads the platform only. */
+    readonly hasControlPlane?: boolean;
     /** Where all processes log. */
     readonly sinks?: readonly EventSink[];
 }
@@ -81,6 +89,9 @@
     entry: Entry;
 }
 
+/** Key that the control planes of a fleet share. */
+const PLANE_KEY = "virtual fleet";
+
 /** Lets a process see a promise's outcome only while it runs. */
 const seenBy = <T>(runtime: VirtualRuntime, promise: Promise<T>): Promise<T> => {
     const deferred = createDeferred<T>();
@@ -108,6 +119,7 @@
     /** Entries by name. */
     public readonly entries = new Map<string, FleetEntry>();
     private readonly options: VirtualFleetOptions;
+    private readonly planeNames: string[] = [];
     private readonly platformCuts = new Set<string>();
 
     private constructor(options: VirtualFleetOptions) {
@@ -304,8 +316,41 @@
         });
     }
 
-    private startConfiguration(runtime: VirtualRuntime): ConfigurationStore {
+    private planeAddress(name: string): Address {
+        this.planeNames.push(...(this.planeNames.includes(name) ? [] : [name]));
+        return branded<Address>(`10.3.0.${this.planeNames.indexOf(name) + 1}:7300`);
+    }
+
+    /** Starts the control plane of a process, on an address of its own. */
+    private async startPlane(
+        runtime: VirtualRuntime,
+        role: MemberIdentity["role"],
+        store: ConfigurationStore,
+    ): Promise<void> {
+        const { name, dataCentre } = runtime.endpoint;
+        const address = this.planeAddress(name);
+        const plane = await startControlPlane({
+            runtime,
+            store,
+            sharedKey: PLANE_KEY,
+            platform: this.platformFor(runtime),
+            self: {
+                address,
+                role,
+                name: branded<InstanceId>(name),
+                dataCentre: branded<DataCentreId>(dataCentre),
+            },
+            seeds: this.planeNames.map(other => this.planeAddress(other)).filter(other => other !== address),
+        });
+        await runtime.network.listen(address, plane.services);
+    }
+
+    private startConfiguration(runtime: VirtualRuntime, role: MemberIdentity["role"]): ConfigurationStore {
         const store = new ConfigurationStore({ events: runtime.events });
+        if (this.options.hasControlPlane) {
+            void this.startPlane(runtime, role, store);
+            return store;
+        }
         const { signal } = new AbortController();
         void watchRules({ runtime, store, signal, platform: this.platformFor(runtime) });
         return store;
@@ -344,7 +389,7 @@
             backend,
             server: branded<BackendServerId>(server.name),
             listen: branded<Address>(server.agent),
-            configuration: this.startConfiguration(runtime),
+            configuration: this.startConfiguration(runtime, "agent"),
             hasAdmissionControl: this.options.hasAdmissionControl,
         });
         return { runtime, agent };
@@ -356,7 +401,7 @@
             runtime,
             instance: branded<InstanceId>(name),
             dataCentre: branded<DataCentreId>(dataCentre),
-            configuration: this.startConfiguration(runtime),
+            configuration: this.startConfiguration(runtime, "entry"),
             policy: this.options.policy,
         });
         this.entries.set(name, { name, dataCentre, runtime, entry });
--- a/packages/lab/src/shared/fuzzing/__tests__/faults/agentFalseNotRun.spec.ts
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/agentFalseNotRun.spec.ts
@@ -1,3 +1,3 @@
 import { findsFault } from "../_findsFault.ts";
 
-findsFault("agent.false-not-run", "at-most-once");
+findsFault("agent.false-not-run", "true-not-run");
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/controlAdoptRejected.spec.ts
@@ -0,0 +1,3 @@
+import { findsFault } from "../_findsFault.ts";
+
+findsFault("control.adopt-rejected", "configuration");
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/entryResumeOffByOne.spec.ts
@@ -0,0 +1,3 @@
+import { findsFault } from "../_findsFault.ts";
+
+findsFault("entry.resume-off-by-one", "whole-answer");
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/faults/entryShortAnswer.spec.ts
@@ -0,0 +1,3 @@
+import { findsFault } from "../_findsFault.ts";
+
+findsFault("entry.short-answer-normal-end", "whole-answer");
--- /dev/null
+++ b/packages/lab/src/shared/fuzzing/__tests__/firstSeed.spec.ts
@@ -0,0 +1,3 @@
+import { holds } from "./_holds.ts";
+
+holds(1, ["configuration"]);
--- /dev/null
+++ b/packages/lab/src/shared/scenarios/__tests__/_runsScenarios.ts
@@ -0,0 +1,27 @@
+import { formatFinding } from "@magnolialock/kernel";
+import test from "ava";
+import { readdirSync, readFileSync } from "node:fs";
+import { parseScenario } from "../parseScenario.ts";
+import { runScenario } from "../runScenario.ts";
+
+const folder = new URL("../../../../../../playground/scenarios/", import.meta.url);
+
+/** Scenarios that stand in KNOWN-RED.txt. */
+const KNOWN_RED: ReadonlySet<string> = new Set([
+]);
+
+/** One test for each scenario file whose name matches. */
+export const runsScenarios = (pattern: RegExp): void => {
+    for (const file of readdirSync(folder).filter(name => name.endsWith(".scenario") && pattern.test(name))) {
+        const run = KNOWN_RED.has(file) ? test.failing : test;
+        run(file, async t => {
+            const parsed = parseScenario(readFileSync(new URL(file, folder), "utf8"), file);
+            if (parsed.kind === "rejected") {
+                t.fail(parsed.findings.map(formatFinding).join("\n"));
+                return;
+            }
+            const { findings } = await runScenario(parsed.scenario);
+            t.is(findings.map(formatFinding).join("\n"), "");
+        });
+    }
+};
--- a/packages/lab/src/shared/scenarios/scenarioWorld.ts
+++ b/packages/lab/src/shared/scenarios/scenarioWorld.ts
@@ -64,7 +64,10 @@
      */
     public static async start(options: ScenarioWorldOptions): Promise<ScenarioWorld> {
         const { shape, seed, sinks } = options;
-        return new ScenarioWorld(await VirtualFleet.start({ shape, seed, sinks }), shape);
+        return new ScenarioWorld(
+            await VirtualFleet.start({ shape, seed, sinks, hasControlPlane: true }),
+            shape,
+        );
     }
 
     /** Time of the run, in milliseconds. */
