--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -12,6 +12,7 @@
     PauseDetector,
     ResourceScope,
     type Runtime,
+    type ServiceName,
     sleep,
 } from "@magnolialock/kernel";
 import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
@@ -19,10 +20,12 @@
 import { AgentDirectory } from "./agentDirectory.ts";
 import type { EntryContext } from "./entryContext.ts";
 import { entryDraining, entryPaused, entryStarted, entryStopped } from "./entryEvents.ts";
+import { issueTicket } from "./issueTicket.ts";
 import { LiveEntryCount } from "./liveEntryCount.ts";
 import { RetryBudget } from "./retryBudget.ts";
 import { routingPolicies } from "./routingPolicy.ts";
 import { serveRequest } from "./serveRequest.ts";
+import { unservedRan } from "./unservedRan.ts";
 
 /** Options of {@link createEntry}. */
 export interface EntryOptions {
@@ -58,6 +61,13 @@
      * @param consume - gets the answer's pieces; the last is `end` or `failed`
      */
     serve(request: CallerRequest, signal: AbortSignal, consume: (event: AnswerEvent) => void): Promise<void>;
+    /**
+     * Issues a ticket for a request that may not be repeated, before its first try.
+     *
+     * @param service - service that the request is for
+     * @returns the ticket; empty when no backend server can take the request now
+     */
+    issueTicket(service: ServiceName): string;
     /** Refuses new requests, finishes what runs, and ends. */
     stop(): Promise<void>;
 }
@@ -66,17 +76,19 @@
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const DRAIN_POLL_MS = 20;
 
-/**
- * Starts an entry.
- *
- * @param options - surroundings, identity, configuration and policy
- * @returns the entry
- */
-export const createEntry = (options: EntryOptions): Entry => {
+const createContext = (
+    options: EntryOptions,
+    scope: ResourceScope,
+    stopSignal: AbortSignal,
+): EntryContext => {
     const { runtime } = options;
-    const scope = new ResourceScope();
     const agents = scope.use(
-        new AgentDirectory({ runtime, entry: options.instance, configuration: options.configuration }),
+        new AgentDirectory({
+            runtime,
+            entry: options.instance,
+            dataCentre: options.dataCentre,
+            configuration: options.configuration,
+        }),
     );
     const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
     const tickets = new TicketIssuer(runtime, options.instance);
@@ -89,32 +101,44 @@
             },
         }),
     );
-    const stopping = new AbortController();
     const entryCount = options.entryCount ?? new LiveEntryCount(agents);
-    const context: EntryContext = {
+    return {
         ...options,
         agents,
         policy,
         tickets,
         pauseDetector,
-        stopSignal: stopping.signal,
+        stopSignal,
         accountLimiter: new AccountLimiter({ clock: runtime.clock, entryCount }),
         retryBudgets: {
             urgent: new RetryBudget({ clock: runtime.clock }),
             ordinary: new RetryBudget({ clock: runtime.clock }),
         },
     };
+};
+
+/**
+ * Starts an entry.
+ *
+ * @param options - surroundings, identity, configuration and policy
+ * @returns the entry
+ */
+export const createEntry = (options: EntryOptions): Entry => {
+    const { runtime } = options;
+    const scope = new ResourceScope();
+    const stopping = new AbortController();
+    const context = createContext(options, scope, stopping.signal);
     const drainTimeoutMs = options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
     let running = 0;
     let isStopping = false;
-    runtime.events.emit(entryStarted, { dataCentre: options.dataCentre, policy: policy.name });
+    runtime.events.emit(entryStarted, { dataCentre: options.dataCentre, policy: context.policy.name });
 
     const serve: Entry["serve"] = async (request, signal, consume) => {
         if (isStopping) {
             const message = "the entry is stopping: send the request again, to another entry";
             consume({
                 kind: "failed",
-                failure: { code: "stopping", ran: "not run", message, retryAfterMs: 0 },
+                failure: { code: "stopping", ran: unservedRan(request.ticket), message, retryAfterMs: 0 },
             });
             return;
         }
@@ -145,6 +169,7 @@
     return {
         context,
         serve,
+        issueTicket: service => isStopping ? "" : issueTicket(context, service),
         stop,
         get running() {
             return running;
