--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -5,6 +5,7 @@
  */
 
 import "./commands/fuzz.ts";
+import "./commands/report.ts";
 import "./commands/run.ts";
 import "./commands/rollout.ts";
 import "./commands/outage.ts";
