--- a/packages/lab/src/shared/oracle/answerPromises.ts
+++ b/packages/lab/src/shared/oracle/answerPromises.ts
@@ -128,7 +128,10 @@
         }
         return seen.tries.flatMap(attempt => {
             const last = attempt.events.at(-1);
-            const isCutOff = last?.kind === "failed" && last.ran !== "not run";
+            const isOverStop = seen.disturbances.some(({ kind, atMs }) =>
+                kind === "stop" && atMs >= attempt.sentMs && atMs <= (attempt.endedMs ?? seen.endMs)
+            );
+            const isCutOff = isOverStop && last?.kind === "failed" && last.ran !== "not run";
             return isCutOff
                 ? [`${attempt.kind} ${attempt.requestId} through ${attempt.entry}: cut off by a planned stop`]
                 : [];
