--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -10,6 +10,7 @@
     isFaultSeeded,
     ResourceScope,
     type Runtime,
+    type ServiceBinding,
     sleep,
 } from "@magnolialock/kernel";
 import { AgentContext, type AgentContextOptions } from "./agentContext.ts";
@@ -29,6 +30,8 @@
 export interface AgentOptions extends Omit<AgentContextOptions, "incarnation"> {
     /** Address to listen on. */
     readonly listen: Address;
+    /** Other services to answer on the same address. */
+    readonly services?: readonly ServiceBinding[];
     /** Longest time that a stop waits for running work, in milliseconds. */
     readonly drainTimeoutMs?: number;
     /** Gives up the wait for the address. */
@@ -59,7 +62,10 @@
     const { network, clock, events } = options.runtime;
     for (let attempt = 1;; attempt++) {
         try {
-            return await network.listen(options.listen, [createAgentService(context)]);
+            return await network.listen(options.listen, [
+                createAgentService(context),
+                ...(options.services ?? []),
+            ]);
         }
         catch (error) {
             if (!isAddressTaken(error)) {
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./shared/fleet/fleetRules.ts";
 export * from "./shared/fleet/virtualFleet.ts";
 export * from "./shared/oracle/promise.ts";
+export * from "./shared/rollout/rolloutFleet.ts";
 export * from "./shared/scenarios/parseScenario.ts";
 export * from "./shared/scenarios/runScenario.ts";
 export * from "./shared/standIns/engineModel.ts";
