--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -7,6 +7,7 @@
 import {
     type Address,
     errorMessage,
+    isFaultSeeded,
     ResourceScope,
     type Runtime,
     type ServiceBinding,
@@ -90,7 +91,7 @@
 const drain = async (runtime: Runtime, context: AgentContext, timeoutMs: number): Promise<void> => {
     context.beginStop();
     runtime.events.emit(agentDraining, { running: context.admission.running, timeoutMs });
-    await waitUntilIdle(runtime, context, timeoutMs);
+    await waitUntilIdle(runtime, context, isFaultSeeded("agent.cut-off-at-stop") ? 0 : timeoutMs);
     const unfinished = context.admission.running;
     if (unfinished > 0) {
         runtime.events.emit(agentHandedOver, { unfinished });
--- a/packages/cli/src/node/cliMain.ts
+++ b/packages/cli/src/node/cliMain.ts
@@ -5,6 +5,8 @@
  */
 
 import "./commands/check.ts";
+import "./commands/explain.ts";
+import "./commands/timeline.ts";
 import "./commands/rollout.ts";
 import "./commands/status.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -6,8 +6,11 @@
 
 export * from "./shared/fleet/fleetRules.ts";
 export * from "./shared/fleet/virtualFleet.ts";
+export * from "./shared/oracle/promise.ts";
 export * from "./shared/rollout/rolloutFleet.ts";
 export * from "./shared/rollout/rolloutRules.ts";
+export * from "./shared/scenarios/parseScenario.ts";
+export * from "./shared/scenarios/runScenario.ts";
 export * from "./shared/standIns/engineModel.ts";
 export * from "./shared/standIns/engineOrders.ts";
 export * from "./shared/standIns/modelBackends.ts";
--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -4,6 +4,9 @@
  * @packageDocumentation
  */
 
+import "./commands/fuzz.ts";
+import "./commands/report.ts";
+import "./commands/run.ts";
 import "./commands/rollout.ts";
 import "./commands/outage.ts";
 import "./commands/overload.ts";
--- a/packages/lab/src/shared/fleet/fleetRules.ts
+++ b/packages/lab/src/shared/fleet/fleetRules.ts
@@ -20,6 +20,8 @@
     readonly plainService: string;
     /** Replicas of the plain service. */
     readonly plainReplicas: number;
+    /** Mean time of a call to the plain service, in milliseconds. */
+    readonly plainServiceMs?: number;
     /** Client accounts with their weights. */
     readonly accounts: readonly {
         readonly name: string;
@@ -92,6 +94,20 @@
     }));
 };
 
+/**
+ * Lists the names of a fleet's entries.
+ *
+ * @param shape - size of the fleet
+ * @returns the names, in the order in which they start
+ */
+export const fleetEntryNames = (shape: FleetShape): string[] =>
+    shape.dataCentres.flatMap(dataCentre =>
+        Array.from(
+            { length: shape.entriesPerDataCentre },
+            (_, index) => `entry-${dataCentre}-${index + 1}`,
+        )
+    );
+
 const keyHash = (account: string): string => createHash("sha256").update(apiKeyOf(account)).digest("hex");
 
 /** What operators have changed in a fleet. */
--- a/packages/test-support/src/shared/endpoint.ts
+++ b/packages/test-support/src/shared/endpoint.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 
-import type { Address, Clock, ServiceBinding } from "@magnolialock/kernel";
+import type { DescMethod, Message } from "@bufbuild/protobuf";
+import type { Address, Clock, HybridClock, ServiceBinding } from "@magnolialock/kernel";
 import type { EndpointInfo, LinkTable } from "./link.ts";
 import type { ProcessClock } from "./processClock.ts";
 
@@ -24,8 +25,30 @@
     readonly traffic: TrafficCounters;
     /** Calls to break when the process is killed. */
     readonly openCalls: Set<() => void>;
+    /** Clock whose time its messages carry; set once its event log exists. */
+    hybridClock: HybridClock | undefined;
 }
 
+/** One message of an answer on its way. */
+export interface AnswerMessage {
+    /** Who sends it. */
+    readonly from: EndpointInfo;
+    /** Who gets it. */
+    readonly to: EndpointInfo;
+    /** Method that it answers. */
+    readonly method: DescMethod;
+    /** The message. */
+    readonly message: Message;
+}
+
+/**
+ * Changes messages of answers on their way.
+ *
+ * @param answer - the message
+ * @returns what arrives instead
+ */
+export type AnswerTamper = (answer: AnswerMessage) => Message;
+
 /** A server side that accepts calls. */
 export interface VirtualListener {
     /** Process that listens. */
@@ -45,6 +68,8 @@
     readonly links: LinkTable;
     /** Whether to encode every message to count its bytes. */
     readonly countBytes: boolean;
+    /** Changes messages of answers on their way; undefined leaves them alone. */
+    readonly tamper: AnswerTamper | undefined;
     /**
      * Finds who accepts calls at an address.
      *
--- a/packages/test-support/src/shared/link.ts
+++ b/packages/test-support/src/shared/link.ts
@@ -36,8 +36,9 @@
     readonly remote?: Partial<LinkQuality>;
 }
 
-const LOCAL_LINK: LinkQuality = { delayMs: 0.2, jitterMs: 0.1, lossProbability: 0, duplicateProbability: 0 };
-const REMOTE_LINK: LinkQuality = { delayMs: 1, jitterMs: 0.5, lossProbability: 0, duplicateProbability: 0 };
+const CLEAN_LINK = { lossProbability: 0, duplicateProbability: 0 };
+const LOCAL_LINK: LinkQuality = { ...CLEAN_LINK, delayMs: 0.2, jitterMs: 0.1 };
+const REMOTE_LINK: LinkQuality = { ...CLEAN_LINK, delayMs: 1, jitterMs: 0.5 };
 
 /** Selects endpoints, for example all of a data centre. */
 export type EndpointSelector = (endpoint: EndpointInfo) => boolean;
