feat(maps): plan expert maps and compare policies on a stand-in group

Cause: one hot expert slows every step of a lock-step group, and nothing chose or measured maps. Change: popularity estimate, full and incremental placement with balanced shares, a cost-aware policy, baselines, a lower bound, and the lab command maps.

--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import "./commands/maps.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { labCommands } from "./labCommands.ts";
--- /dev/null
+++ b/packages/lab/src/shared/maps/mapsExperiment.ts
@@ -0,0 +1,199 @@
+/**
+ * Experiment `maps`: policies on the same stand-in group with the same token counts.
+ *
+ * @packageDocumentation
+ */
+
+import { createRandomSource, type RandomSource } from "@magnolialock/kernel";
+import {
+    createCostAwarePolicy,
+    type ExpertLoads,
+    type GroupShape,
+    planMap,
+    type TokenCountReport,
+} from "@magnolialock/maps";
+import { standInCosts, stepTimeMs, tokensPerStep } from "../standIns/groupModel.ts";
+import { createPopularityModel, drawCount, type Drift } from "../standIns/popularityModel.ts";
+import {
+    createAlwaysMove,
+    createGreedyReplication,
+    createNeverMove,
+    createThresholdMove,
+} from "./baselines.ts";
+import { boundMapLoad } from "./lowerBound.ts";
+import { type PolicyFigures, PolicyRun } from "./policyRun.ts";
+import { SkewRecorder } from "./skewRecorder.ts";
+
+/** Options of {@link runMapsExperiment}. */
+export interface MapsExperimentOptions {
+    /** Seed of the random numbers. */
+    readonly seed: number;
+    /** Ranks of the group. */
+    readonly ranks: number;
+    /** Experts in each layer. */
+    readonly experts: number;
+    /** Layers with experts. */
+    readonly layers: number;
+    /** How popularity changes. */
+    readonly drift: Drift;
+    /** Source of processor time, in milliseconds. */
+    readonly processorMs: () => number;
+}
+
+/** Result of the experiment. */
+export interface MapsReport {
+    /** Arguments of the run. */
+    readonly arguments: Readonly<Record<string, string | number>>;
+    /** Figures of each policy and of the lower bound. */
+    readonly policies: Readonly<Record<string, PolicyFigures>>;
+    /** Processor time of a full plan, in milliseconds. */
+    readonly planCpuMs: number;
+}
+
+interface DriftTimes {
+    readonly durationMs: number;
+    /** Time for which a drawn step stands, in milliseconds. */
+    readonly spanMs: number;
+    /** Time between chances to move, in milliseconds. */
+    readonly chanceMs: number;
+}
+
+const DRIFT_TIMES: Readonly<Record<Drift, DriftTimes>> = {
+    day: { durationMs: 86_400_000, spanMs: 120_000, chanceMs: 120_000 },
+    burst: { durationMs: 1_800_000, spanMs: 2_000, chanceMs: 10_000 },
+    flip: { durationMs: 600_000, spanMs: 500, chanceMs: 5_000 },
+    calm: { durationMs: 1_800_000, spanMs: 2_000, chanceMs: 10_000 },
+};
+
+/** Tokens of a layer that are sampled for the counts, per second. */
+const SAMPLES_PER_S = 20_000;
+/** Spans by which reports are late. */
+const REPORT_LAG_SPANS = 2;
+/** Copies for which each rank has room beyond its part of the experts, as a share of that part. */
+const SPARE_SHARE = 0.125;
+
+const shapeOf = ({ ranks, experts, layers }: MapsExperimentOptions): GroupShape => {
+    const part = Math.ceil(experts / ranks);
+    return { ranks, experts, layers, slotsPerRank: part + Math.max(1, Math.round(part * SPARE_SHARE)) };
+};
+
+const drawCounts = (random: RandomSource, shares: ExpertLoads, total: number): ExpertLoads =>
+    shares.map(share => drawCount(random, share * total));
+
+/** The lower bound as if it were a policy. */
+class LowerBound {
+    public readonly skew = new SkewRecorder();
+    public tokens = 0;
+
+    public constructor(private readonly shape: GroupShape) {}
+
+    public runSteps(spanMs: number, counts: ExpertLoads): void {
+        const { peak, mean } = boundMapLoad(this.shape, counts);
+        this.skew.record(peak / mean);
+        this.tokens += spanMs / stepTimeMs(standInCosts(this.shape), peak) * tokensPerStep(this.shape);
+    }
+}
+
+const figuresOf = (run: PolicyRun, bound: LowerBound): PolicyFigures => ({
+    skewMean: run.skew.mean(),
+    skewP99: run.skew.percentile(0.99),
+    bytesMoved: run.bytesMoved,
+    stepsStalled: run.stepsStalled,
+    tokensPerSecondRatio: run.tokens / bound.tokens,
+});
+
+const boundFigures = (bound: LowerBound): PolicyFigures => ({
+    skewMean: bound.skew.mean(),
+    skewP99: bound.skew.percentile(0.99),
+    bytesMoved: 0,
+    stepsStalled: 0,
+    tokensPerSecondRatio: 1,
+});
+
+const createRuns = (shape: GroupShape): PolicyRun[] =>
+    [
+        createCostAwarePolicy(),
+        createNeverMove(),
+        createAlwaysMove(),
+        createThresholdMove(),
+        createGreedyReplication(),
+    ].map(policy => new PolicyRun({ policy, shape, costs: standInCosts(shape) }));
+
+const runAll = async (
+    options: MapsExperimentOptions,
+    shape: GroupShape,
+    runs: readonly PolicyRun[],
+    bound: LowerBound,
+): Promise<void> => {
+    const { durationMs, spanMs, chanceMs } = DRIFT_TIMES[options.drift];
+    const random = createRandomSource(options.seed);
+    const model = createPopularityModel({
+        ...shape,
+        drift: options.drift,
+        random: random.fork("popularity"),
+        durationMs,
+    });
+    const stepRandom = random.fork("steps");
+    const sampleRandom = random.fork("samples");
+    const { assignmentsPerStep } = standInCosts(shape);
+    const shares = new Float64Array(shape.layers * shape.experts);
+    const reports: TokenCountReport[] = [];
+    for (let nowMs = 0; nowMs < durationMs; nowMs += spanMs) {
+        model.writeShares(nowMs, shares);
+        const counts = drawCounts(stepRandom, shares, assignmentsPerStep);
+        for (const run of runs) {
+            await run.runSteps(nowMs, spanMs, counts);
+        }
+        bound.runSteps(spanMs, counts);
+        const samples = drawCounts(sampleRandom, shares, SAMPLES_PER_S * spanMs / 1_000);
+        reports.push({ endMs: nowMs + spanMs, counts: samples });
+        const report = reports.length > REPORT_LAG_SPANS ? reports.shift() : undefined;
+        for (const run of report ? runs : []) {
+            run.report(report as TokenCountReport);
+        }
+        if ((nowMs + spanMs) % chanceMs === 0) {
+            runs.forEach(run => run.decide(nowMs + spanMs));
+        }
+    }
+};
+
+const PLAN_REPEATS = 5;
+
+/** Median processor time of a full plan. */
+const measurePlan = (options: MapsExperimentOptions, shape: GroupShape): number => {
+    const loads = new Float64Array(shape.layers * shape.experts);
+    createPopularityModel({
+        ...shape,
+        drift: "calm",
+        random: createRandomSource(options.seed),
+        durationMs: 0,
+    }).writeShares(0, loads);
+    const times = Array.from({ length: PLAN_REPEATS }, () => {
+        const startMs = options.processorMs();
+        planMap(shape, loads);
+        return options.processorMs() - startMs;
+    });
+    return times.sort((left, right) => left - right)[Math.floor(PLAN_REPEATS / 2)]!;
+};
+
+/**
+ * Runs all policies on the same counts.
+ *
+ * @param options - seed, size and drift
+ * @returns figures of each policy
+ */
+export const runMapsExperiment = async (options: MapsExperimentOptions): Promise<MapsReport> => {
+    const shape = shapeOf(options);
+    const runs = createRuns(shape);
+    const bound = new LowerBound(shape);
+    await runAll(options, shape, runs, bound);
+    const { seed, ranks, experts, layers, drift } = options;
+    return {
+        arguments: { seed, ranks, experts, layers, drift },
+        policies: Object.fromEntries([
+            ...runs.map(run => [run.name, figuresOf(run, bound)] as const),
+            ["lowerBound", boundFigures(bound)] as const,
+        ]),
+        planCpuMs: measurePlan(options, shape),
+    };
+};
--- /dev/null
+++ b/packages/maps/src/shared/placement/layerView.ts
@@ -0,0 +1,76 @@
+/**
+ * One layer of an expert map with the loads of its experts, as the placement algorithms work on it.
+ *
+ * @packageDocumentation
+ */
+
+import { type ExpertLoads, type ExpertMap, slotsPerLayer } from "../../types/expertMap.ts";
+
+/** One layer: views into the map's arrays and into the loads. */
+export interface LayerView {
+    /** Ranks in the group. */
+    readonly ranks: number;
+    /** Slots of each rank. */
+    readonly slotsPerRank: number;
+    /** Expert in each slot. */
+    readonly experts: Uint16Array;
+    /** Share of each slot. */
+    readonly shares: Float32Array;
+    /** Load of each expert. */
+    readonly loads: Float64Array;
+}
+
+/**
+ * Opens one layer; changes go to the map.
+ *
+ * @param map - the map
+ * @param loads - loads of all layers
+ * @param layer - number of the layer
+ * @returns the view
+ */
+export const viewLayer = (map: ExpertMap, loads: ExpertLoads, layer: number): LayerView => {
+    const { shape } = map;
+    const slots = slotsPerLayer(shape);
+    return {
+        ranks: shape.ranks,
+        slotsPerRank: shape.slotsPerRank,
+        experts: map.experts.subarray(layer * slots, (layer + 1) * slots),
+        shares: map.shares.subarray(layer * slots, (layer + 1) * slots),
+        loads: loads.subarray(layer * shape.experts, (layer + 1) * shape.experts),
+    };
+};
+
+/**
+ * Adds up the load of each rank.
+ *
+ * @param view - the layer
+ * @param rankLoads - result, one number a rank
+ * @returns the same array
+ */
+export const sumRankLoads = (view: LayerView, rankLoads: Float64Array): Float64Array => {
+    const { slotsPerRank, experts, shares, loads } = view;
+    for (let rank = 0, slot = 0; rank < view.ranks; rank++) {
+        let sum = 0;
+        for (const end = slot + slotsPerRank; slot < end; slot++) {
+            sum += loads[experts[slot]!]! * shares[slot]!;
+        }
+        rankLoads[rank] = sum;
+    }
+    return rankLoads;
+};
+
+/**
+ * Finds the largest number.
+ *
+ * @param values - numbers
+ * @returns the index of the first largest one
+ */
+export const indexOfLargest = (values: Float64Array): number => {
+    let best = 0;
+    for (let index = 1; index < values.length; index++) {
+        if (values[index]! > values[best]!) {
+            best = index;
+        }
+    }
+    return best;
+};
--- /dev/null
+++ b/packages/maps/src/shared/placement/mapCost.ts
@@ -0,0 +1,67 @@
+/**
+ * What a map costs: load of the fullest rank in each layer, and copies that a change of map loads.
+ *
+ * @packageDocumentation
+ */
+
+import { type ExpertLoads, type ExpertMap, slotsPerLayer } from "../../types/expertMap.ts";
+import { sumRankLoads, viewLayer } from "./layerView.ts";
+
+/** Loads of a map over all layers. */
+export interface MapLoad {
+    /** Sum over layers of the load of the fullest rank. */
+    readonly peak: number;
+    /** Sum over layers of the mean load of the ranks. */
+    readonly mean: number;
+}
+
+/**
+ * Adds up the loads of a map. Every layer ends with an exchange between all ranks, so the fullest rank of each layer
+ * sets the time of that layer.
+ *
+ * @param map - the map
+ * @param loads - load of each expert in each layer
+ * @param rankWeights - time of a unit of load on each rank, 1 by default
+ * @returns the sums
+ */
+export const measureMap = (map: ExpertMap, loads: ExpertLoads, rankWeights?: readonly number[]): MapLoad => {
+    const rankLoads = new Float64Array(map.shape.ranks);
+    let peak = 0;
+    let total = 0;
+    for (let layer = 0; layer < map.shape.layers; layer++) {
+        sumRankLoads(viewLayer(map, loads, layer), rankLoads);
+        let layerPeak = 0;
+        for (let rank = 0; rank < rankLoads.length; rank++) {
+            total += rankLoads[rank]!;
+            layerPeak = Math.max(layerPeak, rankLoads[rank]! * (rankWeights?.[rank] ?? 1));
+        }
+        peak += layerPeak;
+    }
+    return { peak, mean: total / map.shape.ranks };
+};
+
+/**
+ * Counts the copies that each rank has to load for a change of map. A copy that the rank holds already, in whatever
+ * slot of the layer, is not loaded again.
+ *
+ * @param from - map in force
+ * @param to - next map
+ * @returns copies by rank
+ */
+export const countLoadedCopies = (from: ExpertMap, to: ExpertMap): Uint32Array => {
+    const { shape } = to;
+    const copies = new Uint32Array(shape.ranks);
+    const slots = slotsPerLayer(shape);
+    for (let layer = 0; layer < shape.layers; layer++) {
+        for (let rank = 0; rank < shape.ranks; rank++) {
+            const first = layer * slots + rank * shape.slotsPerRank;
+            const held = from.experts.subarray(first, first + shape.slotsPerRank);
+            for (let slot = first; slot < first + shape.slotsPerRank; slot++) {
+                if (!held.includes(to.experts[slot]!)) {
+                    copies[rank]!++;
+                }
+            }
+        }
+    }
+    return copies;
+};
--- /dev/null
+++ b/packages/maps/src/shared/placement/planMap.ts
@@ -0,0 +1,119 @@
+/**
+ * Full plan of an expert map from loads alone.
+ *
+ * @packageDocumentation
+ */
+
+import { createExpertMap, type ExpertLoads, type ExpertMap, type GroupShape } from "../../types/expertMap.ts";
+import { balanceShares, spreadEvenly } from "./balanceShares.ts";
+import { chooseCopyCounts } from "./copyCounts.ts";
+import { type LayerView, viewLayer } from "./layerView.ts";
+
+/** Options of {@link planMap}. */
+export interface PlanMapOptions {
+    /** Whether copies get different shares of their expert's tokens. */
+    readonly balancesShares?: boolean;
+}
+
+const listCopies = (loads: Float64Array, copies: Uint16Array): number[] => {
+    const order = Array.from(loads, (_, expert) => expert).sort((left, right) =>
+        loads[right]! / copies[right]! - loads[left]! / copies[left]! || left - right
+    );
+    return order.flatMap(expert => Array<number>(copies[expert]!).fill(expert));
+};
+
+/** Packs copies in descending order of load, each on the least loaded rank that has room and lacks the expert. */
+class RankPacker {
+    private readonly used: Uint16Array;
+    private readonly rankLoads: Float64Array;
+
+    public constructor(private readonly view: LayerView) {
+        this.used = new Uint16Array(view.ranks);
+        this.rankLoads = new Float64Array(view.ranks);
+    }
+
+    /** Places one copy. */
+    public place(expert: number, load: number): void {
+        const rank = this.findRank(expert);
+        this.view.experts[rank * this.view.slotsPerRank + this.used[rank]!] = expert;
+        this.used[rank]!++;
+        this.rankLoads[rank]! += load;
+    }
+
+    private findRank(expert: number): number {
+        let best = -1;
+        let fallback = -1;
+        for (let rank = 0; rank < this.view.ranks; rank++) {
+            if (this.used[rank] === this.view.slotsPerRank) {
+                continue;
+            }
+            fallback = rank;
+            if ((best < 0 || this.rankLoads[rank]! < this.rankLoads[best]!) && !this.holds(rank, expert)) {
+                best = rank;
+            }
+        }
+        return best < 0 ? fallback : best;
+    }
+
+    private holds(rank: number, expert: number): boolean {
+        const first = rank * this.view.slotsPerRank;
+        for (let slot = first; slot < first + this.used[rank]!; slot++) {
+            if (this.view.experts[slot] === expert) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
+
+const planLayer = (view: LayerView, balancesShares: boolean): void => {
+    const copies = chooseCopyCounts(view.loads, view.experts.length, view.ranks);
+    const packer = new RankPacker(view);
+    for (const expert of listCopies(view.loads, copies)) {
+        packer.place(expert, view.loads[expert]! / copies[expert]!);
+    }
+    spreadEvenly(view);
+    if (balancesShares) {
+        balanceShares(view);
+    }
+};
+
+/**
+ * Plans a map from scratch: replicates hot experts, packs ranks, balances the copies. The result depends only on
+ * the arguments.
+ *
+ * @param shape - size of the group
+ * @param loads - load of each expert in each layer
+ * @param options - whether shares are balanced
+ * @returns the map
+ */
+export const planMap = (shape: GroupShape, loads: ExpertLoads, options: PlanMapOptions = {}): ExpertMap => {
+    const map = createExpertMap(shape);
+    for (let layer = 0; layer < shape.layers; layer++) {
+        planLayer(viewLayer(map, loads, layer), options.balancesShares ?? true);
+    }
+    return map;
+};
+
+/**
+ * Builds the map that a group starts with before any count is known: experts in order, spare slots in turn.
+ *
+ * @param shape - size of the group
+ * @returns the map
+ */
+export const initialMap = (shape: GroupShape): ExpertMap => {
+    const map = createExpertMap(shape);
+    const noLoads = new Float64Array(shape.layers * shape.experts);
+    const slots = shape.ranks * shape.slotsPerRank;
+    for (let layer = 0; layer < shape.layers; layer++) {
+        const view = viewLayer(map, noLoads, layer);
+        for (let slot = 0; slot < slots; slot++) {
+            const position = (slot % shape.slotsPerRank) * shape.ranks
+                + Math.floor(slot / shape.slotsPerRank);
+            // Spare copies are shifted by one rank, so that they do not land beside the first copy.
+            view.experts[slot] = position < shape.experts ? position : (position + 1) % shape.experts;
+        }
+        spreadEvenly(view);
+    }
+    return map;
+};
