--- a/packages/maps/src/shared/placement/__tests__/placement.spec.ts
+++ b/packages/maps/src/shared/placement/__tests__/placement.spec.ts
@@ -11,8 +11,10 @@
 /** Loads that fall off as in Zipf's law, in random order. */
 const zipfLoads = (seed: number): ExpertLoads => {
     const random = createRandomSource(seed);
-    const layers = Array.from({ length: shape.layers }, () =>
-        shuffled(random, Array.from({ length: shape.experts }, (_, index) => 1_000 / (index + 1))));
+    const layers = Array.from(
+        { length: shape.layers },
+        () => shuffled(random, Array.from({ length: shape.experts }, (_, index) => 1_000 / (index + 1))),
+    );
     return Float64Array.from(layers.flat());
 };
 
