--- a/packages/lab/src/shared/mapSwitch/exploreSwitch.ts
+++ b/packages/lab/src/shared/mapSwitch/exploreSwitch.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { RandomSource } from "@magnolialock/kernel";
 import { type SwitchBudget, SwitchWorld } from "./switchWorld.ts";
 
 /** Options of {@link exploreSwitch}. */
@@ -104,3 +105,49 @@
  * @returns number of states and the first violation
  */
 export const exploreSwitch = (options: ExploreOptions): Promise<Exploration> => new Search(options).run();
+
+/** Options of {@link sampleSwitch}. */
+export interface SampleOptions {
+    /** Size of the group and what may happen. */
+    readonly budget: SwitchBudget;
+    /** Number of sequences. */
+    readonly walks: number;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+}
+
+const walkToEnd = async (
+    { budget, random }: SampleOptions,
+    visited: Set<string>,
+): Promise<Exploration["violation"]> => {
+    const world = await SwitchWorld.create(budget);
+    const trail: string[] = [];
+    for (let choices = world.choices(); choices.length > 0; choices = world.choices()) {
+        const choice = choices[random.nextInt(0, choices.length - 1)]!;
+        trail.push(choice.label);
+        await world.apply(choice);
+        visited.add(world.stateName());
+        const text = findViolation(world);
+        if (text) {
+            return { trail, text };
+        }
+    }
+    return await world.recovers() ? undefined : { trail, text: "the group does not run again" };
+};
+
+/**
+ * Draws orders at random and follows each to its end, which is deeper than {@link exploreSwitch} reaches.
+ *
+ * @param options - what may happen, and how many orders
+ * @returns number of states and the first violation
+ */
+export const sampleSwitch = async (options: SampleOptions): Promise<Exploration> => {
+    const visited = new Set<string>();
+    for (let runs = 1; runs <= options.walks; runs++) {
+        const violation = await walkToEnd(options, visited);
+        if (violation) {
+            return { states: visited.size, runs, isComplete: false, violation };
+        }
+    }
+    return { states: visited.size, runs: options.walks, isComplete: false, violation: undefined };
+};
--- a/packages/lab/src/shared/maps/policyRun.ts
+++ b/packages/lab/src/shared/maps/policyRun.ts
@@ -127,7 +127,7 @@
         const isLoading = this.store.isBusy(nowMs);
         const { stepMs, skew } = measureStep({ map: this.map, counts, costs, isLoading });
         this.stepMs = stepMs;
-        this.skew.record(skew);
+        this.skew.record(skew, spanMs);
         this.tokens += (spanMs - stallMs) / stepMs * tokensPerStep(shape);
     }
 
--- a/packages/lab/src/shared/maps/skewRecorder.ts
+++ b/packages/lab/src/shared/maps/skewRecorder.ts
@@ -4,22 +4,28 @@
  * @packageDocumentation
  */
 
+interface WeightedSkew {
+    readonly skew: number;
+    readonly weight: number;
+}
+
 /** Collects the skew of steps. */
 export class SkewRecorder {
-    private readonly values: number[] = [];
+    private readonly values: WeightedSkew[] = [];
 
     /**
-     * Takes the skew of one step.
+     * Takes the skew of a drawn step.
      *
      * @param skew - slowest rank ÷ mean
+     * @param weight - time for which the step stands, in any unit
      */
-    public record(skew: number): void {
-        this.values.push(skew);
+    public record(skew: number, weight: number): void {
+        this.values.push({ skew, weight });
     }
 
     /** Mean over the steps. */
     public mean(): number {
-        return this.values.reduce((sum, value) => sum + value, 0) / this.values.length;
+        return this.values.reduce((sum, { skew, weight }) => sum + skew * weight, 0) / this.totalWeight();
     }
 
     /**
@@ -29,7 +35,17 @@
      * @returns the skew
      */
     public percentile(share: number): number {
-        const sorted = this.values.toSorted((left, right) => left - right);
-        return sorted[Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1)] ?? Number.NaN;
+        let left = share * this.totalWeight();
+        for (const { skew, weight } of this.values.toSorted((one, other) => one.skew - other.skew)) {
+            left -= weight;
+            if (left <= 0) {
+                return skew;
+            }
+        }
+        return Number.NaN;
+    }
+
+    private totalWeight(): number {
+        return this.values.reduce((sum, { weight }) => sum + weight, 0);
     }
 }
--- a/packages/maps/src/shared/placement/improveMap.ts
+++ b/packages/maps/src/shared/placement/improveMap.ts
@@ -39,8 +39,9 @@
     readonly layerPlans: readonly LayerPlan[];
 }
 
-const DEFAULT_MAX_MOVES = 12;
+const DEFAULT_MAX_MOVES = 8;
 const DEFAULT_TOLERANCE = 0.01;
+const TRIAL_SWEEPS = 3;
 
 const copyView = (view: LayerView): LayerView => ({
     ...view,
@@ -60,14 +61,16 @@
     let copies = 0;
     while (moves.length < (options.maxMovesPerLayer ?? DEFAULT_MAX_MOVES)) {
         const hotRank = indexOfLargest(rankLoads);
-        const move = rankLoads[hotRank]! > target ? findBestMove(trial, rankLoads, hotRank) : undefined;
+        const canPay = startPeak - mean - (copies + 1) * options.loadPerCopy > bestNet;
+        const isFull = rankLoads[hotRank]! > target && canPay;
+        const move = isFull ? findBestMove(trial, rankLoads, hotRank) : undefined;
         if (!move) {
             break;
         }
         applyMove(trial, move);
         moves.push(move);
         copies += copiesOf(move);
-        rankLoads = balanceShares(trial);
+        rankLoads = balanceShares(trial, { sweeps: TRIAL_SWEEPS });
         const loadGain = startPeak - Math.max(...rankLoads);
         const net = loadGain - copies * options.loadPerCopy;
         if (net > bestNet) {
--- a/packages/maps/src/shared/placement/layerMoves.ts
+++ b/packages/maps/src/shared/placement/layerMoves.ts
@@ -49,7 +49,10 @@
     readonly peak: number;
 }
 
-const LIGHT_RANKS = 6;
+/** Ranks, experts and redundant copies that the search looks at, the most promising ones. */
+const LIGHT_RANKS = 4;
+const HOT_SLOTS = 4;
+const REDUNDANT_SLOTS = 2;
 /** A swap loads two copies, so it must do better than a new copy by this share of the excess. */
 const SWAP_HANDICAP = 0.25;
 
@@ -70,13 +73,14 @@
 
     /** Returns the move that leaves the touched ranks with the least load. */
     public run(): LayerMove | undefined {
-        const { slotsPerRank } = this.view;
-        const first = this.hotRank * slotsPerRank;
-        for (let slot = first; slot < first + slotsPerRank; slot++) {
-            if (this.loadOf(slot) > 0) {
-                this.tryReplicas(this.view.experts[slot]!);
-                this.trySwaps(slot);
-            }
+        const lightRanks = this.lightRanks();
+        const hotSlots = this.slotsOf(this.hotRank)
+            .filter(slot => this.loadOf(slot) > 0)
+            .sort((left, right) => this.loadOf(right) - this.loadOf(left) || left - right)
+            .slice(0, HOT_SLOTS);
+        for (const slot of hotSlots) {
+            this.tryReplicas(this.view.experts[slot]!, lightRanks);
+            this.trySwaps(slot);
         }
         return this.best?.move;
     }
@@ -113,17 +117,23 @@
             .slice(0, LIGHT_RANKS);
     }
 
-    private tryReplicas(expert: number): void {
-        for (const rank of this.lightRanks()) {
+    private slotsOf(rank: number): number[] {
+        const { slotsPerRank } = this.view;
+        return Array.from({ length: slotsPerRank }, (_, index) => rank * slotsPerRank + index);
+    }
+
+    private tryReplicas(expert: number, lightRanks: readonly number[]): void {
+        for (const rank of lightRanks) {
             if (rank === this.hotRank || this.isHeldBy(rank, expert)) {
                 continue;
             }
-            const first = rank * this.view.slotsPerRank;
-            for (let slot = first; slot < first + this.view.slotsPerRank; slot++) {
-                if (this.copiesOfExpert(this.view.experts[slot]!).length > 1) {
-                    const peak = this.peakAfterReplica(expert, slot);
-                    this.consider({ move: { kind: "replicate", slot, expert }, peak });
-                }
+            const redundant = this.slotsOf(rank)
+                .filter(slot => this.copiesOfExpert(this.view.experts[slot]!).length > 1)
+                .sort((left, right) => this.loadOf(left) - this.loadOf(right) || left - right)
+                .slice(0, REDUNDANT_SLOTS);
+            for (const slot of redundant) {
+                const peak = this.peakAfterReplica(expert, slot);
+                this.consider({ move: { kind: "replicate", slot, expert }, peak });
             }
         }
     }
--- a/packages/maps/src/shared/policy/costAwarePolicy.ts
+++ b/packages/maps/src/shared/policy/costAwarePolicy.ts
@@ -7,7 +7,7 @@
 import type { ExpertLoads, ExpertMap } from "../../types/expertMap.ts";
 import type { MapDecision, MapPolicy, MapSituation } from "../../types/mapPolicy.ts";
 import { applyPlans, improveMap, type LayerPlan } from "../placement/improveMap.ts";
-import { measureMap } from "../placement/mapCost.ts";
+import { type MapLoad, measureMap } from "../placement/mapCost.ts";
 
 /** Options of {@link createCostAwarePolicy}. */
 export interface CostAwarePolicyOptions {
@@ -19,17 +19,22 @@
     readonly loadBudgetMs?: number;
     /** Shortest time between two changes, in milliseconds. */
     readonly minIntervalMs?: number;
+    /** Standard errors of a rank's load that a gain has to exceed, since it may be due to chance. */
+    readonly noiseErrors?: number;
 }
 
 const DEFAULTS: Required<CostAwarePolicyOptions> = {
-    horizonMs: 300_000,
+    horizonMs: 600_000,
     hysteresis: 2,
-    loadBudgetMs: 10_000,
+    loadBudgetMs: 30_000,
     minIntervalMs: 10_000,
+    noiseErrors: 1,
 };
 
 /** Steps that a change of map costs even if it loads nothing. */
 const SWITCH_STEPS = 1;
+/** Copies of a change on the rank that gets the most of them, over the mean of the ranks. */
+const COPY_IMBALANCE = 4;
 
 /** Prices of one situation, per step and per copy. */
 interface Prices {
@@ -40,7 +45,7 @@
 }
 
 const priceOf = (
-    { costs }: MapSituation,
+    { costs, map }: MapSituation,
     peak: number,
     options: Required<CostAwarePolicyOptions>,
 ): Prices => {
@@ -49,7 +54,7 @@
     return {
         stepMs,
         horizonSteps: options.horizonMs / stepMs,
-        copyMs: loadMs * costs.loadSlowdown + costs.takeInMs,
+        copyMs: loadMs * costs.loadSlowdown + costs.takeInMs * Math.min(1, COPY_IMBALANCE / map.shape.ranks),
         switchMs: SWITCH_STEPS * stepMs,
     };
 };
@@ -78,15 +83,15 @@
 class Decision {
     private readonly loads: ExpertLoads;
     private readonly prices: Prices;
-    private readonly currentPeak: number;
+    private readonly current: MapLoad;
 
     public constructor(
         private readonly situation: MapSituation,
         private readonly options: Required<CostAwarePolicyOptions>,
     ) {
         this.loads = scaledLoads(situation);
-        this.currentPeak = measureMap(situation.map, this.loads).peak;
-        this.prices = priceOf(situation, this.currentPeak, options);
+        this.current = measureMap(situation.map, this.loads);
+        this.prices = priceOf(situation, this.current.peak, options);
     }
 
     /** Returns the best change that pays, or undefined. */
@@ -105,13 +110,20 @@
         return this.judge(next, copies, confidence);
     }
 
+    /** Load by which the fullest ranks may seem to improve because the new map fits the chance of the samples. */
+    private noiseLoad(): number {
+        const { map, popularity } = this.situation;
+        return this.options.noiseErrors * Math.sqrt(map.shape.ranks / popularity.samplesPerLayer())
+            * this.current.mean;
+    }
+
     private judge(next: ExpertMap, copies: number, confidence: number): MapDecision | undefined {
         const { prices, options } = this;
-        const gainMsPerStep = (this.currentPeak - measureMap(next, this.loads).peak)
+        const gainMsPerStep = (this.current.peak - measureMap(next, this.loads).peak - this.noiseLoad())
             * this.situation.costs.assignmentMs;
         const gainMs = gainMsPerStep * prices.horizonSteps * confidence;
         const costMs = prices.switchMs + copies * prices.copyMs;
-        if (gainMs <= options.hysteresis * costMs) {
+        if (!(gainMs > options.hysteresis * costMs)) {
             return undefined;
         }
         return {
--- a/packages/maps/src/shared/popularity.ts
+++ b/packages/maps/src/shared/popularity.ts
@@ -75,12 +75,17 @@
         return result;
     }
 
-    /** How far the estimate rests on samples, from 0 to 1; the layer with the fewest samples counts. */
+    /** Decayed number of samples of the layer that has the fewest. */
+    public samplesPerLayer(): number {
+        return this.layerSums.reduce((least, sum) => Math.min(least, sum), Number.POSITIVE_INFINITY);
+    }
+
+    /** How far the estimate rests on samples, from 0 to 1. */
     public confidence(): number {
         const { experts } = this.options.shape;
         const prior = this.options.priorSamplesPerExpert ?? DEFAULT_PRIOR_SAMPLES;
-        const fewest = this.layerSums.reduce((least, sum) => Math.min(least, sum), Number.POSITIVE_INFINITY);
-        return fewest / (fewest + prior * experts);
+        const samples = this.samplesPerLayer();
+        return samples / (samples + prior * experts);
     }
 
     private decayOver(spanMs: number): number {
--- a/packages/maps/src/shared/switch/groupTask.ts
+++ b/packages/maps/src/shared/switch/groupTask.ts
@@ -54,6 +54,7 @@
 const DEFAULT_CALL_TIMEOUT_MS = 500;
 const DEFAULT_LEAD_STEPS = 4;
 const MAX_BACKOFF_MS = 400;
+const START_GAP_MS = 10;
 /** Polls for which an armed rank waits for the coordinator before it asks the others. */
 const PATIENT_POLLS = 3;
 
@@ -69,7 +70,6 @@
     private readonly abort = new AbortController();
     private highestEpochSeen = 0;
     private failures = 0;
-    private isFresh = true;
     private openPolls = 0;
     private isInRound = false;
     private running: Promise<void> | undefined;
@@ -166,6 +166,8 @@
     private async run(): Promise<void> {
         const { runtime, pollMs = DEFAULT_POLL_MS } = this.options;
         try {
+            // Ranks start one after the other, so that the first one settles the group for all.
+            await sleep(runtime.clock, this.options.rank * START_GAP_MS, this.abort.signal);
             while (!this.abort.signal.aborted) {
                 await this.pollSafely();
                 const backoffMs = Math.min(MAX_BACKOFF_MS, pollMs * 2 ** this.failures);
@@ -200,7 +202,7 @@
         const report = await this.member.report();
         this.highestEpochSeen = Math.max(this.highestEpochSeen, report.promisedEpoch);
         this.openPolls = report.armed ? this.openPolls + 1 : 0;
-        const isSettled = report.isSettled && !this.isFresh;
+        const isSettled = report.isSettled && this.member.memory.settledEpoch > 0;
         if (!isSettled) {
             await this.runRound();
         }
@@ -251,7 +253,6 @@
             case "committed":
                 this.failures = 0;
                 this.openPolls = 0;
-                this.isFresh = false;
                 return;
         }
     }
