--- a/packages/lab/src/node/labMain.ts
+++ b/packages/lab/src/node/labMain.ts
@@ -5,6 +5,9 @@
  */
 
 import "./commands/maps.ts";
+import "./commands/outage.ts";
+import "./commands/overload.ts";
+import "./commands/rollout.ts";
 import "./commands/standIn.ts";
 import { runCommandLine, runProgram } from "@magnolialock/kernel";
 import { labCommands } from "./labCommands.ts";
--- /dev/null
+++ b/packages/lab/src/shared/maps/__tests__/mapsExperiment.spec.ts
@@ -0,0 +1,48 @@
+import test from "ava";
+import type { Drift } from "../../standIns/popularityModel.ts";
+import { type MapsReport, runMapsExperiment } from "../mapsExperiment.ts";
+
+const SIZE = { ranks: 8, experts: 32, layers: 4 };
+
+/** Runs a small group; processor time is left out, for it differs from run to run. */
+const run = (seed: number, drift: Drift): Promise<MapsReport> =>
+    runMapsExperiment({ ...SIZE, seed, drift, processorMs: () => 0 });
+
+const SEEDS = [1, 2];
+
+for (const drift of ["day", "burst", "flip", "calm"] as const) {
+    test(`${drift}: less skew than never moving, few bytes, no mixed step`, async t => {
+        for (const seed of SEEDS) {
+            const { policies, mixedMapSteps, switches } = await run(seed, drift);
+            const own = policies["magnolialock"]!;
+            t.true(own.skewMean <= policies["neverMove"]!.skewMean, `seed ${seed}: ${own.skewMean}`);
+            t.true(own.bytesMoved <= 0.25 * policies["alwaysMove"]!.bytesMoved, `seed ${seed}`);
+            t.is(mixedMapSteps, 0);
+            t.true(switches > 0);
+        }
+    });
+}
+
+const FLIPS = 200;
+
+test("trace 12: two coordinated hot experts that flip are not chased", async t => {
+    const { policies, switches } = await runMapsExperiment({
+        ranks: 32,
+        experts: 128,
+        layers: 4,
+        seed: 1,
+        drift: "flip",
+        processorMs: () => 0,
+    });
+    const own = policies["magnolialock"]!;
+    const chasing = policies["greedyReplication"]!;
+    t.true(switches <= 0.1 * FLIPS, `${switches} switches`);
+    // Without cost and hysteresis the same moves are made again and again.
+    t.true(chasing.stepsStalled > 0.1 * FLIPS);
+    t.true(own.bytesMoved <= 0.5 * chasing.bytesMoved, `${own.bytesMoved} bytes`);
+    t.true(own.tokensPerSecondRatio > chasing.tokensPerSecondRatio);
+});
+
+test("the same seed gives the same report", async t => {
+    t.deepEqual(await run(4, "burst"), await run(4, "burst"));
+});
--- a/packages/lab/src/shared/standIns/plainModel.ts
+++ b/packages/lab/src/shared/standIns/plainModel.ts
@@ -5,6 +5,7 @@
  */
 
 import { type Clock, MagnolialockError, type RandomSource, sleep } from "@magnolialock/kernel";
+import { setMaxListeners } from "node:events";
 
 /** One call. */
 export interface PlainRequest {
@@ -22,6 +23,8 @@
 export interface PlainRun {
     /** Identifier of the caller's request. */
     readonly requestId: string;
+    /** HTTP method. */
+    readonly method: string;
     /** When, in milliseconds. */
     readonly atMs: number;
     /** Calls that run, with this one. */
@@ -40,14 +43,24 @@
     readonly serviceMs?: number;
     /** Whether it starts cold. */
     readonly isCold?: boolean;
+    /** Calls that it must finish after a start before it is warm. */
+    readonly completionsToWarm?: number;
 }
 
 const DEFAULT_SERVICE_MS = 8;
 const COLD_SLOWDOWN = 5;
+const DEFAULT_COMPLETIONS_TO_WARM = 20;
 
 /** The process died while it ran the call; the run counts. */
 export const PlainServiceDiedError = MagnolialockError.subclass("PlainServiceDiedError");
 
+/** Every running call listens to the end of the process's life. */
+const createLife = (): AbortController => {
+    const life = new AbortController();
+    setMaxListeners(0, life.signal);
+    return life;
+};
+
 /** A plain service that counts its runs by request. */
 export class PlainModel {
     /** All runs, for oracles. */
@@ -57,8 +70,10 @@
     private readonly clock: Clock;
     private readonly random: RandomSource;
     private readonly serviceMs: number;
-    private life = new AbortController();
+    private readonly completionsToWarm: number;
+    private life = createLife();
     private runningCount = 0;
+    private completionsSinceCold = 0;
 
     /** @param options - clock and service time */
     public constructor(options: PlainModelOptions) {
@@ -66,6 +81,7 @@
         this.random = options.random;
         this.serviceMs = options.serviceMs ?? DEFAULT_SERVICE_MS;
         this.isCold = options.isCold ?? false;
+        this.completionsToWarm = options.completionsToWarm ?? DEFAULT_COMPLETIONS_TO_WARM;
     }
 
     /** Calls that run. */
@@ -85,6 +101,7 @@
         this.runningCount++;
         this.runs.push({
             requestId: request.requestId,
+            method: request.method,
             atMs: this.clock.nowMs(),
             running: this.runningCount,
             isCold: this.isCold,
@@ -99,13 +116,22 @@
         finally {
             this.runningCount--;
         }
+        this.noteCompletion();
         return JSON.stringify({ request_id: request.requestId, path: request.path, body: request.body });
     }
 
     /** Dies and starts again, cold; running calls break. */
     public restart(): void {
         this.life.abort();
-        this.life = new AbortController();
+        this.life = createLife();
         this.isCold = true;
+        this.completionsSinceCold = 0;
+    }
+
+    private noteCompletion(): void {
+        this.completionsSinceCold++;
+        if (this.completionsSinceCold >= this.completionsToWarm) {
+            this.isCold = false;
+        }
     }
 }
--- a/packages/maps/src/index.ts
+++ b/packages/maps/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./shared/placement/planMap.ts";
 export * from "./shared/policy/costAwarePolicy.ts";
 export * from "./shared/popularity.ts";
+export * from "./shared/slowRanks.ts";
 export * from "./shared/switch/decidedMaps.ts";
 export * from "./shared/switch/groupTask.ts";
 export * from "./shared/switch/mapMember.ts";
--- a/packages/maps/src/shared/placement/mapCost.ts
+++ b/packages/maps/src/shared/placement/mapCost.ts
@@ -21,10 +21,9 @@
  *
  * @param map - the map
  * @param loads - load of each expert in each layer
- * @param rankWeights - time of a unit of load on each rank, 1 by default
  * @returns the sums
  */
-export const measureMap = (map: ExpertMap, loads: ExpertLoads, rankWeights?: readonly number[]): MapLoad => {
+export const measureMap = (map: ExpertMap, loads: ExpertLoads): MapLoad => {
     const rankLoads = new Float64Array(map.shape.ranks);
     let peak = 0;
     let total = 0;
@@ -33,7 +32,7 @@
         let layerPeak = 0;
         for (let rank = 0; rank < rankLoads.length; rank++) {
             total += rankLoads[rank]!;
-            layerPeak = Math.max(layerPeak, rankLoads[rank]! * (rankWeights?.[rank] ?? 1));
+            layerPeak = Math.max(layerPeak, rankLoads[rank]!);
         }
         peak += layerPeak;
     }
--- a/packages/maps/src/shared/policy/costAwarePolicy.ts
+++ b/packages/maps/src/shared/policy/costAwarePolicy.ts
@@ -8,6 +8,8 @@
 import type { MapDecision, MapPolicy, MapSituation } from "../../types/mapPolicy.ts";
 import { applyPlans, improveMap, type LayerPlan } from "../placement/improveMap.ts";
 import { type MapLoad, measureMap } from "../placement/mapCost.ts";
+import { GainTrust } from "./gainTrust.ts";
+import { scaledLoads } from "./scaledLoads.ts";
 
 /** Options of {@link createCostAwarePolicy}. */
 export interface CostAwarePolicyOptions {
@@ -71,14 +73,6 @@
     return taken;
 };
 
-const scaledLoads = (situation: MapSituation): ExpertLoads => {
-    const loads = situation.popularity.shares();
-    for (let index = 0; index < loads.length; index++) {
-        loads[index]! *= situation.costs.assignmentsPerStep;
-    }
-    return loads;
-};
-
 /** One decision with its inputs at hand. */
 class Decision {
     private readonly loads: ExpertLoads;
@@ -88,6 +82,7 @@
     public constructor(
         private readonly situation: MapSituation,
         private readonly options: Required<CostAwarePolicyOptions>,
+        private readonly trust: number,
     ) {
         this.loads = scaledLoads(situation);
         this.current = measureMap(situation.map, this.loads);
@@ -97,7 +92,7 @@
     /** Returns the best change that pays, or undefined. */
     public run(): MapDecision | undefined {
         const { costs, map } = this.situation;
-        const confidence = this.situation.popularity.confidence();
+        const confidence = this.situation.popularity.confidence() * this.trust;
         const { prices, options } = this;
         const msPerLoad = costs.assignmentMs * prices.horizonSteps * confidence;
         const { rebalanced, layerPlans } = improveMap(map, this.loads, {
@@ -145,14 +140,19 @@
 export const createCostAwarePolicy = (options: CostAwarePolicyOptions = {}): MapPolicy => {
     const settings = { ...DEFAULTS, ...options };
     let lastChangeMs = Number.NEGATIVE_INFINITY;
+    const trust = new GainTrust();
     return {
         name: "magnolialock",
         decide: situation => {
             if (situation.nowMs - lastChangeMs < settings.minIntervalMs) {
                 return undefined;
             }
-            const decision = new Decision(situation, settings).run();
-            lastChangeMs = decision ? situation.nowMs : lastChangeMs;
+            trust.review(situation);
+            const decision = new Decision(situation, settings, trust.factor).run();
+            if (decision) {
+                lastChangeMs = situation.nowMs;
+                trust.expect(situation, decision);
+            }
             return decision;
         },
     };
--- a/packages/maps/src/types/mapPolicy.ts
+++ b/packages/maps/src/types/mapPolicy.ts
@@ -35,8 +35,6 @@
     readonly popularity: PopularityEstimate;
     /** Costs of the group. */
     readonly costs: GroupCosts;
-    /** Time of a unit of load on each rank, relative to the fastest; 1 by default. */
-    readonly rankWeights?: readonly number[];
 }
 
 /** A decision to change the map. */
