--- a/packages/lab/src/shared/mapSwitch/controlledProcess.ts
+++ b/packages/lab/src/shared/mapSwitch/controlledProcess.ts
@@ -211,7 +211,7 @@
                     resolve(unaryResponse(method, message));
                 });
             };
-            const content = `${isOver} ${route} ${method.name} ${describeMessage(method.input, input)}`;
+            const content = `${route} ${method.name} ${describeMessage(method.input, input)}`;
             const details = { processIndex: target, label: `>${label}`, content, isTimer: false };
             this.add(details, () => void this.serve(address, method, input).then(respond));
         });
--- a/packages/lab/src/shared/mapSwitch/switchWorld.ts
+++ b/packages/lab/src/shared/mapSwitch/switchWorld.ts
@@ -43,6 +43,8 @@
     bytes: new TextEncoder().encode(name),
 });
 
+/** Rounds after which a group that can talk must run again. */
+const MAX_RECOVERY_ROUNDS = 6;
 const INITIAL_MAP = mapNamed("map 0");
 const BOOT_MAP = { epoch: 0, fromStep: 0, map: INITIAL_MAP };
 
@@ -293,5 +295,3 @@
         });
     }
 }
-
-const MAX_RECOVERY_ROUNDS = 6;
--- a/packages/maps/src/shared/switch/groupTask.ts
+++ b/packages/maps/src/shared/switch/groupTask.ts
@@ -47,9 +47,6 @@
     readonly leadSteps?: number;
 }
 
-/** Result of a proposal. */
-export type ProposalResult = MapRoundResult;
-
 const DEFAULT_POLL_MS = 50;
 const DEFAULT_CALL_TIMEOUT_MS = 500;
 const DEFAULT_LEAD_STEPS = 4;
@@ -119,7 +116,7 @@
      * @param reason - why, for the time line
      * @returns how the round ended
      */
-    public async propose(map: EncodedMap, reason: string): Promise<ProposalResult> {
+    public async propose(map: EncodedMap, reason: string): Promise<MapRoundResult> {
         this.options.runtime.events.emit(mapProposed, { rank: this.options.rank, map: map.id, reason });
         this.library.add(map);
         return this.runRound(map);
