fix(entry): refuse first tries of bookings that waited while the entry was paused

Change: for half a second after a detected pause an entry refuses, as not run, bookings without a ticket. A scenario keeps the case.

--- a/packages/entry/src/shared/entry.ts
+++ b/packages/entry/src/shared/entry.ts
@@ -75,6 +75,8 @@
 const DEFAULT_POLICY = "adaptive";
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 const DRAIN_POLL_MS = 20;
+/** Time after a pause in which requests are read that arrived during it, in milliseconds. */
+const BACKLOG_AFTER_PAUSE_MS = 500;
 
 const createContext = (
     options: EntryOptions,
@@ -92,12 +94,14 @@
     );
     const policy = routingPolicies.get(options.policy ?? DEFAULT_POLICY).create();
     const tickets = new TicketIssuer(runtime, options.instance);
+    let awakeMs = Number.NEGATIVE_INFINITY;
     const pauseDetector = scope.use(
         new PauseDetector({
             clock: runtime.clock,
             onPause: gapMs => {
                 runtime.events.emit(entryPaused, { gapMs: Math.round(gapMs) });
                 agents.expireViews();
+                awakeMs = runtime.clock.nowMs();
             },
         }),
     );
@@ -109,6 +113,7 @@
         tickets,
         pauseDetector,
         stopSignal,
+        isJustAwake: () => runtime.clock.nowMs() - awakeMs < BACKLOG_AFTER_PAUSE_MS,
         accountLimiter: new AccountLimiter({ clock: runtime.clock, entryCount }),
         retryBudgets: {
             urgent: new RetryBudget({ clock: runtime.clock }),
--- a/packages/entry/src/shared/entryContext.ts
+++ b/packages/entry/src/shared/entryContext.ts
@@ -34,6 +34,8 @@
     readonly retryBudgets: { readonly urgent: RetryBudget; readonly ordinary: RetryBudget; };
     /** Notices that the process was paused. */
     readonly pauseDetector: PauseDetector;
+    /** Whether requests that arrive now may have waited while the process was paused. */
+    readonly isJustAwake: () => boolean;
     /** Aborts when the longest drain of a stop is over. */
     readonly stopSignal: AbortSignal;
 }
--- a/packages/entry/src/shared/serveOnce.ts
+++ b/packages/entry/src/shared/serveOnce.ts
@@ -77,6 +77,13 @@
 
 const wrongTicket = (message: string): Failure => ({ code: "wrong-ticket", ran: "outcome unknown", message });
 
+const awakeFailure: Failure = {
+    code: "unavailable",
+    ran: "not run",
+    message: "the entry was paused while the request waited: send it again",
+    retryAfterMs: 0,
+};
+
 /** Tries the agents of a chain in order; the next one only after the one before has refused for good. */
 const serveAlong = async (
     context: EntryContext,
@@ -130,6 +137,10 @@
     signal: AbortSignal,
     consume: (event: AnswerEvent) => void,
 ): Promise<Failure | undefined> => {
+    // The caller may have given up during the pause and gone to another entry, without a ticket to tell the two apart.
+    if (request.caller.ticket === undefined && context.isJustAwake()) {
+        return awakeFailure;
+    }
     const chain = request.caller.ticket ?? await mintWhenSeen(context, request, signal);
     if (chain === "") {
         return refusedFailure(request);
--- /dev/null
+++ b/packages/lab/src/shared/scenarios/__tests__/foundScenarios.spec.ts
@@ -0,0 +1,3 @@
+import { runsScenarios } from "./_runsScenarios.ts";
+
+runsScenarios(/^found-/);
