--- a/packages/cli/src/node/commands/explain.ts
+++ b/packages/cli/src/node/commands/explain.ts
@@ -12,8 +12,8 @@
     type TimelineEntry,
 } from "@magnolialock/kernel";
 import { commands } from "../command.ts";
+import { addPeerOption, readPeers } from "../peerOptions.ts";
 import { explainRequest } from "../timeline/explainRequest.ts";
-import { addPeersOption, readPeers } from "../timeline/peerArguments.ts";
 import { readTimelines } from "../timeline/readTimelines.ts";
 
 /** Explains a request. */
@@ -22,7 +22,7 @@
     usage: "explain <request>",
     description: "Tell in plain sentences what became of a request",
     builder: yargs =>
-        addPeersOption(yargs)
+        addPeerOption(yargs, "control addresses of entries and agents to read")
             .positional("request", {
                 type: "string",
                 demandOption: true,
--- a/packages/cli/src/node/commands/timeline.ts
+++ b/packages/cli/src/node/commands/timeline.ts
@@ -15,7 +15,7 @@
     waitForStopSignal,
 } from "@magnolialock/kernel";
 import { commands } from "../command.ts";
-import { addPeersOption, readPeers } from "../timeline/peerArguments.ts";
+import { addPeerOption, readPeers } from "../peerOptions.ts";
 import { OrderedPrinter } from "../timeline/printInOrder.ts";
 import { readTimelines, type ReadTimelinesOptions } from "../timeline/readTimelines.ts";
 
@@ -48,7 +48,7 @@
     usage: "timeline",
     description: "Print the events of several processes in the order of causes",
     builder: yargs =>
-        addPeersOption(yargs)
+        addPeerOption(yargs, "control addresses of entries and agents to read")
             .option("request", { type: "string", describe: "only events of this request" })
             .option("server", {
                 type: "string",
