refactor(lab): one delivery to paused processes, members of a fleet in a module of their own

Change: deliver.ts serves the fleet and the stand-ins' backends; fleetMembers.ts holds the fleet's members. Conclusion: no behaviour changes.

--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+export * from "./shared/fleet/fleetMembers.ts";
 export * from "./shared/fleet/fleetRules.ts";
 export * from "./shared/fleet/virtualFleet.ts";
 export * from "./shared/oracle/promise.ts";
@@ -11,6 +12,7 @@
 export * from "./shared/rollout/rolloutRules.ts";
 export * from "./shared/scenarios/parseScenario.ts";
 export * from "./shared/scenarios/runScenario.ts";
+export * from "./shared/standIns/deliver.ts";
 export * from "./shared/standIns/engineModel.ts";
 export * from "./shared/standIns/engineOrders.ts";
 export * from "./shared/standIns/modelBackends.ts";
--- a/packages/lab/src/shared/fleet/virtualFleet.ts
+++ b/packages/lab/src/shared/fleet/virtualFleet.ts
@@ -12,7 +12,7 @@
     startControlPlane,
     watchRules,
 } from "@magnolialock/control";
-import { type AnswerEvent, type CallerRequest, createEntry, type Entry } from "@magnolialock/entry";
+import { type AnswerEvent, type CallerRequest, createEntry } from "@magnolialock/entry";
 import {
     type Address,
     type BackendServerId,
@@ -33,10 +33,12 @@
     VirtualNetwork,
     type VirtualRuntime,
 } from "@magnolialock/test-support";
+import { deliverOutcome } from "../standIns/deliver.ts";
 import { EngineModel, type EngineModelOptions } from "../standIns/engineModel.ts";
 import { createEngineBackend, createPlainBackend } from "../standIns/modelBackends.ts";
 import { PlainModel } from "../standIns/plainModel.ts";
 import { PlatformModel } from "../standIns/platformModel.ts";
+import type { FleetBackend, FleetEntry } from "./fleetMembers.ts";
 import {
     type FleetChanges,
     fleetRules,
@@ -63,44 +65,12 @@
     readonly sinks?: readonly EventSink[];
 }
 
-/** One backend server with its agent. */
-export interface FleetBackend {
-    /** Its rule. */
-    readonly server: FleetServer;
-    /** The engine, for model services. */
-    readonly engine: EngineModel | undefined;
-    /** The service, for plain services. */
-    readonly plain: PlainModel | undefined;
-    /** Surroundings of the agent's present life. */
-    runtime: VirtualRuntime;
-    /** The agent's present life. */
-    agent: Agent;
-}
-
-/** One entry. */
-export interface FleetEntry {
-    /** Its name. */
-    readonly name: string;
-    /** Its data centre. */
-    readonly dataCentre: string;
-    /** Surroundings of its present life. */
-    runtime: VirtualRuntime;
-    /** Its present life. */
-    entry: Entry;
-}
-
 /** Key that the control planes of a fleet share. */
 const PLANE_KEY = "virtual fleet";
 
-/** Lets a process see a promise's outcome only while it runs. */
-const seenBy = <T>(runtime: VirtualRuntime, promise: Promise<T>): Promise<T> => {
-    const deferred = createDeferred<T>();
-    promise.then(
-        value => runtime.process.run(() => deferred.resolve(value)),
-        (error: unknown) => runtime.process.run(() => deferred.reject(error)),
-    );
-    return deferred.promise;
-};
+/** Lets a process see an outcome only while it runs. */
+const seenBy = <T>(runtime: VirtualRuntime, promise: Promise<T>): Promise<T> =>
+    deliverOutcome(promise, action => runtime.process.run(action));
 
 /** A fleet in one process. */
 export class VirtualFleet {
--- a/packages/lab/src/shared/standIns/modelBackends.ts
+++ b/packages/lab/src/shared/standIns/modelBackends.ts
@@ -5,7 +5,8 @@
  */
 
 import { type Backend, BackendBrokenError, type BackendEvent } from "@magnolialock/agent";
-import { AsyncQueue, createDeferred } from "@magnolialock/kernel";
+import { AsyncQueue } from "@magnolialock/kernel";
+import { type Deliver, deliverOutcome } from "./deliver.ts";
 import type { EngineModel } from "./engineModel.ts";
 import type { PlainModel } from "./plainModel.ts";
 
@@ -19,9 +20,6 @@
 
 const HTTP_OK = 200;
 
-/** Delivers what a backend server sends to the process that listens; a paused process gets it later. */
-export type Deliver = (action: () => void) => void;
-
 const engineRun = (engine: EngineModel, deliver: Deliver): Backend["run"] => (request, signal) => {
     const events = new AsyncQueue<BackendEvent>(() => cancel());
     const body = JSON.parse(Buffer.from(request.body).toString()) as CompletionBody;
@@ -67,16 +65,6 @@
     }),
 });
 
-/** Delivers the outcome of a promise to a process. */
-const deliverOutcome = <T>(promise: Promise<T>, deliver: Deliver): Promise<T> => {
-    const deferred = createDeferred<T>();
-    promise.then(
-        value => deliver(() => deferred.resolve(value)),
-        (error: unknown) => deliver(() => deferred.reject(error)),
-    );
-    return deferred.promise;
-};
-
 /**
  * Wraps a plain service.
  *
