fix(agent): answer tickets for 5 s after the drain of a planned stop

Change: an agent of a plain service listens for 5 s more after its drain and answers tickets and recalls truthfully.

--- a/packages/agent/src/shared/agent.ts
+++ b/packages/agent/src/shared/agent.ts
@@ -47,6 +47,8 @@
 }
 
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
+/** Time after a drain in which tickets and recalls still get a true answer, in milliseconds. */
+const TICKET_LINGER_MS = 5_000;
 const DRAIN_POLL_MS = 20;
 /** Time for the last answers to reach the entries when calls were cut short, in milliseconds. */
 const LAST_ANSWERS_MS = 500;
@@ -127,6 +129,9 @@
     runtime.events.emit(agentStarted, { server: options.server, incarnation: context.incarnation });
     const stop = async (): Promise<void> => {
         await drain(runtime, context, options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS);
+        if (context.mayHoldTickets) {
+            await sleep(runtime.clock, TICKET_LINGER_MS);
+        }
         context.endReports();
         await scope[Symbol.asyncDispose]();
     };
--- a/packages/agent/src/shared/agentContext.ts
+++ b/packages/agent/src/shared/agentContext.ts
@@ -183,6 +183,12 @@
         this.smoothedQueueMs += QUEUE_TIME_SMOOTHING * (queuedMs - this.smoothedQueueMs);
     }
 
+    /** Whether requests that may not be repeated may come here: their tickets name this life of the agent. */
+    public get mayHoldTickets(): boolean {
+        const { rule } = this;
+        return rule !== undefined && !this.isModelService(rule.service);
+    }
+
     /** Refuses new work from now on, for good. */
     public beginStop(): void {
         this.gate.beginStop();
