--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-    files: ["packages/**/__tests__/**/*.spec.ts"],
+    files: ["packages/**/__tests__/**/*.spec.ts", "platform/__tests__/**/*.spec.ts"],
     extensions: { ts: "module" },
     nodeArguments: ["--import=tsx"],
     workerThreads: false,
--- /dev/null
+++ b/packages/direct/src/node/directEntry.ts
@@ -0,0 +1,260 @@
+/**
+ * A direct entry as a process part: callers in front, backend servers behind, the platform and other instances beside.
+ *
+ * @packageDocumentation
+ */
+
+import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
+import {
+    type Address,
+    errorMessage,
+    openDatagramSocket,
+    PauseDetector,
+    ResourceScope,
+    sleep,
+} from "@magnolialock/kernel";
+import { Hono } from "hono";
+import { request } from "undici";
+import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
+import {
+    directPaused,
+    directStarted,
+    directStopped,
+    directStopping,
+    directUnexpected,
+} from "../shared/directEvents.ts";
+import { SourceFollower } from "../shared/followSource.ts";
+import { PeerExchange } from "../shared/peerExchange.ts";
+import { PictureStore } from "../shared/pictureStore.ts";
+import { serveCall } from "../shared/serveCall.ts";
+import { ServerDirectory } from "../shared/serverDirectory.ts";
+import type { CallHeaderNames } from "../types/callHeaders.ts";
+import type { DirectSettings } from "../types/directSettings.ts";
+import type { PublishedSource, PublishedState } from "../types/fleetPicture.ts";
+import { type CallerFront, openCallerFront } from "./callerFront.ts";
+import { createPromMetrics, type PromMetrics } from "./promMetrics.ts";
+import { ServerConnections } from "./serverConnections.ts";
+
+/** Options of {@link startDirectEntry}. */
+export interface DirectEntryOptions {
+    /** Surroundings of the process. */
+    readonly runtime: DirectRuntime;
+    /** Settings of the process. */
+    readonly settings: DirectSettings;
+    /** Header names of the installation. */
+    readonly headers: CallHeaderNames;
+    /** The platform's published state. */
+    readonly source: PublishedSource;
+    /** Path under which readiness is asked. */
+    readonly readinessPath: string;
+}
+
+/** A running direct entry. */
+export interface DirectEntry extends AsyncDisposable {
+    /** Whether it takes new connections. */
+    readonly isReady: boolean;
+    /**
+     * Takes settings that may change while the process runs: bounds and seeds.
+     *
+     * @param settings - the new settings
+     */
+    reload(settings: DirectSettings): void;
+    /** Ends as a planned stop: not ready at once, no request is cut off. */
+    stop(): Promise<void>;
+}
+
+/** Path of the published state for other instances. */
+const STATE_PATH = "/state";
+const METRICS_PATH = "/metrics";
+const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
+/** Time between adaptations of shares to the size of the fleet, in milliseconds. */
+const SHARES_PERIOD_MS = 1_000;
+/** Time after a signal in which callers still connect: the balancer takes an instance out after two misses a second apart. */
+const TAKEN_OUT_MS = 3_500;
+/** Time before the end of the grace period at which the process ends whatever runs, in milliseconds. */
+const GRACE_MARGIN_MS = 400;
+const STOP_POLL_MS = 25;
+
+const fetchState = async (peer: Address, signal: AbortSignal): Promise<PublishedState> => {
+    const response = await request(`http://${peer}${STATE_PATH}`, { signal });
+    return await response.body.json() as PublishedState;
+};
+
+/** Parts that know the world. */
+const createParts = (options: DirectEntryOptions, scope: ResourceScope) => {
+    const { runtime, settings, source } = options;
+    const store = new PictureStore({
+        events: runtime.events,
+        decode: (key, text) => source.decode(key, text),
+    });
+    const follower = scope.use(new SourceFollower({ runtime, source, store }));
+    const directory = new ServerDirectory({ runtime, store, sinceOutageMs: () => follower.sinceOutageMs });
+    const upstreams = scope.use(new ServerConnections(runtime.clock));
+    return { store, follower, directory, upstreams, settings };
+};
+
+const startLoops = (
+    context: DirectContext,
+    follower: SourceFollower,
+    front: CallerFront,
+    scope: ResourceScope,
+): void => {
+    const { runtime, store } = context.options;
+    const stopping = new AbortController();
+    scope.defer(() => stopping.abort());
+    scope.use(
+        new PauseDetector({
+            clock: runtime.clock,
+            onPause: gapMs => {
+                runtime.events.emit(directPaused, { gapMs: Math.round(gapMs), revision: store.revision });
+                follower.renew();
+            },
+        }),
+    );
+    store.onChange(() => {
+        const { configuration } = store;
+        if (configuration) {
+            front.applyLimits(configuration.configuration.limits);
+        }
+    });
+    const resize = async (): Promise<void> => {
+        while (!stopping.signal.aborted) {
+            context.resizeShares();
+            await sleep(runtime.clock, SHARES_PERIOD_MS, stopping.signal).catch(() => {});
+        }
+    };
+    void resize();
+    void follower.run();
+};
+
+/** What readiness, state and metrics are read from. */
+interface OperatorsView extends DirectEntryOptions {
+    readonly isReady: () => boolean;
+    readonly store: PictureStore;
+    readonly metrics: PromMetrics;
+}
+
+/** Serves readiness, the published state for other instances, and metrics. */
+const listenForOperators = async (view: OperatorsView, scope: ResourceScope): Promise<void> => {
+    const { isReady, metrics, readinessPath, settings, store } = view;
+    const readiness = new Hono().get(
+        readinessPath,
+        answer => answer.body("", isReady() ? HTTP_OK : HTTP_UNAVAILABLE),
+    );
+    scope.use(await listenHttp({ app: readiness, address: settings.readiness, protocol: "http1" }));
+    const state = new Hono().get(STATE_PATH, answer => answer.json(store.export()));
+    scope.use(await listenHttp({ app: state, address: settings.peers, protocol: "http1" }));
+    if (settings.metrics) {
+        const app = new Hono().get(
+            METRICS_PATH,
+            async answer =>
+                answer.text(await metrics.text(), HTTP_OK, { "content-type": metrics.contentType }),
+        );
+        scope.use(await listenHttp({ app, address: settings.metrics, protocol: "http1" }));
+    }
+};
+
+/** Serves on until the balancer sends nobody any more, then finishes what runs. */
+const stopEntry = async (
+    context: DirectContext,
+    front: CallerFront,
+    scope: ResourceScope,
+): Promise<void> => {
+    const { clock, events } = context.options.runtime;
+    const endMs = clock.nowMs() + context.bounds.graceMs - GRACE_MARGIN_MS;
+    front.beginStop();
+    events.emit(directStopping, { running: front.running, graceMs: context.bounds.graceMs });
+    await sleep(clock, TAKEN_OUT_MS);
+    front.closeIdle();
+    while (front.running > 0 && clock.nowMs() < endMs) {
+        await sleep(clock, STOP_POLL_MS);
+    }
+    const unfinished = front.running;
+    await scope[Symbol.asyncDispose]();
+    events.emit(directStopped, { unfinished });
+};
+
+/**
+ * Starts a direct entry.
+ *
+ * @param options - settings, platform and header names
+ * @returns the entry
+ * @throws when an address cannot be bound
+ */
+export const startDirectEntry = async (options: DirectEntryOptions): Promise<DirectEntry> => {
+    const { headers, runtime, settings } = options;
+    const { clock, events } = runtime;
+    const scope = new ResourceScope();
+    const { directory, follower, store, upstreams } = createParts(options, scope);
+    let isStopping = false;
+    const isReady = (): boolean => !isStopping && store.configuration !== undefined;
+    const metrics = createPromMetrics({
+        running: () => front.running,
+        peers: () => exchange.aliveCount,
+        revision: () => store.revision,
+        configurationVersion: () => store.configuration?.configuration.version ?? 0,
+        openedConnections: () => upstreams.opened,
+    });
+    const fleetSize = (): number => exchange.fleetSize;
+    const context = new DirectContext({
+        runtime,
+        settings,
+        headers,
+        store,
+        directory,
+        upstreams,
+        metrics,
+        fleetSize,
+    });
+    const exchange: PeerExchange = scope.use(
+        new PeerExchange({
+            runtime,
+            settings,
+            store,
+            directory,
+            services: () => context.serviceStates(),
+            fetchState,
+        }),
+    );
+    const front = scope.use(
+        await openCallerFront({
+            clock,
+            address: settings.callers,
+            serve: async (call, reply) => {
+                try {
+                    await serveCall(context, call, reply);
+                }
+                catch (error) {
+                    const requestId = call.headers[headers.requestId];
+                    events.emit(directUnexpected, { requestId, error: errorMessage(error) });
+                    reply.breakOff();
+                }
+            },
+        }),
+    );
+    await listenForOperators({ ...options, isReady, store, metrics }, scope);
+    const socket = scope.use(
+        await openDatagramSocket(settings.peers, (from, bytes) => exchange.receive(from, bytes)),
+    );
+    void exchange.run(socket);
+    startLoops(context, follower, front, scope);
+    events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
+
+    const stop = (): Promise<void> => {
+        isStopping = true;
+        return stopEntry(context, front, scope);
+    };
+    return {
+        get isReady() {
+            return isReady();
+        },
+        reload: next => {
+            context.bounds = next.bounds;
+            context.resizeShares();
+            exchange.addSeeds(next.seeds);
+        },
+        stop,
+        [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
+    };
+};
--- /dev/null
+++ b/packages/direct/src/node/promMetrics.ts
@@ -0,0 +1,99 @@
+/**
+ * Counters and latency histograms in the text format of Prometheus.
+ *
+ * @packageDocumentation
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CallMetrics } from "../shared/callMetrics.ts";
+
+/** Values that are read when metrics are asked for. */
+export interface GaugeReaders {
+    /** Requests that run. */
+    readonly running: () => number;
+    /** Other instances that were heard just now. */
+    readonly peers: () => number;
+    /** Revision of the published state that is known. */
+    readonly revision: () => number;
+    /** Version of the configuration in force; 0 before the first. */
+    readonly configurationVersion: () => number;
+    /** Connections to backend servers that were opened. */
+    readonly openedConnections: () => number;
+}
+
+/** Bounds of the latency buckets, in seconds: around the targets of status reads and first tokens. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8];
+const MS_PER_SECOND = 1_000;
+
+/** Metrics of one process. */
+export interface PromMetrics extends CallMetrics {
+    /** All metrics as text. */
+    text(): Promise<string>;
+    /** Media type of the text. */
+    readonly contentType: string;
+}
+
+/**
+ * Creates the metrics.
+ *
+ * @param readers - values that are read when asked for
+ */
+export const createPromMetrics = (readers: GaugeReaders): PromMetrics => {
+    const registry = new Registry();
+    const registers = [registry];
+    const calls = new Counter({
+        name: "magnolialock_calls_total",
+        help: "Calls that are over",
+        labelNames: ["result", "service", "status"],
+        registers,
+    });
+    const durations = new Histogram({
+        name: "magnolialock_call_duration_seconds",
+        help: "Time from the reading of a request to the end of its answer",
+        labelNames: ["result", "service"],
+        buckets: LATENCY_BUCKETS_S,
+        registers,
+    });
+    const firstBytes = new Histogram({
+        name: "magnolialock_first_byte_seconds",
+        help: "Time from the reading of a request to the first byte of its answer",
+        labelNames: ["service"],
+        buckets: LATENCY_BUCKETS_S,
+        registers,
+    });
+    const attempts = new Counter({
+        name: "magnolialock_attempts_total",
+        help: "Attempts at backend servers",
+        labelNames: ["service", "result"],
+        registers,
+    });
+    const gauge = (name: string, help: string, read: () => number): void => {
+        new Gauge({
+            name,
+            help,
+            registers,
+            collect() {
+                this.set(read());
+            },
+        });
+    };
+    gauge("magnolialock_calls_running", "Calls that run", readers.running);
+    gauge("magnolialock_peers", "Other instances that were heard just now", readers.peers);
+    gauge("magnolialock_platform_revision", "Revision of the published state", readers.revision);
+    gauge("magnolialock_configuration_version", "Version of the configuration", readers.configurationVersion);
+    gauge(
+        "magnolialock_connections_opened",
+        "Connections opened to backend servers",
+        readers.openedConnections,
+    );
+    return {
+        countCall: (result, service, status, durationMs) => {
+            calls.inc({ result, service, status });
+            durations.observe({ result, service }, durationMs / MS_PER_SECOND);
+        },
+        observeFirstByte: (service, latencyMs) => firstBytes.observe({ service }, latencyMs / MS_PER_SECOND),
+        countAttempt: (service, result) => attempts.inc({ service, result }),
+        text: () => registry.metrics(),
+        contentType: registry.contentType,
+    };
+};
--- /dev/null
+++ b/packages/direct/src/node/serverConnections.ts
@@ -0,0 +1,186 @@
+/**
+ * Connections to backend servers over undici. Each carries one request at a time; which kept connection a request may
+ * use depends on the request, so each connection is a client of its own.
+ *
+ * @packageDocumentation
+ */
+
+import { type Address, type Clock, errorMessage } from "@magnolialock/kernel";
+import { buildConnector, Client, type Dispatcher } from "undici";
+import type {
+    UpstreamCall,
+    UpstreamConsumer,
+    UpstreamEnd,
+    UpstreamRequest,
+    Upstreams,
+} from "../types/call.ts";
+
+/** Longest time to open a connection: a lost first packet is sent again only after a second. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Idle connections are closed after this time unless the server states one; servers close theirs unannounced. */
+const KEEP_ALIVE_MS = 4_000;
+/** Time before the server's own idle timeout at which a connection is not used any more. */
+const KEEP_ALIVE_MARGIN_MS = 500;
+/** Idle time after which a silent peer is probed, in milliseconds: the least that the system takes. */
+const TCP_PROBE_DELAY_MS = 1_000;
+/** Idle connections kept for one server; more are closed, as servers cap the connections of all callers together. */
+const MAX_IDLE_PER_SERVER = 8;
+
+/** A connection that carries at most one request. */
+class ServerConnection {
+    public readonly client: Client;
+    /** When it became idle, in milliseconds. */
+    public idleSinceMs = 0;
+    /** Whether it was closed or may not be used again. */
+    public isClosed = false;
+    /** Whether the other side reset it: an answer without a length that ends so is not complete. */
+    public wasReset = false;
+
+    public constructor(address: Address) {
+        const connector = buildConnector({
+            timeout: CONNECT_TIMEOUT_MS,
+            keepAlive: true,
+            keepAliveInitialDelay: TCP_PROBE_DELAY_MS,
+        });
+        this.client = new Client(`http://${address}`, {
+            connect: (options, callback) => {
+                connector(options, (...result) => {
+                    const [, socket] = result;
+                    socket?.on("error", () => this.wasReset = true);
+                    callback(...result);
+                });
+            },
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+        });
+        this.client.on("disconnect", () => this.close());
+        this.client.on("connectionError", () => this.close());
+    }
+
+    public close(reason?: string): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            // The error reaches the handler of the request under way; the returned promise says no more.
+            this.client.destroy(new Error(reason ?? "the connection was closed")).catch(() => {});
+        }
+    }
+}
+
+/** Kept connections to all backend servers. */
+export class ServerConnections implements Upstreams, Disposable {
+    private readonly idle = new Map<string, ServerConnection[]>();
+    private openedCount = 0;
+
+    /** @param clock - source of time */
+    public constructor(private readonly clock: Clock) {}
+
+    /** Connections that were opened so far. */
+    public get opened(): number {
+        return this.openedCount;
+    }
+
+    /** {@inheritDoc Upstreams.start} */
+    public start(
+        server: string,
+        address: Address,
+        request: UpstreamRequest,
+        consumer: UpstreamConsumer,
+    ): UpstreamCall {
+        const connection = this.take(server, address, request.maxIdleMs);
+        let controller: Dispatcher.DispatchController | undefined;
+        let isUnframed = false;
+        const ended = new Promise<UpstreamEnd>(resolve => {
+            const handler: Dispatcher.DispatchHandler = {
+                onRequestStart: started => {
+                    if (controller) {
+                        started.abort(new Error("a request is never sent twice on its own"));
+                        return;
+                    }
+                    controller = started;
+                },
+                onResponseStart: (_started, status, headers) => {
+                    isUnframed = headers["content-length"] === undefined
+                        && headers["transfer-encoding"] === undefined;
+                    consumer.onHead({ status, headers });
+                },
+                onResponseData: (_started, bytes) => consumer.onData(bytes),
+                onResponseEnd: () => {
+                    if (isUnframed && connection.wasReset) {
+                        connection.close();
+                        resolve({
+                            kind: "broken",
+                            message: "the connection was reset before the answer's end",
+                        });
+                        return;
+                    }
+                    this.release(server, connection);
+                    resolve({ kind: "complete" });
+                },
+                onResponseError: (_started, error) => {
+                    connection.close();
+                    resolve({ kind: controller ? "broken" : "notSent", message: errorMessage(error) });
+                },
+            };
+            const { method, path, headers, body } = request;
+            connection.client.dispatch(
+                {
+                    method: method as Dispatcher.HttpMethod,
+                    path,
+                    headers: headers as string[],
+                    body: body.length > 0 ? body : undefined,
+                },
+                handler,
+            );
+        });
+        return {
+            ended,
+            abort: reason => connection.close(reason),
+            pause: () => controller?.pause(),
+            resume: () => controller?.resume(),
+        };
+    }
+
+    /** {@inheritDoc Upstreams.forget} */
+    public forget(server: string): void {
+        this.idle.get(server)?.forEach(connection => connection.close());
+        this.idle.delete(server);
+    }
+
+    /** Closes all idle connections. */
+    public [Symbol.dispose](): void {
+        for (const server of this.idle.keys()) {
+            this.forget(server);
+        }
+    }
+
+    private take(server: string, address: Address, maxIdleMs: number): ServerConnection {
+        const kept = this.idle.get(server) ?? [];
+        const oldestMs = this.clock.nowMs() - maxIdleMs;
+        for (let connection = kept.pop(); connection; connection = kept.pop()) {
+            if (connection.isClosed) {
+                continue;
+            }
+            if (connection.idleSinceMs > oldestMs) {
+                return connection;
+            }
+            // The others have been idle for longer still, but requests that bear a reset may use them.
+            kept.push(connection);
+            break;
+        }
+        this.openedCount++;
+        return new ServerConnection(address);
+    }
+
+    private release(server: string, connection: ServerConnection): void {
+        connection.idleSinceMs = this.clock.nowMs();
+        const kept = this.idle.get(server) ?? [];
+        this.idle.set(server, kept);
+        kept.push(connection);
+        while (kept.length > MAX_IDLE_PER_SERVER) {
+            kept.shift()?.close();
+        }
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/answerCheck.ts
@@ -0,0 +1,54 @@
+/**
+ * Checks that an answer belongs to its request and says what it says truthfully.
+ *
+ * @packageDocumentation
+ */
+
+import type { AnswerHead } from "../types/call.ts";
+import type { CallHeaderNames } from "../types/callHeaders.ts";
+import { answerHeader } from "./callHeaders.ts";
+
+/** What the head of an answer means. */
+export type HeadVerdict =
+    /** The server's own answer; it counts when its body is complete. */
+    | { readonly kind: "own"; }
+    /** The server has not run the request. */
+    | { readonly kind: "notRun"; readonly fault: string | undefined; readonly isMisdirected: boolean; }
+    /** Not an answer to this request, or not one that may be passed on. */
+    | { readonly kind: "foreign"; readonly message: string; };
+
+const HTTP_MISDIRECTED = 421;
+
+/**
+ * Judges the head of an answer.
+ *
+ * @param head - status and headers
+ * @param requestId - identifier of the request; undefined when the caller gave none
+ * @param names - header names of the installation
+ */
+export const judgeHead = (
+    head: AnswerHead,
+    requestId: string | undefined,
+    names: CallHeaderNames,
+): HeadVerdict => {
+    const answeredId = answerHeader(head, names.requestId);
+    const isMisdirected = head.status === HTTP_MISDIRECTED;
+    // Another server at the address has not read the request and repeats no identifier.
+    if (answeredId !== requestId && !(isMisdirected && answeredId === undefined)) {
+        return {
+            kind: "foreign",
+            message: `the answer belongs to request ${answeredId ?? "without an identifier"}`,
+        };
+    }
+    if (isMisdirected || answerHeader(head, names.notRun) !== undefined) {
+        return { kind: "notRun", fault: answerHeader(head, names.faultServer), isMisdirected };
+    }
+    const isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && answerHeader(head, names.signature) === undefined) {
+        return { kind: "foreign", message: "the answer has no signature" };
+    }
+    if (answerHeader(head, "content-encoding") !== undefined) {
+        return { kind: "foreign", message: "the body is encoded although no encoding was asked for" };
+    }
+    return { kind: "own" };
+};
--- /dev/null
+++ b/packages/direct/src/shared/callTask.ts
@@ -0,0 +1,375 @@
+/**
+ * The task of one admitted call: attempts until one answers or none may follow.
+ *
+ * @packageDocumentation
+ */
+
+import { sleep, timeoutSignal } from "@magnolialock/kernel";
+import { match } from "ts-pattern";
+import type { AdmittedCall } from "../types/admittedCall.ts";
+import type { AnswerHead, CallerReply, IncomingCall } from "../types/call.ts";
+import { callerHead } from "./callHeaders.ts";
+import { sendRefusal } from "./callReplies.ts";
+import { chooseServer } from "./chooseServer.ts";
+import type { DirectContext, ServiceState } from "./directContext.ts";
+import {
+    attemptEnded,
+    callAnswered,
+    callFailed,
+    callLeft,
+    callRefused,
+    serverEjected,
+} from "./directEvents.ts";
+import type { KnownServer } from "./knownServer.ts";
+import { type AttemptOutcome, runAttempt, type StreamCursor } from "./runAttempt.ts";
+
+const HTTP_OK = 200;
+const HTTP_SERVER_ERROR = 500;
+const HTTP_BAD_GATEWAY = 502;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_GATEWAY_TIMEOUT = 504;
+/** Attempts that may fail before a byte has left, beside those that count: a server that is gone costs one. */
+const MAX_UNSENT_ATTEMPTS = 3;
+/** A request that may not be repeated is lost with its connection, so it gets one that was used just now. */
+const FRESH_IDLE_MS = 700;
+/** Idle time of a kept connection for requests that may be sent again. */
+const USUAL_IDLE_MS = 30_000;
+/** Share of the time left after which a status read that got no answer is tried elsewhere. */
+const FIRST_ATTEMPT_SHARE = 0.4;
+/** Least pause after which callers abandon a stream, in milliseconds; the published rule is the longest of three. */
+const STREAM_PATIENCE_MS = 2_000;
+const PATIENCE_PER_TARGET = 4;
+const PATIENCE_PER_GAP = 8;
+/** Time before the end of the caller's patience at which a stalled stream is broken off, in milliseconds. */
+const PATIENCE_MARGIN_MS = 150;
+/** Time between looks at a group that a stream waits for, in milliseconds. */
+const GROUP_POLL_MS = 50;
+/** When a caller should come back whose request met full servers, in milliseconds: a request's usual running time. */
+const FULL_RETURN_MS = 250;
+const FULL_RETURN_SPREAD_MS = 500;
+/** When a caller should come back that met no server at all, in milliseconds. */
+const EMPTY_RETURN_MS = 1_000;
+/** A caller takes advice up to this share of the time that it has left. */
+const MAX_RETURN_SHARE = 1 / 3;
+
+/** What to do after an attempt. */
+type NextStep =
+    | { readonly kind: "done"; }
+    | { readonly kind: "again"; }
+    | { readonly kind: "stop"; readonly reason: string; };
+
+/** Serves one call. */
+export class CallTask {
+    private readonly state: ServiceState;
+    private readonly cursor: StreamCursor;
+    private readonly tried = new Set<KnownServer>();
+    private readonly endMs: number;
+    private readonly callerEndMs: number;
+    private sentAttempts = 0;
+    private unsentAttempts = 0;
+    private mayHaveRun = false;
+    private isGroupDown = false;
+    private lastFailure: { readonly head: AnswerHead; readonly body: Buffer; } | undefined;
+    private lastServer: KnownServer | undefined;
+
+    /**
+     * @param context - the entry
+     * @param call - the request
+     * @param reply - the way back
+     * @param admitted - its route, account and service
+     */
+    public constructor(
+        private readonly context: DirectContext,
+        private readonly call: IncomingCall,
+        private readonly reply: CallerReply,
+        private readonly admitted: AdmittedCall,
+    ) {
+        const { headers } = context.options;
+        const { route, service } = admitted;
+        this.state = context.service(service);
+        const askedMs = Number(call.headers[headers.timeLeftMs]);
+        const patienceMs = Number.isFinite(askedMs) && askedMs > 0 ? askedMs : route.timeoutMs;
+        this.callerEndMs = call.receivedMs + patienceMs;
+        this.endMs = call.receivedMs + Math.min(patienceMs, route.timeoutMs);
+        const resumeId = Number(call.headers[headers.lastEventId] ?? Number.NaN);
+        this.cursor = {
+            lastEventId: Number.isInteger(resumeId) ? resumeId : undefined,
+            lastEventMs: call.receivedMs,
+            isHeadSent: false,
+        };
+    }
+
+    private get nowMs(): number {
+        return this.context.options.runtime.clock.nowMs();
+    }
+
+    private get isRepeatable(): boolean {
+        return this.admitted.route.repeat !== "never";
+    }
+
+    /** Runs the task. */
+    public async run(): Promise<void> {
+        const { clock } = this.context.options.runtime;
+        using timeout = timeoutSignal(clock, this.endMs - this.nowMs, this.reply.gone);
+        for (;;) {
+            const step = await this.tryOnce(timeout.signal);
+            if (step.kind === "done") {
+                return;
+            }
+            if (this.reply.gone.aborted) {
+                this.noteLeft();
+                return;
+            }
+            if (timeout.signal.aborted) {
+                this.fail("the time for the request is over", HTTP_GATEWAY_TIMEOUT);
+                return;
+            }
+            if (step.kind === "stop") {
+                this.fail(step.reason, HTTP_BAD_GATEWAY);
+                return;
+            }
+        }
+    }
+
+    private async tryOnce(signal: AbortSignal): Promise<NextStep> {
+        if (!this.state.group.mayTry()) {
+            this.isGroupDown = true;
+            return this.waitForGroup(signal);
+        }
+        const server = this.choose();
+        if (!server) {
+            return { kind: "stop", reason: "no backend server can take the request now" };
+        }
+        const outcome = await this.attempt(server, signal);
+        return this.afterAttempt(server, outcome);
+    }
+
+    private choose(): KnownServer | undefined {
+        const { directory, runtime, settings } = this.context.options;
+        const { service, spec } = this.admitted;
+        const choice = {
+            dataCentre: settings.dataCentre,
+            random: runtime.random,
+            startsPerS: this.context.startsPerS(service),
+            tried: this.tried,
+        };
+        return chooseServer(directory.candidates(service), choice, spec?.engine === undefined);
+    }
+
+    private async attempt(server: KnownServer, signal: AbortSignal): Promise<AttemptOutcome> {
+        const { clock, events } = this.context.options.runtime;
+        const { account, route, service } = this.admitted;
+        const wasEjected = server.health.isEjected;
+        const tracked = server.health.begin();
+        server.starts.noteStart();
+        this.lastServer = server;
+        const mayFollow = this.isRepeatable && route.answer === "whole"
+            && this.sentAttempts + 1 < route.maxAttempts;
+        const attemptMs = (this.endMs - this.nowMs) * (mayFollow ? FIRST_ATTEMPT_SHARE : 1);
+        using timeout = timeoutSignal(clock, attemptMs, signal);
+        const outcome = await runAttempt({
+            context: this.context,
+            call: this.call,
+            reply: this.reply,
+            route,
+            account,
+            server,
+            cursor: this.cursor,
+            timeLeftMs: this.callerEndMs - this.nowMs,
+            maxIdleMs: this.isRepeatable ? USUAL_IDLE_MS : FRESH_IDLE_MS,
+            signal: timeout.signal,
+            onServing: () => this.noteServing(),
+        });
+        const isOwnError = outcome.kind === "whole" && outcome.head.status >= HTTP_SERVER_ERROR;
+        const isFailure = outcome.kind === "broken" || outcome.kind === "notSent" || isOwnError;
+        tracked.end(isFailure && !signal.aborted ? "failed" : "ended");
+        if (server.health.isEjected && !wasEjected) {
+            const untilMs = Math.round(server.health.ejectedUntilMs - this.nowMs);
+            events.emit(serverEjected, { server: server.entry.id, forMs: untilMs });
+        }
+        this.context.options.metrics.countAttempt(service, outcome.kind);
+        return outcome;
+    }
+
+    private afterAttempt(server: KnownServer, outcome: AttemptOutcome): NextStep {
+        this.tried.add(server);
+        if (outcome.kind !== "streamed" && outcome.kind !== "whole") {
+            this.noteFailedAttempt(server, outcome);
+        }
+        return match<AttemptOutcome, NextStep>(outcome)
+            .with({ kind: "streamed" }, () => {
+                this.noteServed(HTTP_OK);
+                this.reply.end();
+                return { kind: "done" };
+            })
+            .with({ kind: "whole" }, ({ body, head }) => this.afterWhole(head, body))
+            .with({ kind: "notSent" }, ({ message }) => {
+                this.unsentAttempts++;
+                return this.unsentAttempts <= MAX_UNSENT_ATTEMPTS
+                    ? { kind: "again" }
+                    : { kind: "stop", reason: message };
+            })
+            .with({ kind: "notRun" }, ({ fault, isMisdirected }) => {
+                this.sentAttempts++;
+                if (isMisdirected) {
+                    return this.sendAgain("another server has the address");
+                }
+                if (fault !== undefined && fault !== server.entry.id && this.admitted.spec?.engine) {
+                    this.state.group.noteDown(fault);
+                    return { kind: "again" };
+                }
+                return this.sendAgain("the backend server is full");
+            })
+            .with({ kind: "broken" }, ({ message }) => {
+                this.sentAttempts++;
+                this.mayHaveRun = true;
+                return this.isRepeatable ? this.sendAgain(message) : { kind: "stop", reason: message };
+            })
+            .exhaustive();
+    }
+
+    private afterWhole(head: AnswerHead, body: Buffer): NextStep {
+        this.sentAttempts++;
+        if (head.status >= HTTP_SERVER_ERROR && this.isRepeatable && !this.cursor.isHeadSent) {
+            this.lastFailure = { head, body };
+            this.mayHaveRun = true;
+            const next = this.sendAgain("the backend server failed");
+            if (next.kind === "again") {
+                return next;
+            }
+        }
+        if (this.cursor.isHeadSent) {
+            return { kind: "stop", reason: `the stream could not be resumed: status ${head.status}` };
+        }
+        this.deliver(head, body);
+        return { kind: "done" };
+    }
+
+    private deliver(head: AnswerHead, body: Buffer): void {
+        this.noteServed(head.status);
+        this.reply.sendWhole(callerHead(head), body);
+    }
+
+    /** Whether a request that was sent may be sent once more. */
+    private sendAgain(reason: string): NextStep {
+        const { maxAttempts } = this.admitted.route;
+        if (this.sentAttempts >= maxAttempts || this.reply.gone.aborted) {
+            return { kind: "stop", reason };
+        }
+        return this.state.budget.tryTake()
+            ? { kind: "again" }
+            : { kind: "stop", reason: `${reason}; no retries left` };
+    }
+
+    /** A stream under way waits for its group as long as its caller does; other requests are refused. */
+    private async waitForGroup(signal: AbortSignal): Promise<NextStep> {
+        const { maxAttempts, targetGapMs, targetLatencyMs } = this.admitted.route;
+        const reason = "the group of model servers is down";
+        const patienceMs = Math.max(
+            STREAM_PATIENCE_MS,
+            PATIENCE_PER_TARGET * targetLatencyMs,
+            PATIENCE_PER_GAP * (targetGapMs ?? 0),
+        );
+        const latestMs = this.cursor.lastEventMs + patienceMs - PATIENCE_MARGIN_MS;
+        const mayResume = this.cursor.isHeadSent && this.isRepeatable && this.sentAttempts < maxAttempts;
+        if (!mayResume || this.nowMs >= latestMs) {
+            return { kind: "stop", reason };
+        }
+        await sleep(this.context.options.runtime.clock, GROUP_POLL_MS, signal).catch(() => {});
+        return { kind: "again" };
+    }
+
+    private fail(reason: string, unknownStatus: number): void {
+        const { events, random } = this.context.options.runtime;
+        const leftMs = Math.max(0, this.callerEndMs - this.nowMs);
+        if (this.cursor.isHeadSent) {
+            this.reply.breakOff();
+            events.emit(callFailed, { ...this.logFields(0), reason, lastEventId: this.cursor.lastEventId });
+            this.count("failed", 0);
+            return;
+        }
+        if (this.lastFailure) {
+            this.deliver(this.lastFailure.head, this.lastFailure.body);
+            return;
+        }
+        if (this.mayHaveRun) {
+            sendRefusal(this.reply, { status: unknownStatus, reason });
+            events.emit(callFailed, { ...this.logFields(unknownStatus), reason });
+            this.count("failed", unknownStatus);
+            return;
+        }
+        const usualMs = this.tried.size === 0 ? EMPTY_RETURN_MS : FULL_RETURN_MS;
+        const retryAfterMs = this.isGroupDown
+            ? this.state.group.returnAfterMs(leftMs)
+            : Math.min(usualMs + random.nextFloat() * FULL_RETURN_SPREAD_MS, leftMs * MAX_RETURN_SHARE);
+        sendRefusal(this.reply, { status: HTTP_UNAVAILABLE, reason, retryAfterMs });
+        events.emit(callRefused, {
+            ...this.logFields(HTTP_UNAVAILABLE),
+            reason,
+            retryAfterMs: Math.round(retryAfterMs),
+        });
+        this.count("refused", HTTP_UNAVAILABLE);
+    }
+
+    private noteServed(status: number): void {
+        if (status < HTTP_SERVER_ERROR) {
+            this.state.budget.noteSuccess();
+        }
+        this.context.options.runtime.events.emit(callAnswered, this.logFields(status));
+        this.count("answered", status);
+    }
+
+    private noteServing(): void {
+        if (this.admitted.spec?.engine) {
+            this.state.group.noteUp();
+        }
+    }
+
+    private noteLeft(): void {
+        this.context.options.runtime.events.emit(callLeft, this.logFields(0));
+        this.count("left", 0);
+    }
+
+    private noteFailedAttempt(
+        server: KnownServer,
+        outcome: Exclude<AttemptOutcome, { readonly kind: "streamed" | "whole"; }>,
+    ): void {
+        if (this.reply.gone.aborted) {
+            return;
+        }
+        const { store } = this.context.options;
+        this.context.options.runtime.events.emit(attemptEnded, {
+            requestId: this.requestId,
+            server: server.entry.id,
+            outcome: outcome.kind,
+            detail: outcome.kind === "notRun" ? outcome.fault : outcome.message,
+            running: server.running,
+            revision: store.revision,
+        });
+    }
+
+    private get requestId(): string | undefined {
+        return this.call.headers[this.context.options.headers.requestId];
+    }
+
+    private count(result: "answered" | "refused" | "failed" | "left", status: number): void {
+        const durationMs = this.nowMs - this.call.receivedMs;
+        this.context.options.metrics.countCall(result, this.admitted.service, status, durationMs);
+    }
+
+    private logFields(status: number): Record<string, string | number | boolean | undefined> {
+        const { account, route, service, version } = this.admitted;
+        return {
+            requestId: this.requestId,
+            route: route.name,
+            service,
+            account: account?.account,
+            status,
+            server: this.lastServer?.entry.id,
+            attempts: this.sentAttempts,
+            mayHaveRun: this.mayHaveRun,
+            durationMs: Math.round(this.nowMs - this.call.receivedMs),
+            version,
+        };
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/directContext.ts
@@ -0,0 +1,132 @@
+/**
+ * What the tasks of one direct entry share.
+ *
+ * @packageDocumentation
+ */
+
+import { RetryBudget } from "@magnolialock/entry/src/shared/retryBudget.ts";
+import type { Runtime, ServiceName } from "@magnolialock/kernel";
+import type { Upstreams } from "../types/call.ts";
+import type { CallHeaderNames } from "../types/callHeaders.ts";
+import type { DirectSettings, SafetyBounds } from "../types/directSettings.ts";
+import type { CallMetrics } from "./callMetrics.ts";
+import { GroupHealth } from "./groupHealth.ts";
+import type { PictureStore } from "./pictureStore.ts";
+import type { ServerDirectory } from "./serverDirectory.ts";
+
+/** Surroundings of a direct entry; it makes no calls over connect. */
+export type DirectRuntime = Pick<Runtime, "clock" | "random" | "events">;
+
+/** Options of a {@link DirectContext}. */
+export interface DirectContextOptions {
+    /** Surroundings of the process. */
+    readonly runtime: DirectRuntime;
+    /** Settings of the process. */
+    readonly settings: DirectSettings;
+    /** Header names of the installation. */
+    readonly headers: CallHeaderNames;
+    /** What is published. */
+    readonly store: PictureStore;
+    /** Backend servers. */
+    readonly directory: ServerDirectory;
+    /** Calls to backend servers. */
+    readonly upstreams: Upstreams;
+    /** Counters and histograms. */
+    readonly metrics: CallMetrics;
+    /** Largest number of instances that may be alive. */
+    readonly fleetSize: () => number;
+}
+
+/** What is known of one service. */
+export interface ServiceState {
+    /** Whether its group runs. */
+    readonly group: GroupHealth;
+    /** Requests that may be sent once more. */
+    readonly budget: RetryBudget;
+}
+
+/** Share of a successful request that may be spent on retries, below the installation's ratio as that counts all instances. */
+const RATIO_SHARE = 0.75;
+/** Share of the installation's slack that is spent: what instances count apart may fall into one window. */
+const SLACK_SHARE = 0.7;
+/** Half of the slack is saved up for bursts, the rest comes evenly over the window. */
+const BURST_SHARE = 0.5;
+const MS_PER_SECOND = 1_000;
+/** Share of the cold bound that is used: clocks of the instances cut seconds differently. */
+const COLD_SHARE = 0.9;
+
+/** State of one direct entry. */
+export class DirectContext {
+    /** Options that it was created with. */
+    public readonly options: DirectContextOptions;
+    /** Bounds in force; a reload of the settings may change them. */
+    public bounds: SafetyBounds;
+    private readonly services = new Map<ServiceName, ServiceState>();
+
+    /** @param options - parts of the entry */
+    public constructor(options: DirectContextOptions) {
+        this.options = options;
+        this.bounds = options.settings.bounds;
+    }
+
+    /**
+     * State of a service.
+     *
+     * @param service - its name
+     */
+    public service(service: ServiceName): ServiceState {
+        let state = this.services.get(service);
+        if (!state) {
+            const { clock, events, random } = this.options.runtime;
+            const { retryRatio } = this.bounds;
+            state = {
+                group: new GroupHealth({ clock, events, random, service }),
+                budget: new RetryBudget({
+                    clock,
+                    retriesPerSuccess: retryRatio * RATIO_SHARE,
+                    ...this.budgetShare(),
+                }),
+            };
+            this.services.set(service, state);
+        }
+        return state;
+    }
+
+    /** All services that were used, by name. */
+    public serviceStates(): ReadonlyMap<ServiceName, ServiceState> {
+        return this.services;
+    }
+
+    /** Adapts the shares of the fleet's bounds to the number of instances. */
+    public resizeShares(): void {
+        const share = this.budgetShare();
+        for (const { budget } of this.services.values()) {
+            budget.resize(share);
+        }
+    }
+
+    /**
+     * Most requests that this instance may start at one backend server of a service within a second. It holds at all
+     * times, for a server may turn cold before anyone knows.
+     *
+     * @param service - the service
+     */
+    public startsPerS(service: ServiceName): number {
+        const coldPerS = this.options.store.configuration?.services.get(service)?.coldRequestsPerS ?? 0;
+        if (coldPerS <= 0) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const { coldOvershoot, coldSlack } = this.bounds;
+        const bound = (coldPerS * coldOvershoot + coldSlack) * COLD_SHARE;
+        return Math.max(1, Math.floor(bound / this.options.fleetSize()));
+    }
+
+    private budgetShare(): { readonly retriesPerS: number; readonly capacity: number; } {
+        const { retrySlack, retryWindowMs } = this.bounds;
+        const share = retrySlack * SLACK_SHARE / this.options.fleetSize();
+        return {
+            capacity: Math.max(1, share * BURST_SHARE),
+            retriesPerS: share * (1 - BURST_SHARE) * MS_PER_SECOND / retryWindowMs,
+        };
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/eventStreamSplitter.ts
@@ -0,0 +1,62 @@
+/**
+ * Cuts the bytes of an event stream into whole events, so that a stream that breaks inside an event can go on at
+ * another backend server without a partial, missing or repeated event.
+ *
+ * @packageDocumentation
+ */
+
+/** One whole event. */
+export interface StreamEvent {
+    /** Its bytes with the blank line that ends it. */
+    readonly bytes: Buffer;
+    /** Its identifier; undefined when it has none. */
+    readonly id: number | undefined;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_LINE = /(?:^|\n)id:[ ]?(\d+)\r?\n/;
+
+/** Position after the blank line that ends the first event; -1 when the event is not whole. */
+const endOfEvent = (bytes: Buffer, from: number): number => {
+    for (let feed = bytes.indexOf(LINE_FEED, from); feed >= 0; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
+        const next = bytes[feed + 1];
+        if (next === LINE_FEED) {
+            return feed + 2;
+        }
+        if (next === CARRIAGE_RETURN && bytes[feed + 2] === LINE_FEED) {
+            return feed + 3;
+        }
+    }
+    return -1;
+};
+
+/** Splits one stream; the rest of an unfinished event stays inside. */
+export class EventStreamSplitter {
+    private rest: Buffer = Buffer.alloc(0);
+
+    /** Bytes of an event that is not whole yet. */
+    public get pendingBytes(): number {
+        return this.rest.length;
+    }
+
+    /**
+     * Takes the next bytes.
+     *
+     * @param chunk - bytes in the order of the stream
+     * @returns the events that are whole now
+     */
+    public push(chunk: Buffer): StreamEvent[] {
+        const bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+        const events: StreamEvent[] = [];
+        let start = 0;
+        for (let end = endOfEvent(bytes, start); end >= 0; end = endOfEvent(bytes, start)) {
+            const event = bytes.subarray(start, end);
+            const id = ID_LINE.exec(event.toString("latin1"))?.[1];
+            events.push({ bytes: event, id: id === undefined ? undefined : Number(id) });
+            start = end;
+        }
+        this.rest = bytes.subarray(start);
+        return events;
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -0,0 +1,124 @@
+/**
+ * Whether the model servers of a service run requests. They form one group in lock-step: while one of them is missing,
+ * all refuse. A request now and then finds out when they are back; the others are refused at once.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock, EventLog, RandomSource, ServiceName } from "@magnolialock/kernel";
+import { groupDown, groupUp } from "./directEvents.ts";
+
+/** Options of a {@link GroupHealth}. */
+export interface GroupHealthOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Event log of the process. */
+    readonly events: EventLog;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+    /** The service. */
+    readonly service: ServiceName;
+}
+
+/** Time between requests that find out whether the group is back; less sends many requests into refusals. */
+const PROBE_PERIOD_MS = 400;
+/** Time for which a group is usually down: a rank's restart and the forming of the group. */
+const USUAL_OUTAGE_MS = 3_000;
+/** Least time until a refused caller should return; less makes it meet the same outage. */
+const LEAST_RETURN_MS = 900;
+/** Returns are spread over this time after the expected end, so that they do not arrive as a wave. */
+const RETURN_SPREAD_MS = 1_200;
+/** A report of another instance that is older than this is no evidence, in milliseconds. */
+const REPORT_LIFETIME_MS = 1_500;
+
+/** Knows whether one group serves. */
+export class GroupHealth {
+    private readonly options: GroupHealthOptions;
+    private downSinceMs: number | undefined;
+    private lastUpMs = Number.NEGATIVE_INFINITY;
+    private nextProbeMs = 0;
+
+    /** @param options - clock, log and service */
+    public constructor(options: GroupHealthOptions) {
+        this.options = options;
+    }
+
+    /** Whether the group is down as far as known. */
+    public get isDown(): boolean {
+        return this.downSinceMs !== undefined;
+    }
+
+    /** Time since this instance last saw the group serve, in milliseconds. */
+    public get sinceUpMs(): number {
+        return this.options.clock.nowMs() - this.lastUpMs;
+    }
+
+    /**
+     * Tells whether a request may be sent now: always while the group serves, else one at a time.
+     *
+     * @returns false when the request must be refused
+     */
+    public mayTry(): boolean {
+        const { clock, random } = this.options;
+        if (this.downSinceMs === undefined) {
+            return true;
+        }
+        if (clock.nowMs() < this.nextProbeMs) {
+            return false;
+        }
+        this.nextProbeMs = clock.nowMs() + PROBE_PERIOD_MS * (0.75 + random.nextFloat() / 2);
+        return true;
+    }
+
+    /**
+     * Notes that a server refused because another one is missing.
+     *
+     * @param fault - the missing server, as far as it was named
+     */
+    public noteDown(fault: string | undefined): void {
+        const { clock, events, service } = this.options;
+        if (this.downSinceMs === undefined) {
+            this.downSinceMs = clock.nowMs();
+            this.nextProbeMs = clock.nowMs() + PROBE_PERIOD_MS;
+            events.emit(groupDown, { service, fault });
+        }
+    }
+
+    /** Notes that a server began an answer. */
+    public noteUp(): void {
+        const { clock, events, service } = this.options;
+        this.lastUpMs = clock.nowMs();
+        if (this.downSinceMs !== undefined) {
+            events.emit(groupUp, { service, downMs: Math.round(clock.nowMs() - this.downSinceMs) });
+            this.downSinceMs = undefined;
+        }
+    }
+
+    /**
+     * Takes the report of another instance.
+     *
+     * @param sinceUpMs - time since that instance saw the group serve, in milliseconds
+     */
+    public observePeer(sinceUpMs: number): void {
+        const { clock } = this.options;
+        if (this.downSinceMs === undefined || sinceUpMs > REPORT_LIFETIME_MS) {
+            return;
+        }
+        if (clock.nowMs() - sinceUpMs > this.downSinceMs) {
+            this.noteUp();
+        }
+    }
+
+    /**
+     * Estimates when a refused caller should come back.
+     *
+     * @param leftMs - time that the caller still has, in milliseconds
+     * @returns the delay, in milliseconds; at most a third of what the caller has left
+     */
+    public returnAfterMs(leftMs: number): number {
+        const { clock, random } = this.options;
+        const downMs = clock.nowMs() - (this.downSinceMs ?? clock.nowMs());
+        const expectedMs = Math.max(LEAST_RETURN_MS, USUAL_OUTAGE_MS - downMs);
+        return Math.min(expectedMs + random.nextFloat() * RETURN_SPREAD_MS, leftMs / 3);
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -0,0 +1,281 @@
+/**
+ * Instances know each other: each sends a short report to the others several times a second. Nothing depends on a
+ * report for safety; they size shares, spread load and tell who has newer news of the platform.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    type Address,
+    branded,
+    type DatagramSocket,
+    errorMessage,
+    type IncarnationId,
+    MAX_DATAGRAM_BYTES,
+    shuffled,
+    sleep,
+    timeoutSignal,
+} from "@magnolialock/kernel";
+import type { DirectSettings } from "../types/directSettings.ts";
+import type { PublishedState } from "../types/fleetPicture.ts";
+import type { DirectRuntime, ServiceState } from "./directContext.ts";
+import { peerFetchFailed, peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
+import { decodePeerReport, encodePeerReport, type PeerReport } from "./peerMessages.ts";
+import type { PictureStore } from "./pictureStore.ts";
+import type { ServerDirectory } from "./serverDirectory.ts";
+
+/** Options of a {@link PeerExchange}. */
+export interface PeerExchangeOptions {
+    /** Surroundings of the process. */
+    readonly runtime: DirectRuntime;
+    /** Settings of the process. */
+    readonly settings: DirectSettings;
+    /** What is published. */
+    readonly store: PictureStore;
+    /** Backend servers; their load at other instances is kept here. */
+    readonly directory: ServerDirectory;
+    /** What is known of the services. */
+    readonly services: () => ReadonlyMap<string, ServiceState>;
+    /**
+     * Fetches the published state that another instance knows.
+     *
+     * @param peer - address of the instance
+     * @param signal - gives the call up
+     */
+    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<PublishedState>;
+}
+
+/** Time between reports: load that is reported later than this is missed by those who choose servers. */
+const REPORT_PERIOD_MS = 200;
+/** Silence after which an instance counts as gone: a few lost datagrams are no sign of it. */
+const PEER_LIFETIME_MS = 1_500;
+/** Time for which a silent instance still counts for shares: it may be cut off and serve on. */
+const SHARE_LIFETIME_MS = 60_000;
+/** Instances that are assumed before others were heard: one that starts alone may be one of many. */
+const LEAST_FLEET_SIZE = 8;
+/** Instances that each report reaches; beyond it the own data centre and a sample of the others. */
+const MAX_RECEIVERS = 64;
+/** Addresses of members in a report. */
+const MEMBERS_PER_REPORT = 8;
+/** Time for which another instance must be ahead before its state is fetched: the platform usually brings it first. */
+const BEHIND_MS = 400;
+/** Longest fetch of a state; big configurations take a while on slow links. */
+const FETCH_TIMEOUT_MS = 2_000;
+
+interface Peer {
+    report: PeerReport;
+    heardMs: number;
+    isAlive: boolean;
+}
+
+/** Knows the other instances. */
+export class PeerExchange implements Disposable {
+    private readonly options: PeerExchangeOptions;
+    private readonly incarnation: IncarnationId;
+    private readonly peers = new Map<Address, Peer>();
+    private readonly candidates = new Set<Address>();
+    private readonly stopping = new AbortController();
+    private aheadSinceMs: number | undefined;
+    private isFetching = false;
+
+    /** @param options - identity, store and directory */
+    public constructor(options: PeerExchangeOptions) {
+        this.options = options;
+        this.incarnation = branded<IncarnationId>(options.runtime.random.nextFloat().toString(36).slice(2));
+        this.addSeeds(options.settings.seeds);
+    }
+
+    /** Largest number of instances that may be alive, this one included. */
+    public get fleetSize(): number {
+        const sinceMs = this.options.runtime.clock.nowMs() - SHARE_LIFETIME_MS;
+        let count = 1;
+        for (const peer of this.peers.values()) {
+            count += peer.heardMs >= sinceMs ? 1 : 0;
+        }
+        return Math.max(LEAST_FLEET_SIZE, count);
+    }
+
+    /** Instances that were heard just now, without this one. */
+    public get aliveCount(): number {
+        return [...this.peers.values()].filter(({ isAlive }) => isAlive).length;
+    }
+
+    /**
+     * Adds addresses at which instances may be found.
+     *
+     * @param seeds - the addresses
+     */
+    public addSeeds(seeds: readonly Address[]): void {
+        for (const seed of seeds) {
+            if (seed !== this.options.settings.peers && !this.peers.has(seed)) {
+                this.candidates.add(seed);
+            }
+        }
+    }
+
+    /**
+     * Takes a datagram.
+     *
+     * @param from - its sender
+     * @param bytes - its content
+     */
+    public receive(from: Address, bytes: Uint8Array): void {
+        const { clock, events } = this.options.runtime;
+        const report = decodePeerReport(bytes);
+        if (!report) {
+            events.emit(peerUnreadable, { from, bytes: bytes.length });
+            return;
+        }
+        const known = this.peers.get(from);
+        if (!known?.isAlive || known.report.incarnation !== report.incarnation) {
+            const { instance, incarnation, revision } = report;
+            events.emit(peerFound, { peer: instance, incarnation, address: from, revision });
+        }
+        this.peers.set(from, { report, heardMs: clock.nowMs(), isAlive: true });
+        this.addSeeds(report.members);
+        this.candidates.delete(from);
+        const services = this.options.services();
+        for (const [service, sinceUpMs] of report.groupUpMs) {
+            services.get(service)?.group.observePeer(sinceUpMs);
+        }
+    }
+
+    /**
+     * Sends reports until the exchange is disposed.
+     *
+     * @param socket - where to send from
+     */
+    public async run(socket: DatagramSocket): Promise<void> {
+        const { clock, random } = this.options.runtime;
+        const { signal } = this.stopping;
+        while (!signal.aborted) {
+            this.expire();
+            this.spreadLoad();
+            this.send(socket);
+            void this.catchUp();
+            await sleep(clock, REPORT_PERIOD_MS * (0.9 + random.nextFloat() / 5), signal).catch(() => {});
+        }
+    }
+
+    /** Ends the task. */
+    public [Symbol.dispose](): void {
+        this.stopping.abort();
+    }
+
+    private expire(): void {
+        const { clock, events } = this.options.runtime;
+        for (const [address, peer] of this.peers) {
+            const silentMs = clock.nowMs() - peer.heardMs;
+            if (peer.isAlive && silentMs > PEER_LIFETIME_MS) {
+                peer.isAlive = false;
+                events.emit(peerLost, { peer: peer.report.instance, silentMs: Math.round(silentMs) });
+            }
+            if (silentMs > SHARE_LIFETIME_MS) {
+                this.peers.delete(address);
+            }
+        }
+    }
+
+    private spreadLoad(): void {
+        for (const server of this.options.directory.all()) {
+            server.peerRunning = 0;
+        }
+        for (const { isAlive, report } of this.peers.values()) {
+            for (const [id, running] of isAlive ? report.running : []) {
+                const server = this.options.directory.find(branded(id));
+                if (server) {
+                    server.peerRunning += running;
+                }
+            }
+        }
+    }
+
+    private send(socket: DatagramSocket): void {
+        const { clock, random } = this.options.runtime;
+        const { settings, directory, services, store } = this.options;
+        const running = new Map<string, number>();
+        for (const { entry, health } of directory.all()) {
+            if (health.running > 0) {
+                running.set(entry.id, health.running);
+            }
+        }
+        const groupUpMs = new Map<string, number>();
+        for (const [service, { group }] of services()) {
+            if (Number.isFinite(group.sinceUpMs)) {
+                groupUpMs.set(service, Math.round(group.sinceUpMs));
+            }
+        }
+        const known = [...this.peers.keys()];
+        const report: PeerReport = {
+            instance: settings.instance,
+            incarnation: this.incarnation,
+            dataCentre: settings.dataCentre,
+            revision: store.revision,
+            running,
+            groupUpMs,
+            members: shuffled(random, known).slice(0, MEMBERS_PER_REPORT),
+        };
+        let bytes = encodePeerReport(report);
+        if (bytes.length > MAX_DATAGRAM_BYTES) {
+            bytes = encodePeerReport({ ...report, members: [], running: largest(running) });
+        }
+        const receivers = known.length + this.candidates.size <= MAX_RECEIVERS
+            ? known
+            : this.sampleReceivers(clock.nowMs());
+        for (const receiver of [...receivers, ...this.candidates]) {
+            socket.send(receiver, bytes);
+        }
+    }
+
+    /** In a large fleet: all of the own data centre, and a sample of the others so that news and members spread. */
+    private sampleReceivers(nowMs: number): Address[] {
+        const { settings, runtime } = this.options;
+        const near: Address[] = [];
+        const far: Address[] = [];
+        for (const [address, { heardMs, report }] of this.peers) {
+            const isNear = report.dataCentre === settings.dataCentre && nowMs - heardMs < SHARE_LIFETIME_MS;
+            (isNear ? near : far).push(address);
+        }
+        return [...near, ...shuffled(runtime.random, far).slice(0, MEMBERS_PER_REPORT)];
+    }
+
+    /** Fetches the published state of an instance that has been ahead for a while. */
+    private async catchUp(): Promise<void> {
+        const { runtime, store, fetchState } = this.options;
+        const { clock, events } = runtime;
+        const ahead = [...this.peers].filter(([, { isAlive, report }]) =>
+            isAlive && report.revision > store.revision
+        );
+        if (ahead.length === 0) {
+            this.aheadSinceMs = undefined;
+            return;
+        }
+        this.aheadSinceMs ??= clock.nowMs();
+        const isPatient = clock.nowMs() - this.aheadSinceMs < BEHIND_MS && store.revision > 0;
+        if (isPatient || this.isFetching) {
+            return;
+        }
+        const [best] = shuffled(runtime.random, ahead);
+        if (!best) {
+            return;
+        }
+        using timeout = timeoutSignal(clock, FETCH_TIMEOUT_MS, this.stopping.signal);
+        this.isFetching = true;
+        try {
+            store.replace(await fetchState(best[0], timeout.signal), "peer");
+            this.aheadSinceMs = undefined;
+        }
+        catch (error) {
+            events.emit(peerFetchFailed, { peer: best[1].report.instance, error: errorMessage(error) });
+        }
+        finally {
+            this.isFetching = false;
+        }
+    }
+}
+
+/** Servers with the most requests, as many as surely fit into one datagram. */
+const largest = (running: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
+    const maxEntries = 20;
+    return new Map([...running].sort(([, left], [, right]) => right - left).slice(0, maxEntries));
+};
--- /dev/null
+++ b/packages/direct/src/shared/routeTable.ts
@@ -0,0 +1,77 @@
+/**
+ * Finds the route of a request: the longest prefix of the request's host that begins its path.
+ *
+ * @packageDocumentation
+ */
+
+import type { RandomSource, ServiceName } from "@magnolialock/kernel";
+import type { RouteRule } from "../types/fleetPicture.ts";
+
+/** Routes of one configuration, by host and prefix. */
+export class RouteTable {
+    private readonly hosts = new Map<string, Map<string, RouteRule>>();
+
+    /** @param routes - all routes; of two with the same host and prefix the later one counts */
+    public constructor(routes: readonly RouteRule[]) {
+        for (const route of routes) {
+            const prefixes = this.hosts.get(route.host) ?? new Map<string, RouteRule>();
+            prefixes.set(route.prefix, route);
+            this.hosts.set(route.host, prefixes);
+        }
+    }
+
+    /**
+     * Finds a route.
+     *
+     * @param host - text of the `Host` header
+     * @param path - path with query
+     * @returns the route, or undefined
+     */
+    public find(host: string, path: string): RouteRule | undefined {
+        const prefixes = this.hosts.get(hostName(host));
+        if (!prefixes) {
+            return undefined;
+        }
+        const queryStart = path.indexOf("?");
+        const pathEnd = queryStart < 0 ? path.length : queryStart;
+        for (
+            let slash = path.lastIndexOf("/", pathEnd - 1);
+            slash >= 0;
+            slash = path.lastIndexOf("/", slash - 1)
+        ) {
+            const route = prefixes.get(path.slice(0, slash + 1));
+            if (route) {
+                return route;
+            }
+            if (slash === 0) {
+                return undefined;
+            }
+        }
+        return undefined;
+    }
+}
+
+const hostName = (host: string): string => {
+    const colon = host.lastIndexOf(":");
+    return (colon > 0 ? host.slice(0, colon) : host).toLowerCase();
+};
+
+/**
+ * Draws the service of a request by the weights of its route.
+ *
+ * @param route - the route
+ * @param random - source of random numbers
+ * @returns the service; undefined when no target has a weight
+ */
+export const drawService = (route: RouteRule, random: RandomSource): ServiceName | undefined => {
+    const targets = route.targets.filter(target => target.weight > 0);
+    const totalWeight = targets.reduce((sum, target) => sum + target.weight, 0);
+    let rest = random.nextFloat() * totalWeight;
+    for (const target of targets) {
+        rest -= target.weight;
+        if (rest < 0) {
+            return target.service;
+        }
+    }
+    return targets.at(-1)?.service;
+};
--- /dev/null
+++ b/packages/direct/src/shared/serveCall.ts
@@ -0,0 +1,90 @@
+/**
+ * Serves one call: finds its route and account, sends it to backend servers, and answers the caller.
+ *
+ * @packageDocumentation
+ */
+
+import type { AdmittedCall } from "../types/admittedCall.ts";
+import type { CallerReply, IncomingCall } from "../types/call.ts";
+import { sendRefusal } from "./callReplies.ts";
+import { CallTask } from "./callTask.ts";
+import type { DirectContext } from "./directContext.ts";
+import { callRefused } from "./directEvents.ts";
+import type { ActiveConfiguration } from "./pictureStore.ts";
+import { drawService } from "./routeTable.ts";
+
+type Admission =
+    | { readonly kind: "admitted"; readonly call: AdmittedCall; }
+    | { readonly kind: "refused"; readonly status: number; readonly reason: string; };
+
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_LARGE = 413;
+const HTTP_UNAVAILABLE = 503;
+/** Time until an instance that has just started knows the configuration. */
+const START_RETURN_MS = 500;
+
+const admit = (
+    { configuration, routes, services }: ActiveConfiguration,
+    context: DirectContext,
+    call: IncomingCall,
+): Admission => {
+    const route = routes.find(call.headers["host"] ?? "", call.path);
+    if (!route) {
+        return { kind: "refused", status: HTTP_NOT_FOUND, reason: "no route matches host and path" };
+    }
+    const key = call.headers[context.options.headers.apiKey];
+    const account = key === undefined ? undefined : configuration.accountsByKey?.get(key);
+    if (configuration.accountsByKey && !account && !route.isPublic) {
+        return { kind: "refused", status: HTTP_UNAUTHORIZED, reason: "the API key is missing or unknown" };
+    }
+    if (call.body.length > configuration.limits.bodyBytes) {
+        return { kind: "refused", status: HTTP_TOO_LARGE, reason: "the body is larger than the limit" };
+    }
+    const service = drawService(route, context.options.runtime.random);
+    if (service === undefined) {
+        return { kind: "refused", status: HTTP_UNAVAILABLE, reason: "the route has no service" };
+    }
+    const { version } = configuration;
+    return {
+        kind: "admitted",
+        call: { route, account, service, spec: services.get(service), version },
+    };
+};
+
+/**
+ * Serves one call. Never throws.
+ *
+ * @param context - the entry
+ * @param call - the request
+ * @param reply - the way back
+ */
+export const serveCall = async (
+    context: DirectContext,
+    call: IncomingCall,
+    reply: CallerReply,
+): Promise<void> => {
+    const { headers, metrics, runtime, store } = context.options;
+    const active = store.configuration;
+    const admission: Admission = active
+        ? admit(active, context, call)
+        : { kind: "refused", status: HTTP_UNAVAILABLE, reason: "no configuration is known yet" };
+    if (admission.kind === "admitted") {
+        await new CallTask(context, call, reply, admission.call).run();
+        return;
+    }
+    const { reason, status } = admission;
+    sendRefusal(reply, {
+        status,
+        reason,
+        retryAfterMs: status === HTTP_UNAVAILABLE ? START_RETURN_MS : undefined,
+    });
+    metrics.countCall("refused", "", status, runtime.clock.nowMs() - call.receivedMs);
+    runtime.events.emit(callRefused, {
+        requestId: call.headers[headers.requestId],
+        status,
+        reason,
+        version: active?.configuration.version,
+        revision: store.revision,
+    });
+};
--- a/packages/entry/src/shared/retryBudget.ts
+++ b/packages/entry/src/shared/retryBudget.ts
@@ -29,8 +29,8 @@
 export class RetryBudget {
     private readonly clock: Clock;
     private readonly retriesPerSuccess: number;
-    private readonly retriesPerS: number;
-    private readonly capacity: number;
+    private retriesPerS: number;
+    private capacity: number;
     private balanceParts: number;
     private countedMs: number;
 
@@ -44,6 +44,18 @@
         this.countedMs = this.clock.nowMs();
     }
 
+    /**
+     * Changes the share of the budget that does not come from successes, as the number of instances changes.
+     *
+     * @param share - retries a second that are always possible, and most that can be saved up
+     */
+    public resize(share: { readonly retriesPerS: number; readonly capacity: number; }): void {
+        this.addForTime();
+        this.retriesPerS = share.retriesPerS;
+        this.capacity = share.capacity;
+        this.balanceParts = Math.min(this.balanceParts, this.capacity * PARTS);
+    }
+
     /** Notes a request that was answered. */
     public noteSuccess(): void {
         this.add(this.retriesPerSuccess);
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 
 export * from "./node/address.ts";
 export * from "./node/commandLine.ts";
+export * from "./node/datagramSocket.ts";
 export * from "./node/debugSink.ts";
 export * from "./node/processRuntime.ts";
 export * from "./node/settings.ts";
--- /dev/null
+++ b/packages/kernel/src/node/jsonLogSink.ts
@@ -0,0 +1,106 @@
+/**
+ * Structured logs: one JSON line for each event on standard output. Writing never blocks; what a slow reader does not
+ * take is dropped and counted.
+ *
+ * @packageDocumentation
+ */
+
+import pino from "pino";
+import type { Clock } from "../shared/clock.ts";
+import type { EventLevel, EventRecord, EventSink } from "../shared/events.ts";
+
+/** Options of {@link createJsonLogSink}. */
+export interface JsonLogSinkOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** File descriptor; standard output by default. */
+    readonly fileDescriptor?: number;
+    /** Lines of level `debug` a second; more are left out and counted. */
+    readonly debugLinesPerS?: number;
+}
+
+/** Bytes that may wait for a slow reader; more would count against the memory of a small instance. */
+const MAX_WAITING_BYTES = 1024 * 1024;
+/** Lines are written together once this many bytes wait, in bytes: a system call a line costs more than the line. */
+const WRITE_BYTES = 4_096;
+/** Longest time that a line waits for others, in milliseconds. */
+const FLUSH_PERIOD_MS = 250;
+/** Successes beyond this say nothing new, and all of them would cost more than the requests. */
+const DEFAULT_DEBUG_LINES_PER_S = 20;
+const WINDOW_MS = 1_000;
+const STANDARD_OUTPUT = 1;
+
+const PINO_LEVELS: Readonly<Record<EventLevel, "debug" | "info" | "warn" | "error">> = {
+    debug: "debug",
+    info: "info",
+    warning: "warn",
+    error: "error",
+};
+
+/**
+ * Creates the sink.
+ *
+ * @param options - clock, descriptor and volume
+ * @returns the sink; `close` writes what waits
+ */
+export const createJsonLogSink = (options: JsonLogSinkOptions): EventSink & { close(): void; } => {
+    const { clock } = options;
+    const debugLinesPerS = options.debugLinesPerS ?? DEFAULT_DEBUG_LINES_PER_S;
+    const destination = pino.destination({
+        fd: options.fileDescriptor ?? STANDARD_OUTPUT,
+        sync: false,
+        minLength: WRITE_BYTES,
+        maxLength: MAX_WAITING_BYTES,
+        periodicFlush: FLUSH_PERIOD_MS,
+    });
+    const logger = pino({ base: undefined, level: "debug" }, destination);
+    let droppedLines = 0;
+    let sampledOutLines = 0;
+    let windowStartMs = clock.nowMs();
+    let debugLines = 0;
+    destination.on("drop", () => droppedLines++);
+    // A reader that went away must not end the process.
+    destination.on("error", () => droppedLines++);
+
+    const isLeftOut = (level: EventLevel): boolean => {
+        if (clock.nowMs() - windowStartMs >= WINDOW_MS) {
+            windowStartMs = clock.nowMs();
+            debugLines = 0;
+            if (sampledOutLines > 0 || droppedLines > 0) {
+                logger.info({ event: 1100, name: "log.lines.left-out", sampledOutLines, droppedLines });
+                sampledOutLines = 0;
+                droppedLines = 0;
+            }
+        }
+        if (level === "debug" && ++debugLines > debugLinesPerS) {
+            sampledOutLines++;
+            return true;
+        }
+        return false;
+    };
+
+    return {
+        name: "json",
+        write: (record: EventRecord) => {
+            const { definition, fields, instance, time } = record;
+            if (!isLeftOut(definition.level)) {
+                logger[PINO_LEVELS[definition.level]]({
+                    event: definition.number,
+                    name: definition.name,
+                    instance,
+                    counter: time.counter,
+                    ...fields,
+                });
+            }
+        },
+        close: () => {
+            try {
+                destination.flushSync();
+            }
+            catch {
+                // The reader is gone or full; nobody is left to tell.
+                droppedLines++;
+            }
+        },
+    };
+};
--- a/packages/kernel/src/node/tcpNetwork.ts
+++ b/packages/kernel/src/node/tcpNetwork.ts
@@ -6,15 +6,14 @@
 
 import type { Interceptor, Transport } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { createSocket } from "node:dgram";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import { connect, isIPv6, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Address } from "../shared/brand.ts";
-import { branded } from "../shared/brand.ts";
 import type { HybridClock } from "../shared/hybridClock.ts";
 import { createClientStamper, createServerStamper } from "../shared/hybridStamp.ts";
-import type { DatagramSocket, Network, ServiceBinding } from "../shared/network.ts";
+import type { Network, ServiceBinding } from "../shared/network.ts";
 import { splitAddress } from "./address.ts";
+import { openDatagramSocket } from "./datagramSocket.ts";
 import { createSystemClock } from "./systemClock.ts";
 
 /** Largest message that a peer may send, in bytes. */
@@ -91,30 +90,6 @@
     return { [Symbol.asyncDispose]: () => closeServer(server, sessions) };
 };
 
-const openSocket = (
-    address: Address,
-    onDatagram: (from: Address, bytes: Uint8Array) => void,
-): Promise<DatagramSocket> =>
-    new Promise((resolve, reject) => {
-        const { host, port } = splitAddress(address);
-        const socket = createSocket(isIPv6(host) ? "udp6" : "udp4");
-        socket.on("message", (bytes, from) =>
-            onDatagram(branded<Address>(`${from.address}:${from.port}`), bytes));
-        socket.once("error", reject);
-        socket.bind(port, host, () => {
-            socket.off("error", reject);
-            socket.on("error", () => {});
-            resolve({
-                send: (to, bytes) => {
-                    const target = splitAddress(to);
-                    socket.send(bytes, target.port, target.host, () => {});
-                },
-                [Symbol.asyncDispose]: () =>
-                    new Promise(closed => socket.close(() => closed())),
-            });
-        });
-    });
-
 /** Options of {@link createTcpNetwork}. */
 export interface TcpNetworkOptions {
     /** Clock whose time messages carry; without it they carry none. */
@@ -161,7 +136,7 @@
         transportTo: address => peers.get(address)?.transport ?? openPeer(address),
         listen: (address, bindings) =>
             serveBindings(address, bindings, hybridClock ? [createServerStamper(hybridClock)] : []),
-        openDatagramSocket: openSocket,
+        openDatagramSocket,
         [Symbol.asyncDispose]: async () => {
             for (const { sessions } of peers.values()) {
                 sessions.abort();
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,19 +1,31 @@
 /**
- * Bundles each program into one file below `dist/`.
+ * Bundles each program into one file below `dist/`, or with `--out DIR --only NAME` one program elsewhere.
  */
 
 import { build } from "esbuild";
 import { chmod } from "node:fs/promises";
+import yargs from "yargs";
 
 const programs = {
     "magnolialock-entry": "packages/entry/src/node/entryMain.ts",
     "magnolialock-agent": "packages/agent/src/node/agentMain.ts",
     magnolialock: "packages/cli/src/node/cliMain.ts",
     "magnolialock-lab": "packages/lab/src/node/labMain.ts",
+    "magnolialock-platform-entry": "platform/src/platformEntryMain.ts",
 };
 
-for (const [name, entryPoint] of Object.entries(programs)) {
-    const outfile = `dist/${name}.js`;
+const { out, only } = await yargs(process.argv.slice(2))
+    .option("out", { type: "string", default: "dist", description: "Folder of the bundles" })
+    .option("only", { type: "string", description: "Name of the only program to build" })
+    .strict()
+    .parse();
+
+for (
+    const [name, entryPoint] of Object.entries(programs).filter(([name]) =>
+        only === undefined || name === only
+    )
+) {
+    const outfile = `${out}/${name}.js`;
     await build({
         entryPoints: [entryPoint],
         outfile,
