feat(rank): balance the expert maps of a group by agents beside its ranks

Cause: with map 0 the fullest rank carries 3.3 times the mean, so a pass lasts three times as long and streams are late. Change: package rank. One agent a rank is the only giver of its orders; a leader holds the first pass of a new map at its own rank, has all ranks armed, and releases it only when all have confirmed or none is armed. platform/ translates orders. Ruled out: reading counts and giving orders from the entries (2.1 units for 1,000 counts, 0.08 an order; free on the own machine); the switch of package maps, whose engines wait for a release at every rank.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -7,10 +7,12 @@
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
 import {
     type Address,
+    branded,
     errorMessage,
     openDatagramSocket,
     PauseDetector,
     ResourceScope,
+    type ServiceName,
     sleep,
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
@@ -30,7 +32,12 @@
 import { ServerDirectory } from "../shared/serverDirectory.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings } from "../types/directSettings.ts";
-import type { PublishedSource, PublishedState } from "../types/fleetPicture.ts";
+import {
+    type PublishedSource,
+    type PublishedState,
+    SERVICE_VIEW_PATH,
+    type ServiceView,
+} from "../types/fleetPicture.ts";
 import { type CallerFront, openCallerFront } from "./callerFront.ts";
 import { createPromMetrics, type PromMetrics } from "./promMetrics.ts";
 import { ServerConnections } from "./serverConnections.ts";
@@ -63,6 +70,8 @@
     stop(): Promise<void>;
 }
 
+/** Path of a service's servers for their rank agents, with the name of the service. */
+const SERVICE_PATH = `${SERVICE_VIEW_PATH}:service`;
 /** Path of the published state for other instances. */
 const STATE_PATH = "/state";
 const METRICS_PATH = "/metrics";
@@ -135,6 +144,14 @@
     readonly metrics: PromMetrics;
 }
 
+const viewService = (store: PictureStore, name: string): ServiceView => {
+    const servers = [...store.servers().values()]
+        .filter(({ service }) => service === name)
+        .map(({ address, id }) => ({ id, address }));
+    const spec = store.configuration?.services.get(branded<ServiceName>(name));
+    return { servers, experts: spec?.engine?.experts };
+};
+
 /** Serves readiness, the published state for other instances, and metrics. */
 const listenForOperators = async (view: OperatorsView, scope: ResourceScope): Promise<void> => {
     const { isReady, metrics, readinessPath, settings, store } = view;
@@ -143,7 +160,9 @@
         answer => answer.body("", isReady() ? HTTP_OK : HTTP_UNAVAILABLE),
     );
     scope.use(await listenHttp({ app: readiness, address: settings.readiness, protocol: "http1" }));
-    const state = new Hono().get(STATE_PATH, answer => answer.json(store.export()));
+    const state = new Hono()
+        .get(STATE_PATH, answer => answer.json(store.export()))
+        .get(SERVICE_PATH, answer => answer.json(viewService(store, answer.req.param("service") ?? "")));
     scope.use(await listenHttp({ app: state, address: settings.peers, protocol: "http1" }));
     if (settings.metrics) {
         const app = new Hono().get(
--- a/packages/direct/src/types/fleetPicture.ts
+++ b/packages/direct/src/types/fleetPicture.ts
@@ -53,6 +53,20 @@
     readonly targets: readonly RouteTarget[];
 }
 
+/** Bounds of expert maps in the groups of a service, as the operator publishes them. */
+export interface ExpertSpec {
+    /** Sets of layers that share one placement. */
+    readonly sets: number;
+    /** Experts in each set. */
+    readonly experts: number;
+    /** Experts that a rank holds in each set. */
+    readonly placesPerRank: number;
+    /** Experts that one preparation may copy to a rank, in each set. */
+    readonly newPerPreparation: number;
+    /** Time that a rank takes to copy one expert, in milliseconds. */
+    readonly copyMs: number;
+}
+
 /** Step times of a model engine, as the operator publishes them. */
 export interface EngineSpec {
     /** Requests that run at once. */
@@ -71,6 +85,8 @@
     readonly usualPromptTokens: number;
     /** Mean number of tokens of an answer. */
     readonly usualAnswerTokens: number;
+    /** Bounds of expert maps; undefined where the servers form no groups. */
+    readonly experts: ExpertSpec | undefined;
 }
 
 /** A service of the configuration. */
@@ -85,6 +101,17 @@
     readonly engine: EngineSpec | undefined;
 }
 
+/** What an entry tells the rank agents of a service. */
+export interface ServiceView {
+    /** Backend servers of the service. */
+    readonly servers: readonly Pick<ServerEntry, "id" | "address">[];
+    /** Bounds of expert maps; undefined where the servers form no groups. */
+    readonly experts: ExpertSpec | undefined;
+}
+
+/** Path at which an entry answers with a {@link ServiceView}; the name of the service follows. */
+export const SERVICE_VIEW_PATH = "/services/";
+
 /** Whom an API key belongs to. */
 export interface AccountSpec {
     /** The client account. */
--- /dev/null
+++ b/packages/rank/src/node/rankAgent.ts
@@ -0,0 +1,88 @@
+/**
+ * The agent of one rank: gives the orders to its server and takes part in the changes of its group's map.
+ *
+ * @packageDocumentation
+ */
+
+import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
+import { branded, errorMessage, type IncarnationId, ResourceScope, type Runtime } from "@magnolialock/kernel";
+import { Hono } from "hono";
+import { GroupLeader } from "../shared/groupLeader.ts";
+import { rankStarted, rankStopped } from "../shared/rankEvents.ts";
+import { RankMember } from "../shared/rankMember.ts";
+import type { RoundCall } from "../types/rankMessages.ts";
+import type { RankServer } from "../types/rankServer.ts";
+import type { RankSettings } from "../types/rankSettings.ts";
+import { CALL_PATH, RankPeers, STATUS_PATH } from "./rankPeers.ts";
+
+/** Options of {@link startRankAgent}. */
+export interface RankAgentOptions {
+    /** Surroundings of the process. */
+    readonly runtime: Pick<Runtime, "clock" | "random" | "events">;
+    /** Settings of the agent. */
+    readonly settings: RankSettings;
+    /** The rank's server. */
+    readonly server: RankServer;
+}
+
+const HTTP_UNAVAILABLE = 503;
+
+/** Answers the other agents of the group. */
+const createApp = (member: RankMember, leader: GroupLeader): Hono => {
+    const app = new Hono();
+    app.get(STATUS_PATH, async context => {
+        const status = await member.status();
+        const asking = Number(context.req.query("rank"));
+        if (status.report.group && Number.isInteger(asking)) {
+            leader.noteAsked(asking, status.report.group.rank);
+        }
+        return context.json(status);
+    });
+    app.post(
+        CALL_PATH,
+        async context => context.json(await member.take(await context.req.json<RoundCall>())),
+    );
+    app.onError((error, context) => context.json({ error: errorMessage(error) }, HTTP_UNAVAILABLE));
+    return app;
+};
+
+/**
+ * Starts an agent.
+ *
+ * @param options - surroundings, settings and server
+ * @returns disposing it ends the agent after the round under way
+ * @throws when the address cannot be bound
+ */
+export const startRankAgent = async (options: RankAgentOptions): Promise<AsyncDisposable> => {
+    const { runtime, server, settings } = options;
+    const { clock, events, random } = runtime;
+    const scope = new ResourceScope();
+    const peers = scope.use(new RankPeers({ clock, events, random, settings }));
+    const member = new RankMember({
+        clock,
+        events,
+        server,
+        serverId: () => peers.ownServer,
+        incarnation: branded<IncarnationId>(random.nextFloat().toString(36).slice(2)),
+    });
+    const leader = new GroupLeader({
+        clock,
+        events,
+        member,
+        peersOf: group => peers.ofGroup(group),
+        spec: () => peers.view?.experts,
+    });
+    scope.use(
+        await listenHttp({ app: createApp(member, leader), address: settings.listen, protocol: "http1" }),
+    );
+    scope.use(leader);
+    void peers.run();
+    leader.start();
+    events.emit(rankStarted, { service: settings.service, server: settings.server });
+    return {
+        [Symbol.asyncDispose]: async () => {
+            await scope[Symbol.asyncDispose]();
+            events.emit(rankStopped);
+        },
+    };
+};
--- /dev/null
+++ b/packages/rank/src/node/rankPeers.ts
@@ -0,0 +1,203 @@
+/**
+ * The agents of the other ranks: found through the entries' list of servers, asked over HTTP.
+ *
+ * @packageDocumentation
+ */
+
+import { SERVICE_VIEW_PATH, type ServiceView } from "@magnolialock/direct/src/types/fleetPicture.ts";
+import {
+    type Address,
+    type BackendServerId,
+    branded,
+    type Clock,
+    errorMessage,
+    type EventLog,
+    ProtocolError,
+    shuffled,
+    sleep,
+    splitAddress,
+    timeoutSignal,
+} from "@magnolialock/kernel";
+import type { RandomSource } from "@magnolialock/kernel";
+import { request } from "undici";
+import { rankListFailed } from "../shared/rankEvents.ts";
+import type { RankPeer } from "../shared/switchRound.ts";
+import type { RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
+import type { GroupMembership } from "../types/rankServer.ts";
+import type { RankSettings } from "../types/rankSettings.ts";
+
+/** Options of {@link RankPeers}. */
+export interface RankPeersOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Event log of the process. */
+    readonly events: EventLog;
+    /** Source of random numbers. */
+    readonly random: RandomSource;
+    /** Settings of the agent. */
+    readonly settings: RankSettings;
+}
+
+/** Path of an agent's state; the query names the asking rank. */
+export const STATUS_PATH = "/rank/status";
+/** Path of the calls of a round. */
+export const CALL_PATH = "/rank/call";
+/** Time between reads of the list; a server that starts again is found within it. */
+const LIST_PERIOD_MS = 2_000;
+const LIST_TIMEOUT_MS = 1_000;
+/** Time between reads of the list while none succeeded. */
+const LIST_RETRY_MS = 200;
+/** Longest wait for a state: an agent that takes longer is busy or gone, and the others wait. */
+const STATUS_TIMEOUT_MS = 500;
+/** Longest wait for a call of a round; the rank's orders may each need a second try. */
+const CALL_TIMEOUT_MS = 800;
+/** Time after which an agent that did not answer is asked again which group it is in. */
+const UNKNOWN_RETRY_MS = 500;
+
+interface KnownAgent {
+    readonly address: Address;
+    group?: GroupMembership | undefined;
+    askedMs: number;
+}
+
+/** Knows the agents of the other ranks. */
+export class RankPeers implements Disposable {
+    private readonly options: RankPeersOptions;
+    private readonly agents = new Map<Address, KnownAgent>();
+    private readonly stopping = new AbortController();
+    private current: ServiceView | undefined;
+
+    /** @param options - settings and surroundings */
+    public constructor(options: RankPeersOptions) {
+        this.options = options;
+    }
+
+    /** What the entries told last. */
+    public get view(): ServiceView | undefined {
+        return this.current;
+    }
+
+    /** Identifier of the own server. */
+    public get ownServer(): BackendServerId | undefined {
+        return this.current?.servers.find(({ address }) => address === this.options.settings.server)?.id;
+    }
+
+    /** Reads the list until the peers are disposed. */
+    public async run(): Promise<void> {
+        const { clock, events } = this.options;
+        const { signal } = this.stopping;
+        let isFailing = false;
+        while (!signal.aborted) {
+            try {
+                this.current = await this.readList();
+                isFailing = false;
+            }
+            catch (error) {
+                if (!isFailing) {
+                    events.emit(rankListFailed, { error: errorMessage(error) });
+                }
+                isFailing = true;
+            }
+            await sleep(clock, isFailing ? LIST_RETRY_MS : LIST_PERIOD_MS, signal).catch(() => {});
+        }
+    }
+
+    /**
+     * Lists the agents of the other ranks of a group.
+     *
+     * @param group - the own rank's group
+     */
+    public async ofGroup(group: GroupMembership): Promise<RankPeer[]> {
+        const { clock, settings } = this.options;
+        const { port } = splitAddress(settings.listen);
+        const addresses = new Set(
+            (this.current?.servers ?? [])
+                .filter(({ address }) => address !== settings.server)
+                .map(({ address }) => branded<Address>(`${splitAddress(address).host}:${port}`)),
+        );
+        for (const address of this.agents.keys()) {
+            if (!addresses.has(address)) {
+                this.agents.delete(address);
+            }
+        }
+        const unknown: KnownAgent[] = [];
+        for (const address of addresses) {
+            const agent = this.agents.get(address) ?? { address, askedMs: Number.NEGATIVE_INFINITY };
+            this.agents.set(address, agent);
+            const isCurrent = agent.group?.epoch === group.epoch && agent.group.name === group.name;
+            if (!isCurrent && clock.nowMs() - agent.askedMs >= UNKNOWN_RETRY_MS) {
+                unknown.push(agent);
+            }
+        }
+        await Promise.all(unknown.map(agent => this.askGroup(agent, group.rank)));
+        return [...this.agents.values()].flatMap(({ address, group: theirs }) =>
+            theirs?.name === group.name && theirs.epoch === group.epoch
+                ? [this.peer(address, theirs.rank, group.rank)]
+                : []
+        );
+    }
+
+    /** Ends the task. */
+    public [Symbol.dispose](): void {
+        this.stopping.abort();
+    }
+
+    /** An agent that does not answer stays unknown; the leader then sees that a rank is missing. */
+    private async askGroup(agent: KnownAgent, ownRank: number): Promise<void> {
+        agent.askedMs = this.options.clock.nowMs();
+        const [answer] = await Promise.allSettled([this.status(agent.address, ownRank)]);
+        agent.group = answer.status === "fulfilled" ? answer.value.report.group : undefined;
+    }
+
+    private peer(address: Address, rank: number, ownRank: number): RankPeer {
+        return {
+            rank,
+            status: () => this.status(address, ownRank),
+            send: call => this.send(address, call),
+        };
+    }
+
+    private status(address: Address, ownRank: number): Promise<RankStatus> {
+        return this.call(`http://${address}${STATUS_PATH}?rank=${ownRank}`, undefined, STATUS_TIMEOUT_MS);
+    }
+
+    private send(address: Address, call: RoundCall): Promise<RoundReply> {
+        return this.call(`http://${address}${CALL_PATH}`, call, CALL_TIMEOUT_MS);
+    }
+
+    private async readList(): Promise<ServiceView> {
+        const { random, settings } = this.options;
+        let last: unknown = new ProtocolError("no entries are known");
+        for (const entry of shuffled(random, settings.entries)) {
+            try {
+                const url = `http://${entry}${SERVICE_VIEW_PATH}${encodeURIComponent(settings.service)}`;
+                const view = await this.call<ServiceView>(url, undefined, LIST_TIMEOUT_MS);
+                if (view.servers.length > 0) {
+                    return view;
+                }
+                last = new ProtocolError(`entry ${entry} knows no servers yet`);
+            }
+            catch (error) {
+                last = error;
+            }
+        }
+        throw last;
+    }
+
+    private async call<T>(url: string, message: RoundCall | undefined, timeoutMs: number): Promise<T> {
+        using timeout = timeoutSignal(this.options.clock, timeoutMs);
+        const response = await request(url, {
+            signal: timeout.signal,
+            ...message && {
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(message),
+            },
+        });
+        const body = await response.body.json();
+        if (response.statusCode !== 200) {
+            throw new ProtocolError(`${url} answered with status ${response.statusCode}`);
+        }
+        return body as T;
+    }
+}
--- /dev/null
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -0,0 +1,270 @@
+/**
+ * Task of a rank agent: watches its own rank, and leads the changes of map while no agent of a lower rank does.
+ *
+ * @packageDocumentation
+ */
+
+import type { ExpertSpec } from "@magnolialock/direct/src/types/fleetPicture.ts";
+import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
+import type { Ballot, RankStatus } from "../types/rankMessages.ts";
+import type { ExpertPlacement, GroupMembership } from "../types/rankServer.ts";
+import { compareBallots, nextVersion } from "./ballots.ts";
+import { ExpertDemand } from "./expertDemand.ts";
+import { improvePlacement } from "./improvePlacement.ts";
+import {
+    groupFormed,
+    holdFound,
+    leaderBegan,
+    leaderEnded,
+    mapPlanned,
+    rankServerFound,
+    rankServerLost,
+    roundAborted,
+} from "./rankEvents.ts";
+import type { RankMember } from "./rankMember.ts";
+import { disarmAndRelease, type RankPeer, runSwitchRound } from "./switchRound.ts";
+
+/** Options of a {@link GroupLeader}. */
+export interface GroupLeaderOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Event log of the process. */
+    readonly events: EventLog;
+    /** The own rank. */
+    readonly member: RankMember;
+    /**
+     * Agents of the group's other ranks, as far as they are known.
+     *
+     * @param group - the group
+     */
+    readonly peersOf: (group: GroupMembership) => Promise<readonly RankPeer[]>;
+    /** Bounds of maps; undefined while they are not known. */
+    readonly spec: () => ExpertSpec | undefined;
+}
+
+/** Time between looks at the group; popularity shifts within a second. */
+const PERIOD_MS = 150;
+/** Silence of the agents of lower ranks after which the next one leads. */
+const TAKE_OVER_MS = 700;
+/** Additional silence for each rank, so that the agents do not all begin to lead. */
+const TAKE_OVER_PER_RANK_MS = 200;
+/** Skew that is left alone: below it streams are in time, and copies would follow chance. */
+const LEAST_SKEW = 1.2;
+/** Skew that a plan must save at least. */
+const LEAST_SAVING = 0.08;
+/** Skew that a plan must save for each copy, since copies have a price and slow passes down. */
+const SAVING_PER_COPY = 0.004;
+/** Copies of one plan on one rank: they are copied one after the other, and the plan must still be right afterwards. */
+const MAX_COPIES_PER_RANK = 3;
+/** Excess of the fullest rank that a plan leaves alone. */
+const TOLERANCE = 0.06;
+/** Factor and constant by which copies may take longer than the link needs, before the round is given up. */
+const COPY_TIME_FACTOR = 3;
+const COPY_TIME_SLACK_MS = 1_500;
+
+/** Watches one rank and leads its group when it is its turn. */
+export class GroupLeader implements AsyncDisposable {
+    private readonly options: GroupLeaderOptions;
+    private readonly stopping = new AbortController();
+    private running: Promise<void> | undefined;
+    private lowerRankAskedMs: number;
+    private isLost = false;
+    private isLeading = false;
+    private epoch: number | undefined;
+    private demand: ExpertDemand | undefined;
+
+    /** @param options - the rank and its group */
+    public constructor(options: GroupLeaderOptions) {
+        this.options = options;
+        this.lowerRankAskedMs = options.clock.nowMs();
+    }
+
+    /** Starts the task. */
+    public start(): void {
+        this.running = this.run();
+    }
+
+    /**
+     * Notes that the agent of another rank asked for the state.
+     *
+     * @param rank - rank of the asking agent
+     * @param ownRank - rank of this agent
+     */
+    public noteAsked(rank: number, ownRank: number): void {
+        if (rank < ownRank) {
+            this.lowerRankAskedMs = this.options.clock.nowMs();
+        }
+    }
+
+    /** Ends the task after the round under way. */
+    public async [Symbol.asyncDispose](): Promise<void> {
+        this.stopping.abort();
+        await this.running;
+    }
+
+    private async run(): Promise<void> {
+        const { clock, events } = this.options;
+        while (!this.stopping.signal.aborted) {
+            try {
+                await this.step();
+                if (this.isLost) {
+                    this.isLost = false;
+                    events.emit(rankServerFound);
+                }
+            }
+            catch (error) {
+                if (!this.isLost) {
+                    this.isLost = true;
+                    events.emit(rankServerLost, { error: errorMessage(error) });
+                }
+            }
+            await sleep(clock, PERIOD_MS, this.stopping.signal).catch(() => {});
+        }
+    }
+
+    private async step(): Promise<void> {
+        const { clock, events, member, peersOf, spec } = this.options;
+        const own = await member.status();
+        const { group, heldPass } = own.report;
+        if (!group?.isOpen) {
+            return;
+        }
+        if (group.epoch !== this.epoch) {
+            this.epoch = group.epoch;
+            this.demand = undefined;
+            events.emit(groupFormed, { group: group.name, epoch: group.epoch, rank: group.rank });
+        }
+        if (heldPass !== undefined) {
+            events.emit(holdFound, { epoch: group.epoch, pass: heldPass });
+            const peers = await this.allPeers(group);
+            const ballot = this.nextBallot([own], group);
+            const options = { clock, events, member, peers, epoch: group.epoch, ballot };
+            await disarmAndRelease(options, heldPass, "the round belongs to an earlier life of the agent");
+            return;
+        }
+        const limits = spec();
+        if (!this.mayLead(group.rank) || !limits) {
+            return;
+        }
+        const peers = await peersOf(group);
+        const statuses = await this.readAll(own, peers);
+        this.demand ??= new ExpertDemand(limits, group.size);
+        this.demand.add(statuses, clock.nowMs());
+        await this.plan(own, [this.ownPeer(group), ...peers], statuses, limits);
+    }
+
+    private mayLead(rank: number): boolean {
+        const { clock, events } = this.options;
+        const silentMs = clock.nowMs() - this.lowerRankAskedMs;
+        const mayLead = silentMs > TAKE_OVER_MS + rank * TAKE_OVER_PER_RANK_MS;
+        if (mayLead !== this.isLeading) {
+            this.isLeading = mayLead;
+            this.demand = undefined;
+            events.emit(mayLead ? leaderBegan : leaderEnded, { rank });
+        }
+        return mayLead;
+    }
+
+    private async readAll(own: RankStatus, peers: readonly RankPeer[]): Promise<RankStatus[]> {
+        const answers = await Promise.allSettled(peers.map(peer => peer.status()));
+        return [own, ...answers.flatMap(answer => answer.status === "fulfilled" ? [answer.value] : [])];
+    }
+
+    private async plan(
+        own: RankStatus,
+        peers: readonly RankPeer[],
+        statuses: readonly RankStatus[],
+        limits: ExpertSpec,
+    ): Promise<void> {
+        const { clock, events, member } = this.options;
+        const { group } = own.report;
+        const current = currentPlacement(statuses, limits);
+        if (!group || !current || peers.length !== group.size || !this.demand?.isKnown) {
+            return;
+        }
+        const plan = improvePlacement(current, this.demand.shares(), {
+            limits,
+            maxCopiesPerRank: MAX_COPIES_PER_RANK,
+            tolerance: TOLERANCE,
+        });
+        const saving = plan.skewBefore - plan.skewAfter;
+        if (plan.skewBefore < LEAST_SKEW || saving < LEAST_SAVING + plan.copies * SAVING_PER_COPY) {
+            return;
+        }
+        const versions = statuses.flatMap(({ report }) => [report.mapVersion, report.preparedVersion ?? 0]);
+        const version = nextVersion(Math.max(...versions), group.rank);
+        events.emit(mapPlanned, {
+            epoch: group.epoch,
+            version,
+            copies: plan.copies,
+            copiesOfFullestRank: plan.copiesOfFullestRank,
+            skewBefore: rounded(plan.skewBefore),
+            skewAfter: rounded(plan.skewAfter),
+        });
+        const result = await runSwitchRound({
+            clock,
+            events,
+            member,
+            peers,
+            epoch: group.epoch,
+            ballot: this.nextBallot(statuses, group),
+            version,
+            placement: plan.placement,
+            copyTimeoutMs: plan.copiesOfFullestRank * limits.copyMs * COPY_TIME_FACTOR + COPY_TIME_SLACK_MS,
+        });
+        if (result.kind === "failed") {
+            events.emit(roundAborted, { epoch: group.epoch, version, reason: result.reason });
+        }
+    }
+
+    /** All ranks; a hold must not be released before each of them was asked. */
+    private async allPeers(group: GroupMembership): Promise<RankPeer[]> {
+        for (;;) {
+            const peers = await this.options.peersOf(group);
+            const { group: now } = await this.options.member.readReport();
+            if (peers.length + 1 === group.size || now?.epoch !== group.epoch) {
+                return [this.ownPeer(group), ...peers];
+            }
+            await sleep(this.options.clock, PERIOD_MS, this.stopping.signal);
+        }
+    }
+
+    private ownPeer({ rank }: GroupMembership): RankPeer {
+        const { member } = this.options;
+        return { rank, status: () => member.status(), send: call => member.take(call) };
+    }
+
+    private nextBallot(statuses: readonly RankStatus[], { rank }: GroupMembership): Ballot {
+        const highest = statuses.map(({ promised }) => promised)
+            .reduce((left, right) => compareBallots(left, right) > 0 ? left : right);
+        return { number: Math.max(Math.floor(this.options.clock.wallMs()), highest.number + 1), rank };
+    }
+}
+
+const SKEW_DIGITS = 3;
+
+const rounded = (skew: number): number => Number(skew.toFixed(SKEW_DIGITS));
+
+/** Map in force; undefined unless all ranks are known, agree on it and change nothing. */
+const currentPlacement = (
+    statuses: readonly RankStatus[],
+    limits: ExpertSpec,
+): ExpertPlacement | undefined => {
+    const [first] = statuses;
+    const size = first?.report.group?.size;
+    const byRank = new Map(statuses.map(status => [status.report.group?.rank, status]));
+    if (!first || size === undefined || byRank.size !== size || statuses.length !== size) {
+        return undefined;
+    }
+    const isSettled = statuses.every(({ report }) =>
+        report.group?.isOpen && report.group.epoch === first.report.group?.epoch
+        && report.mapVersion === first.report.mapVersion && !report.armed && report.heldPass === undefined
+    );
+    if (!isSettled) {
+        return undefined;
+    }
+    return Array.from(
+        { length: limits.sets },
+        (_, set) => Array.from({ length: size }, (_unused, rank) => byRank.get(rank)?.experts[set] ?? []),
+    );
+};
--- /dev/null
+++ b/packages/rank/src/shared/rankMember.ts
@@ -0,0 +1,315 @@
+/**
+ * The only giver of orders to one rank. Orders run one at a time; one without an answer is made harmless by a higher
+ * fencing token before anything else is said about the rank.
+ *
+ * @packageDocumentation
+ */
+
+import {
+    type BackendServerId,
+    type Clock,
+    type EventLog,
+    type IncarnationId,
+    MagnolialockError,
+    timeoutSignal,
+} from "@magnolialock/kernel";
+import { SerialExecutor } from "@magnolialock/maps/src/shared/switch/serialExecutor.ts";
+import type { Ballot, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
+import type {
+    FencingToken,
+    HeldExperts,
+    MapVersion,
+    OrderResult,
+    PassNumber,
+    RankOrder,
+    RankReport,
+    RankServer,
+} from "../types/rankServer.ts";
+import { compareBallots, hashPlacement, leaderOfVersion, NO_BALLOT } from "./ballots.ts";
+import { orderUnanswered } from "./rankEvents.ts";
+
+/** Options of a {@link RankMember}. */
+export interface RankMemberOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Event log of the process. */
+    readonly events: EventLog;
+    /** The rank's server. */
+    readonly server: RankServer;
+    /** Identifier of the server, as far as it is known. */
+    readonly serverId: () => BackendServerId | undefined;
+    /** Life of the agent. */
+    readonly incarnation: IncarnationId;
+}
+
+/** The rank cannot be brought into a known state. */
+export const RankStateError = MagnolialockError.subclass("RankStateError");
+
+/** Longest wait for an order's answer: orders on the own machine answer within a few milliseconds. */
+const ORDER_TIMEOUT_MS = 150;
+/** Longest wait for a state; the server answers between two passes at the latest. */
+const READ_TIMEOUT_MS = 400;
+/** Tries to raise the fence before the caller is told that the rank's state is unknown. */
+const MAX_FENCE_TRIES = 20;
+/** Tries of one order that got no answer. */
+const MAX_ORDER_TRIES = 4;
+/** Tokens in a millisecond, so that several orders of one millisecond differ. */
+const TOKENS_PER_MS = 1_000;
+/** Step over a token that a life with a fast clock has left behind, in milliseconds. */
+const TOKEN_JUMP_MS = 600_000;
+
+interface PreparedMap {
+    readonly version: MapVersion;
+    readonly contentHash: string;
+}
+
+/** Gives orders to one rank. */
+export class RankMember {
+    private readonly options: RankMemberOptions;
+    private readonly serial = new SerialExecutor();
+    private lastToken = 0;
+    private promised: Ballot = NO_BALLOT;
+    private closed: Ballot = NO_BALLOT;
+    private prepared: PreparedMap | undefined;
+    private held: HeldExperts | undefined;
+    private isFenced = false;
+
+    /** @param options - clock, log and server */
+    public constructor(options: RankMemberOptions) {
+        this.options = options;
+    }
+
+    /** Highest ballot that was seen. */
+    public get promisedBallot(): Ballot {
+        return this.promised;
+    }
+
+    /** Reads the state of the rank. */
+    public readReport(): Promise<RankReport> {
+        return this.serial.run(() => this.report());
+    }
+
+    /** Reads everything that a leader needs to know. */
+    public status(): Promise<RankStatus> {
+        return this.serial.run(async () => {
+            const report = await this.report();
+            const epoch = report.group?.epoch;
+            if (!this.held || this.held.mapVersion !== report.mapVersion || this.held.epoch !== epoch) {
+                this.held = await this.timed(
+                    READ_TIMEOUT_MS,
+                    signal => this.options.server.heldExperts(signal),
+                );
+            }
+            const { counts } = await this.timed(
+                READ_TIMEOUT_MS,
+                signal => this.options.server.counts(signal),
+            );
+            return {
+                server: this.options.serverId(),
+                incarnation: this.options.incarnation,
+                report,
+                experts: this.held.experts,
+                counts,
+                promised: this.promised,
+            };
+        });
+    }
+
+    /**
+     * Takes a call of a round.
+     *
+     * @param call - the call
+     */
+    public take(call: RoundCall): Promise<RoundReply> {
+        return this.serial.run(async () => {
+            const isBehind = compareBallots(call.ballot, this.promised) < 0;
+            // A leader must always be able to undo what it has done; calls of its round that come later are refused.
+            if (call.kind === "disarm") {
+                this.closed = compareBallots(call.ballot, this.closed) > 0 ? call.ballot : this.closed;
+            }
+            else if (isBehind || compareBallots(call.ballot, this.closed) <= 0) {
+                return this.refusal("a round with a higher ballot is known, or the round was given up");
+            }
+            this.promised = isBehind ? this.promised : call.ballot;
+            await this.ensureFenced();
+            const report = await this.report();
+            if (report.group?.epoch !== call.epoch) {
+                // What was armed or held in another life of the group is gone.
+                return call.kind === "disarm"
+                    ? { kind: "done" }
+                    : this.refusal("the group has another epoch");
+            }
+            switch (call.kind) {
+                case "prepare":
+                    return this.prepare(call, report);
+                case "arm":
+                    return this.arm(call, report);
+                case "disarm":
+                    return this.disarm(call, report);
+            }
+        });
+    }
+
+    /**
+     * Keeps the group from beginning a pass.
+     *
+     * @param epoch - life of the group
+     * @param pass - the pass
+     * @returns whether it is held; false also when the pass has begun
+     */
+    public hold(epoch: number, pass: PassNumber): Promise<boolean> {
+        return this.serial.run(async () => {
+            await this.ensureFenced();
+            return this.achieve({ kind: "hold", pass }, epoch, report => report.heldPass === pass);
+        });
+    }
+
+    /**
+     * Releases a held pass.
+     *
+     * @param epoch - life of the group
+     * @param pass - the pass
+     * @returns whether it is not held any more
+     */
+    public release(epoch: number, pass: PassNumber): Promise<boolean> {
+        return this.serial.run(async () => {
+            await this.ensureFenced();
+            return this.achieve({ kind: "release", pass }, epoch, report => report.heldPass === undefined);
+        });
+    }
+
+    private async prepare(
+        call: RoundCall & { readonly kind: "prepare"; },
+        report: RankReport,
+    ): Promise<RoundReply> {
+        if (report.armed) {
+            return this.refusal("the rank is armed");
+        }
+        const { epoch, placement, version } = call;
+        this.prepared = undefined;
+        const order: RankOrder = { kind: "prepare", version, placement };
+        for (let tries = 0; tries < MAX_ORDER_TRIES; tries++) {
+            const result = await this.order(order, epoch);
+            // After an unanswered try a conflict may mean that the try was accepted; the copy then shows.
+            if (result === "accepted" || result === "conflict" && tries > 0) {
+                this.prepared = { version, contentHash: hashPlacement(placement) };
+                return { kind: "done" };
+            }
+            if (result !== "unanswered") {
+                return this.refusal(`the preparation was refused: ${result}`);
+            }
+            await this.raiseFence();
+        }
+        return this.refusal("the preparation got no answer");
+    }
+
+    private async arm(call: RoundCall & { readonly kind: "arm"; }, report: RankReport): Promise<RoundReply> {
+        const { contentHash, epoch, pass, version } = call;
+        if (this.prepared?.version !== version || this.prepared.contentHash !== contentHash) {
+            return this.refusal("another map was prepared");
+        }
+        if (report.preparedVersion !== version) {
+            return this.refusal("the copy is not complete");
+        }
+        const isArmed = await this.achieve(
+            { kind: "arm", version, pass },
+            epoch,
+            ({ armed }) => armed?.version === version && armed.pass === pass,
+        );
+        return isArmed ? { kind: "done" } : this.refusal("the rank could not be armed");
+    }
+
+    private async disarm(
+        call: RoundCall & { readonly kind: "disarm"; },
+        { armed }: RankReport,
+    ): Promise<RoundReply> {
+        const isOfLeader = armed?.pass === call.pass && leaderOfVersion(armed.version) === call.ballot.rank;
+        if (!armed || !isOfLeader) {
+            return { kind: "done" };
+        }
+        const isDisarmed = await this.achieve(
+            { kind: "disarm", version: armed.version },
+            call.epoch,
+            report => report.armed === undefined && report.mapVersion !== armed.version,
+        );
+        return isDisarmed ? { kind: "done" } : this.refusal("the rank could not be disarmed");
+    }
+
+    /** Gives an order until it is answered, or known from the rank's state to be done or impossible. */
+    private async achieve(
+        order: RankOrder,
+        epoch: number,
+        isDone: (report: RankReport) => boolean,
+    ): Promise<boolean> {
+        for (let tries = 0; tries < MAX_ORDER_TRIES; tries++) {
+            const result = await this.order(order, epoch);
+            if (result === "unanswered") {
+                // From here on the order cannot take effect late, so the state that is read next is final.
+                await this.raiseFence();
+            }
+            const report = await this.report();
+            if (report.group?.epoch !== epoch) {
+                return false;
+            }
+            if (isDone(report)) {
+                return true;
+            }
+            if (result === "conflict" || result === "refused") {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    /** The first order of this life makes all orders of earlier lives harmless. */
+    private async ensureFenced(): Promise<void> {
+        if (!this.isFenced) {
+            await this.raiseFence();
+            this.isFenced = true;
+        }
+    }
+
+    private async raiseFence(): Promise<void> {
+        for (let tries = 0; tries < MAX_FENCE_TRIES; tries++) {
+            const { armed, group, mapVersion, preparedVersion } = await this.report();
+            if (!group) {
+                return;
+            }
+            const unused = Math.max(mapVersion, preparedVersion ?? 0, armed?.version ?? 0) + 1 as MapVersion;
+            if (await this.order({ kind: "disarm", version: unused }, group.epoch) === "accepted") {
+                return;
+            }
+        }
+        throw new RankStateError("the fence of the rank could not be raised");
+    }
+
+    private async order(order: RankOrder, epoch: number): Promise<OrderResult> {
+        const { clock, events, server } = this.options;
+        this.lastToken = Math.max(this.lastToken + 1, Math.floor(clock.wallMs()) * TOKENS_PER_MS);
+        const token = this.lastToken as FencingToken;
+        const result = await this.timed(
+            ORDER_TIMEOUT_MS,
+            signal => server.order(order, epoch, token, signal),
+        );
+        if (result === "fenced") {
+            this.lastToken += TOKEN_JUMP_MS * TOKENS_PER_MS;
+        }
+        if (result === "unanswered") {
+            events.emit(orderUnanswered, { order: order.kind, epoch, token });
+        }
+        return result;
+    }
+
+    private report(): Promise<RankReport> {
+        return this.timed(READ_TIMEOUT_MS, signal => this.options.server.report(signal));
+    }
+
+    private async timed<T>(timeoutMs: number, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
+        using timeout = timeoutSignal(this.options.clock, timeoutMs);
+        return await call(timeout.signal);
+    }
+
+    private refusal(reason: string): RoundReply {
+        return { kind: "refused", reason, promised: this.promised };
+    }
+}
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,5 +1,5 @@
 /**
- * Bundles each program into one file below `dist/`, or with `--out DIR --only NAME` one program elsewhere.
+ * Bundles each program into one file below `dist/`, or with `--out DIR --only NAME` some programs elsewhere.
  */
 
 import { build } from "esbuild";
@@ -12,17 +12,18 @@
     magnolialock: "packages/cli/src/node/cliMain.ts",
     "magnolialock-lab": "packages/lab/src/node/labMain.ts",
     "magnolialock-platform-entry": "platform/src/platformEntryMain.ts",
+    "magnolialock-platform-rank": "platform/src/platformRankMain.ts",
 };
 
 const { out, only } = await yargs(process.argv.slice(2))
     .option("out", { type: "string", default: "dist", description: "Folder of the bundles" })
-    .option("only", { type: "string", description: "Name of the only program to build" })
+    .option("only", { type: "string", array: true, description: "Names of the only programs to build" })
     .strict()
     .parse();
 
 for (
     const [name, entryPoint] of Object.entries(programs).filter(([name]) =>
-        only === undefined || name === only
+        only === undefined || only.includes(name)
     )
 ) {
     const outfile = `${out}/${name}.js`;
