feat(rank): end the round of a silent leader, copy only where passes are long

Change: order timeout 150 to 60 ms, three passes of lead; a plan needs a busy group or a skew of 1.8 and saves at least 0.1 and 0.006 a copy; watches of 1.5 to 6 s; callers refused while the group is down return after 2.2 s or more.

--- a/packages/direct/src/shared/followSource.ts
+++ b/packages/direct/src/shared/followSource.ts
@@ -19,8 +19,12 @@
     readonly store: PictureStore;
 }
 
-/** Longest wait of one watch: a connection that went silent goes unnoticed for this time, each watch is a priced call. */
-const WATCH_WAIT_MS = 2_000;
+/**
+ * Bounds of the wait of one watch. Each watch is a priced call; a connection that went silent goes unnoticed until its
+ * end. Waits are drawn, so that of several instances with silent connections one notices early and tells the others.
+ */
+const LEAST_WAIT_MS = 1_500;
+const MOST_WAIT_MS = 6_000;
 /** Time after the end of a wait in which its answer must arrive; less takes slow answers for losses. */
 const WATCH_SLACK_MS = 1_500;
 /** Longest read of everything: a slow platform needs seconds for many pages. */
@@ -102,8 +106,9 @@
             this.isRead = true;
             return;
         }
-        using timeout = timeoutSignal(runtime.clock, WATCH_WAIT_MS + WATCH_SLACK_MS, signal);
-        const result = await source.watch(store.revision, WATCH_WAIT_MS, timeout.signal);
+        const waitMs = runtime.random.nextInt(LEAST_WAIT_MS, MOST_WAIT_MS);
+        using timeout = timeoutSignal(runtime.clock, waitMs + WATCH_SLACK_MS, signal);
+        const result = await source.watch(store.revision, waitMs, timeout.signal);
         if (result.kind === "historyLost") {
             runtime.events.emit(sourceReread, { revision: store.revision });
             this.isRead = false;
--- a/packages/direct/src/shared/groupHealth.ts
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -22,12 +22,15 @@
 
 /** Time between requests that find out whether the group is back; less sends many requests into refusals. */
 const PROBE_PERIOD_MS = 400;
-/** Time for which a group is usually down: a rank's restart and the forming of the group. */
-const USUAL_OUTAGE_MS = 3_000;
-/** Least time until a refused caller should return; less makes it meet the same outage. */
-const LEAST_RETURN_MS = 900;
-/** Returns are spread over this time after the expected end, so that they do not arrive as a wave. */
-const RETURN_SPREAD_MS = 1_200;
+/**
+ * Time after which a refused caller should return, in milliseconds. A group is down for seconds while a rank restarts or
+ * a link is cut, and a caller that meets the same outage again has waited in vain.
+ */
+const RETURN_MS = 2_200;
+/** Returns are spread over this time, so that they do not arrive as a wave. */
+const RETURN_SPREAD_MS = 1_500;
+/** Part of the longest advice by which it is spread where the caller's time cuts it off. */
+const CUT_SPREAD = 0.15;
 /** A report of another instance that is older than this is no evidence, in milliseconds. */
 const REPORT_LIFETIME_MS = 1_500;
 
@@ -116,9 +119,8 @@
      * @returns the delay, in milliseconds; at most a third of what the caller has left
      */
     public returnAfterMs(leftMs: number): number {
-        const { clock, random } = this.options;
-        const downMs = clock.nowMs() - (this.downSinceMs ?? clock.nowMs());
-        const expectedMs = Math.max(LEAST_RETURN_MS, USUAL_OUTAGE_MS - downMs);
-        return Math.min(expectedMs + random.nextFloat() * RETURN_SPREAD_MS, leftMs / 3);
+        const { random } = this.options;
+        const longestMs = leftMs / 3 * (1 - CUT_SPREAD * random.nextFloat());
+        return Math.min(RETURN_MS + random.nextFloat() * RETURN_SPREAD_MS, longestMs);
     }
 }
--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -5,7 +5,14 @@
  */
 
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
-import { branded, errorMessage, type IncarnationId, ResourceScope, type Runtime } from "@magnolialock/kernel";
+import {
+    type Address,
+    branded,
+    errorMessage,
+    type IncarnationId,
+    ResourceScope,
+    type Runtime,
+} from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { GroupLeader } from "../shared/groupLeader.ts";
 import { rankStarted, rankStopped } from "../shared/rankEvents.ts";
@@ -23,6 +30,12 @@
     readonly settings: RankSettings;
     /** The rank's server. */
     readonly server: RankServer;
+    /**
+     * Opens the server of another rank.
+     *
+     * @param address - where it listens
+     */
+    readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
 const HTTP_UNAVAILABLE = 503;
@@ -71,6 +84,7 @@
         member,
         peersOf: group => peers.ofGroup(group),
         spec: () => peers.view?.experts,
+        openServer: options.openServer,
     });
     scope.use(
         await listenHttp({ app: createApp(member, leader), address: settings.listen, protocol: "http1" }),
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -5,13 +5,17 @@
  */
 
 import type { ExpertSpec } from "@magnolialock/direct/src/types/fleetPicture.ts";
-import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
+import { type Address, type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
 import type { Ballot, RankStatus } from "../types/rankMessages.ts";
-import type { ExpertPlacement, GroupMembership } from "../types/rankServer.ts";
+import type { ExpertPlacement, GroupMembership, RankServer } from "../types/rankServer.ts";
 import { compareBallots, nextVersion } from "./ballots.ts";
+import { endForeignRound } from "./endForeignRound.ts";
 import { ExpertDemand } from "./expertDemand.ts";
-import { improvePlacement } from "./improvePlacement.ts";
+import { improvePlacement, skewOf } from "./improvePlacement.ts";
+import { isUneven, isWorthCopies } from "./movePolicy.ts";
+import { PassMeter } from "./passMeter.ts";
 import {
+    foreignRankFailed,
     groupFormed,
     holdFound,
     leaderBegan,
@@ -40,6 +44,12 @@
     readonly peersOf: (group: GroupMembership) => Promise<readonly RankPeer[]>;
     /** Bounds of maps; undefined while they are not known. */
     readonly spec: () => ExpertSpec | undefined;
+    /**
+     * Opens the server of another rank.
+     *
+     * @param address - where it listens
+     */
+    readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
 /** Time between looks at the group; popularity shifts within a second. */
@@ -48,16 +58,10 @@
 const TAKE_OVER_MS = 700;
 /** Additional silence for each rank, so that the agents do not all begin to lead. */
 const TAKE_OVER_PER_RANK_MS = 200;
-/** Skew that is left alone: below it streams are in time, and copies would follow chance. */
-const LEAST_SKEW = 1.2;
-/** Skew that a plan must save at least. */
-const LEAST_SAVING = 0.08;
-/** Skew that a plan must save for each copy, since copies have a price and slow passes down. */
-const SAVING_PER_COPY = 0.004;
 /** Copies of one plan on one rank: they are copied one after the other, and the plan must still be right afterwards. */
 const MAX_COPIES_PER_RANK = 3;
-/** Excess of the fullest rank that a plan leaves alone. */
-const TOLERANCE = 0.06;
+/** Excess of the fullest rank that a plan leaves alone: the last copies cost most and save least. */
+const TOLERANCE = 0.12;
 /** Factor and constant by which copies may take longer than the link needs, before the round is given up. */
 const COPY_TIME_FACTOR = 3;
 const COPY_TIME_SLACK_MS = 1_500;
@@ -72,6 +76,7 @@
     private isLeading = false;
     private epoch: number | undefined;
     private demand: ExpertDemand | undefined;
+    private readonly passes = new PassMeter();
 
     /** @param options - the rank and its group */
     public constructor(options: GroupLeaderOptions) {
@@ -134,11 +139,13 @@
             this.demand = undefined;
             events.emit(groupFormed, { group: group.name, epoch: group.epoch, rank: group.rank });
         }
+        this.passes.add(own.report.pass, own.report.runningRequests, clock.nowMs());
         if (heldPass !== undefined) {
             events.emit(holdFound, { epoch: group.epoch, pass: heldPass });
             const peers = await this.allPeers(group);
             const ballot = this.nextBallot([own], group);
             const options = { clock, events, member, peers, epoch: group.epoch, ballot };
+            await member.beginRound();
             await disarmAndRelease(options, heldPass, "the round belongs to an earlier life of the agent");
             return;
         }
@@ -148,6 +155,9 @@
         }
         const peers = await peersOf(group);
         const statuses = await this.readAll(own, peers);
+        if (statuses.length <= peers.length && await this.endSilentRounds(own, peers, statuses)) {
+            return;
+        }
         this.demand ??= new ExpertDemand(limits, group.size);
         this.demand.add(statuses, clock.nowMs());
         await this.plan(own, [this.ownPeer(group), ...peers], statuses, limits);
@@ -170,6 +180,37 @@
         return [own, ...answers.flatMap(answer => answer.status === "fulfilled" ? [answer.value] : [])];
     }
 
+    /** Looks whether the rank of an agent that does not answer holds a pass, and ends its round. */
+    private async endSilentRounds(
+        own: RankStatus,
+        peers: readonly RankPeer[],
+        statuses: readonly RankStatus[],
+    ): Promise<boolean> {
+        const { clock, events, openServer } = this.options;
+        const { group } = own.report;
+        const answered = new Set(statuses.map(({ report }) => report.group?.rank));
+        for (const peer of peers) {
+            if (!group || !peer.server || answered.has(peer.rank)) {
+                continue;
+            }
+            await using server = openServer(peer.server);
+            const ballot = { ...this.nextBallot(statuses, group), rank: peer.rank };
+            const others = [this.ownPeer(group), ...peers.filter(({ rank }) => rank !== peer.rank)];
+            const { epoch } = group;
+            try {
+                if (
+                    await endForeignRound({ clock, events, server, rank: peer.rank, others, epoch, ballot })
+                ) {
+                    return true;
+                }
+            }
+            catch (error) {
+                events.emit(foreignRankFailed, { rank: peer.rank, error: errorMessage(error) });
+            }
+        }
+        return false;
+    }
+
     private async plan(
         own: RankStatus,
         peers: readonly RankPeer[],
@@ -182,13 +223,15 @@
         if (!group || !current || peers.length !== group.size || !this.demand?.isKnown) {
             return;
         }
+        if (!isUneven(skewOf(current, this.demand.shares()), this.passes.passMs)) {
+            return;
+        }
         const plan = improvePlacement(current, this.demand.shares(), {
             limits,
             maxCopiesPerRank: MAX_COPIES_PER_RANK,
             tolerance: TOLERANCE,
         });
-        const saving = plan.skewBefore - plan.skewAfter;
-        if (plan.skewBefore < LEAST_SKEW || saving < LEAST_SAVING + plan.copies * SAVING_PER_COPY) {
+        if (!isWorthCopies(plan)) {
             return;
         }
         const versions = statuses.flatMap(({ report }) => [report.mapVersion, report.preparedVersion ?? 0]);
@@ -200,6 +243,7 @@
             copiesOfFullestRank: plan.copiesOfFullestRank,
             skewBefore: rounded(plan.skewBefore),
             skewAfter: rounded(plan.skewAfter),
+            passMs: Math.round(this.passes.passMs),
         });
         const result = await runSwitchRound({
             clock,
@@ -231,7 +275,7 @@
 
     private ownPeer({ rank }: GroupMembership): RankPeer {
         const { member } = this.options;
-        return { rank, status: () => member.status(), send: call => member.take(call) };
+        return { rank, server: undefined, status: () => member.status(), send: call => member.take(call) };
     }
 
     private nextBallot(statuses: readonly RankStatus[], { rank }: GroupMembership): Ballot {
--- /dev/null
+++ b/packages/rank/src/shared/movePolicy.ts
@@ -0,0 +1,39 @@
+/**
+ * When a change of map pays.
+ *
+ * It answers two loads. In a quiet group passes are short whatever the map, and copies only cost; in a busy one each
+ * tenth of skew makes streams late.
+ *
+ * @packageDocumentation
+ */
+
+import type { PlacementPlan } from "./improvePlacement.ts";
+
+/** Pass time from which a group counts as busy, in milliseconds: twice as much makes the usual gap target late. */
+const BUSY_PASS_MS = 55;
+/** Skew that is left alone in a busy group; below it copies would follow chance. */
+const BUSY_SKEW = 1.25;
+/** Skew that is left alone in a quiet group; more would make the next burst late before a change is done. */
+const QUIET_SKEW = 1.8;
+/** Skew that a plan must save at least: a change takes the attention of all ranks. */
+const LEAST_SAVING = 0.1;
+/** Skew that a plan must save for each copy, since copies have a price and slow passes down. */
+const SAVING_PER_COPY = 0.006;
+
+/**
+ * Tells whether a plan should be made.
+ *
+ * @param skew - load of the fullest ranks over the mean
+ * @param passMs - mean time of a pass, in milliseconds
+ */
+export const isUneven = (skew: number, passMs: number): boolean =>
+    skew >= (passMs >= BUSY_PASS_MS ? BUSY_SKEW : QUIET_SKEW);
+
+/**
+ * Tells whether a plan pays for its copies.
+ *
+ * @param plan - the plan
+ */
+export const isWorthCopies = (
+    plan: Pick<PlacementPlan, "copies" | "skewAfter" | "skewBefore">,
+): boolean => plan.skewBefore - plan.skewAfter >= LEAST_SAVING + plan.copies * SAVING_PER_COPY;
--- a/packages/rank/src/shared/rankMember.ts
+++ b/packages/rank/src/shared/rankMember.ts
@@ -16,7 +16,6 @@
 import { SerialExecutor } from "@magnolialock/maps/src/shared/switch/serialExecutor.ts";
 import type { Ballot, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
 import type {
-    FencingToken,
     HeldExperts,
     MapVersion,
     OrderResult,
@@ -26,6 +25,7 @@
     RankServer,
 } from "../types/rankServer.ts";
 import { compareBallots, hashPlacement, leaderOfVersion, NO_BALLOT } from "./ballots.ts";
+import { FencingTokens } from "./fencingTokens.ts";
 import { orderUnanswered } from "./rankEvents.ts";
 
 /** Options of a {@link RankMember}. */
@@ -45,38 +45,45 @@
 /** The rank cannot be brought into a known state. */
 export const RankStateError = MagnolialockError.subclass("RankStateError");
 
-/** Longest wait for an order's answer: orders on the own machine answer within a few milliseconds. */
-const ORDER_TIMEOUT_MS = 150;
+/** Longest wait for an order's answer: it takes a few milliseconds, and the group may stand still meanwhile. */
+const ORDER_TIMEOUT_MS = 60;
 /** Longest wait for a state; the server answers between two passes at the latest. */
 const READ_TIMEOUT_MS = 400;
 /** Tries to raise the fence before the caller is told that the rank's state is unknown. */
 const MAX_FENCE_TRIES = 20;
 /** Tries of one order that got no answer. */
 const MAX_ORDER_TRIES = 4;
-/** Tokens in a millisecond, so that several orders of one millisecond differ. */
-const TOKENS_PER_MS = 1_000;
-/** Step over a token that a life with a fast clock has left behind, in milliseconds. */
-const TOKEN_JUMP_MS = 600_000;
 
 interface PreparedMap {
     readonly version: MapVersion;
     readonly contentHash: string;
 }
 
+/** What became of a held pass. */
+export type ReleaseResult =
+    /** It is not held any more. */
+    | "released"
+    /** It may still be held. */
+    | "held"
+    /** Another agent gives this rank's orders: it finishes the round, this one must not. */
+    | "overtaken";
+
 /** Gives orders to one rank. */
 export class RankMember {
     private readonly options: RankMemberOptions;
     private readonly serial = new SerialExecutor();
-    private lastToken = 0;
+    private readonly tokens: FencingTokens;
     private promised: Ballot = NO_BALLOT;
     private closed: Ballot = NO_BALLOT;
     private prepared: PreparedMap | undefined;
     private held: HeldExperts | undefined;
     private isFenced = false;
+    private wasOvertaken = false;
 
     /** @param options - clock, log and server */
     public constructor(options: RankMemberOptions) {
         this.options = options;
+        this.tokens = new FencingTokens(options.clock);
     }
 
     /** Highest ballot that was seen. */
@@ -169,12 +176,27 @@
      *
      * @param epoch - life of the group
      * @param pass - the pass
-     * @returns whether it is not held any more
      */
-    public release(epoch: number, pass: PassNumber): Promise<boolean> {
+    public release(epoch: number, pass: PassNumber): Promise<ReleaseResult> {
+        return this.serial.run(async () => {
+            if (this.wasOvertaken) {
+                return "overtaken";
+            }
+            await this.ensureFenced();
+            const isReleased = await this.achieve(
+                { kind: "release", pass },
+                epoch,
+                report => report.heldPass === undefined,
+            );
+            return this.wasOvertaken ? "overtaken" : isReleased ? "released" : "held";
+        });
+    }
+
+    /** Begins a round of this agent's own: what another agent did to the rank before is taken into account. */
+    public beginRound(): Promise<void> {
         return this.serial.run(async () => {
+            this.wasOvertaken = false;
             await this.ensureFenced();
-            return this.achieve({ kind: "release", pass }, epoch, report => report.heldPass === undefined);
         });
     }
 
@@ -254,7 +276,7 @@
             if (isDone(report)) {
                 return true;
             }
-            if (result === "conflict" || result === "refused") {
+            if (result === "conflict" || result === "refused" || result === "fenced") {
                 return false;
             }
         }
@@ -284,15 +306,17 @@
     }
 
     private async order(order: RankOrder, epoch: number): Promise<OrderResult> {
-        const { clock, events, server } = this.options;
-        this.lastToken = Math.max(this.lastToken + 1, Math.floor(clock.wallMs()) * TOKENS_PER_MS);
-        const token = this.lastToken as FencingToken;
+        const { events, server } = this.options;
+        const token = this.tokens.next();
         const result = await this.timed(
             ORDER_TIMEOUT_MS,
             signal => server.order(order, epoch, token, signal),
         );
         if (result === "fenced") {
-            this.lastToken += TOKEN_JUMP_MS * TOKENS_PER_MS;
+            // Another agent, or an earlier life with a fast clock, has used a higher token.
+            this.tokens.jump();
+            this.wasOvertaken = this.isFenced;
+            this.isFenced = false;
         }
         if (result === "unanswered") {
             events.emit(orderUnanswered, { order: order.kind, epoch, token });
--- a/packages/rank/src/shared/switchRound.ts
+++ b/packages/rank/src/shared/switchRound.ts
@@ -9,17 +9,19 @@
  * @packageDocumentation
  */
 
-import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
+import { type Address, type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
 import type { Ballot, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
 import type { ExpertPlacement, MapVersion, PassNumber } from "../types/rankServer.ts";
 import { hashPlacement } from "./ballots.ts";
 import { mapSwitched, rankPeerFailed, roundAborted } from "./rankEvents.ts";
-import type { RankMember } from "./rankMember.ts";
+import type { RankMember, ReleaseResult } from "./rankMember.ts";
 
 /** The agent of one rank, the own one included. */
 export interface RankPeer {
     /** Rank that it stands beside. */
     readonly rank: number;
+    /** That rank's server; undefined for the own one. */
+    readonly server: Address | undefined;
     /** Asks for its state; rejects when it does not answer in time. */
     status(): Promise<RankStatus>;
     /**
@@ -61,7 +63,7 @@
  * Passes between now and the first one on the new map: enough for the calls to all ranks while the group goes on, few
  * enough that the map is still right.
  */
-const LEAD_PASSES = 2;
+const LEAD_PASSES = 3;
 /** Time between looks at copies, in milliseconds. */
 const COPY_POLL_MS = 40;
 /** Time between tries to disarm a rank, in milliseconds: the group may stand still meanwhile. */
@@ -137,7 +139,7 @@
     pass: PassNumber,
     reason: string,
 ): Promise<void> => {
-    const { ballot, clock, epoch, events, member } = options;
+    const { ballot, clock, epoch, events } = options;
     const startMs = clock.nowMs();
     let waiting = [...options.peers];
     const call: RoundCall = { kind: "disarm", ballot, epoch, pass };
@@ -153,12 +155,21 @@
             await sleep(clock, DISARM_RETRY_MS);
         }
     }
-    while (!await tryRelease(member, epoch, pass) && await isHeld(options, pass)) {
-        await sleep(clock, DISARM_RETRY_MS);
-    }
+    await releaseHeld(options, pass);
     events.emit(roundAborted, { epoch, pass, reason, tookMs: Math.round(clock.nowMs() - startMs) });
 };
 
+/** Releases a pass until it is known not to be held, or another agent does it. */
+const releaseHeld = async (options: DisarmOptions, pass: PassNumber): Promise<ReleaseResult> => {
+    for (;;) {
+        const result = await tryRelease(options.member, options.epoch, pass);
+        if (result !== "held" || !await isHeld(options, pass)) {
+            return result;
+        }
+        await sleep(options.clock, DISARM_RETRY_MS);
+    }
+};
+
 /** An unreadable rank counts as held: its hold may still stand. A group that has formed anew holds nothing. */
 const isHeld = async ({ epoch, member }: DisarmOptions, pass: PassNumber): Promise<boolean> => {
     try {
@@ -170,12 +181,13 @@
     }
 };
 
-const tryRelease = async (member: RankMember, epoch: number, pass: PassNumber): Promise<boolean> => {
+/** A rank whose state cannot be read may still hold the pass. */
+const tryRelease = async (member: RankMember, epoch: number, pass: PassNumber): Promise<ReleaseResult> => {
     try {
         return await member.release(epoch, pass);
     }
     catch {
-        return false;
+        return "held";
     }
 };
 
@@ -193,6 +205,7 @@
         return notPrepared;
     }
     const startMs = clock.nowMs();
+    await member.beginRound();
     const pass = (await member.readReport()).pass + LEAD_PASSES as PassNumber;
     if (!await member.hold(epoch, pass)) {
         // A hold that was refused is not in force, and nothing was armed.
@@ -205,8 +218,8 @@
         await disarmAndRelease(options, pass, notArmed.kind === "failed" ? notArmed.reason : "");
         return notArmed;
     }
-    while (!await tryRelease(member, epoch, pass) && await isHeld(options, pass)) {
-        await sleep(clock, DISARM_RETRY_MS);
+    if (await releaseHeld(options, pass) === "overtaken") {
+        return { kind: "failed", reason: "another agent has ended the round", promised: undefined };
     }
     events.emit(mapSwitched, { epoch, version, pass, heldMs: Math.round(clock.nowMs() - startMs) });
     return { kind: "switched", pass };
