revert(rank): do not end rounds of silent leaders from other machines

Change: the code is gone; fencing tokens stay in a module of their own, and a giver that was fenced ends its round.

--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -5,14 +5,7 @@
  */
 
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
-import {
-    type Address,
-    branded,
-    errorMessage,
-    type IncarnationId,
-    ResourceScope,
-    type Runtime,
-} from "@magnolialock/kernel";
+import { branded, errorMessage, type IncarnationId, ResourceScope, type Runtime } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { GroupLeader } from "../shared/groupLeader.ts";
 import { rankStarted, rankStopped } from "../shared/rankEvents.ts";
@@ -30,12 +23,6 @@
     readonly settings: RankSettings;
     /** The rank's server. */
     readonly server: RankServer;
-    /**
-     * Opens the server of another rank.
-     *
-     * @param address - where it listens
-     */
-    readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
 const HTTP_UNAVAILABLE = 503;
@@ -84,7 +71,6 @@
         member,
         peersOf: group => peers.ofGroup(group),
         spec: () => peers.view?.experts,
-        openServer: options.openServer,
     });
     scope.use(
         await listenHttp({ app: createApp(member, leader), address: settings.listen, protocol: "http1" }),
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -56,7 +56,6 @@
 
 interface KnownAgent {
     readonly address: Address;
-    readonly server: Address;
     group?: GroupMembership | undefined;
     askedMs: number;
 }
@@ -111,10 +110,10 @@
     public async ofGroup(group: GroupMembership): Promise<RankPeer[]> {
         const { clock, settings } = this.options;
         const { port } = splitAddress(settings.listen);
-        const addresses = new Map(
+        const addresses = new Set(
             (this.current?.servers ?? [])
                 .filter(({ address }) => address !== settings.server)
-                .map(({ address }) => [branded<Address>(`${splitAddress(address).host}:${port}`), address]),
+                .map(({ address }) => branded<Address>(`${splitAddress(address).host}:${port}`)),
         );
         for (const address of this.agents.keys()) {
             if (!addresses.has(address)) {
@@ -122,8 +121,8 @@
             }
         }
         const unknown: KnownAgent[] = [];
-        for (const [address, server] of addresses) {
-            const agent = this.agents.get(address) ?? { address, server, askedMs: Number.NEGATIVE_INFINITY };
+        for (const address of addresses) {
+            const agent = this.agents.get(address) ?? { address, askedMs: Number.NEGATIVE_INFINITY };
             this.agents.set(address, agent);
             const isCurrent = agent.group?.epoch === group.epoch && agent.group.name === group.name;
             if (!isCurrent && clock.nowMs() - agent.askedMs >= UNKNOWN_RETRY_MS) {
@@ -150,10 +149,9 @@
         agent.group = answer.status === "fulfilled" ? answer.value.report.group : undefined;
     }
 
-    private peer({ address, server }: KnownAgent, rank: number, ownRank: number): RankPeer {
+    private peer({ address }: KnownAgent, rank: number, ownRank: number): RankPeer {
         return {
             rank,
-            server,
             status: () => this.status(address, ownRank),
             send: call => this.send(address, call),
         };
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -5,17 +5,15 @@
  */
 
 import type { ExpertSpec } from "@magnolialock/direct/src/types/fleetPicture.ts";
-import { type Address, type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
+import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
 import type { Ballot, RankStatus } from "../types/rankMessages.ts";
-import type { ExpertPlacement, GroupMembership, RankServer } from "../types/rankServer.ts";
+import type { ExpertPlacement, GroupMembership } from "../types/rankServer.ts";
 import { compareBallots, nextVersion } from "./ballots.ts";
-import { endForeignRound } from "./endForeignRound.ts";
 import { ExpertDemand } from "./expertDemand.ts";
 import { improvePlacement, skewOf } from "./improvePlacement.ts";
 import { isUneven, isWorthCopies } from "./movePolicy.ts";
 import { PassMeter } from "./passMeter.ts";
 import {
-    foreignRankFailed,
     groupFormed,
     holdFound,
     leaderBegan,
@@ -44,12 +42,6 @@
     readonly peersOf: (group: GroupMembership) => Promise<readonly RankPeer[]>;
     /** Bounds of maps; undefined while they are not known. */
     readonly spec: () => ExpertSpec | undefined;
-    /**
-     * Opens the server of another rank.
-     *
-     * @param address - where it listens
-     */
-    readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
 /** Time between looks at the group; popularity shifts within a second. */
@@ -155,9 +147,6 @@
         }
         const peers = await peersOf(group);
         const statuses = await this.readAll(own, peers);
-        if (statuses.length <= peers.length && await this.endSilentRounds(own, peers, statuses)) {
-            return;
-        }
         this.demand ??= new ExpertDemand(limits, group.size);
         this.demand.add(statuses, clock.nowMs());
         await this.plan(own, [this.ownPeer(group), ...peers], statuses, limits);
@@ -180,37 +169,6 @@
         return [own, ...answers.flatMap(answer => answer.status === "fulfilled" ? [answer.value] : [])];
     }
 
-    /** Looks whether the rank of an agent that does not answer holds a pass, and ends its round. */
-    private async endSilentRounds(
-        own: RankStatus,
-        peers: readonly RankPeer[],
-        statuses: readonly RankStatus[],
-    ): Promise<boolean> {
-        const { clock, events, openServer } = this.options;
-        const { group } = own.report;
-        const answered = new Set(statuses.map(({ report }) => report.group?.rank));
-        for (const peer of peers) {
-            if (!group || !peer.server || answered.has(peer.rank)) {
-                continue;
-            }
-            await using server = openServer(peer.server);
-            const ballot = { ...this.nextBallot(statuses, group), rank: peer.rank };
-            const others = [this.ownPeer(group), ...peers.filter(({ rank }) => rank !== peer.rank)];
-            const { epoch } = group;
-            try {
-                if (
-                    await endForeignRound({ clock, events, server, rank: peer.rank, others, epoch, ballot })
-                ) {
-                    return true;
-                }
-            }
-            catch (error) {
-                events.emit(foreignRankFailed, { rank: peer.rank, error: errorMessage(error) });
-            }
-        }
-        return false;
-    }
-
     private async plan(
         own: RankStatus,
         peers: readonly RankPeer[],
@@ -275,7 +233,7 @@
 
     private ownPeer({ rank }: GroupMembership): RankPeer {
         const { member } = this.options;
-        return { rank, server: undefined, status: () => member.status(), send: call => member.take(call) };
+        return { rank, status: () => member.status(), send: call => member.take(call) };
     }
 
     private nextBallot(statuses: readonly RankStatus[], { rank }: GroupMembership): Ballot {
--- a/packages/rank/src/shared/rankEvents.ts
+++ b/packages/rank/src/shared/rankEvents.ts
@@ -95,23 +95,6 @@
         "This rank holds a pass for a round that is not known any more; all ranks are disarmed, then it is released.",
 });
 
-/** The round of a silent agent was ended. */
-export const foreignRoundEnded = defineEvent({
-    number: 9024,
-    name: "rank.round.ended-for-another",
-    level: "warning",
-    summary:
-        "The leader of a round fell silent while its rank held a pass; it was fenced out and all ranks disarmed.",
-});
-
-/** The rank of a silent agent cannot be asked. */
-export const foreignRankFailed = defineEvent({
-    number: 9025,
-    name: "rank.round.foreign-rank-failed",
-    level: "info",
-    summary: "The rank of a silent agent could not be asked whether it holds a pass.",
-});
-
 /** An order has no answer. */
 export const orderUnanswered = defineEvent({
     number: 9030,
--- a/packages/rank/src/shared/switchRound.ts
+++ b/packages/rank/src/shared/switchRound.ts
@@ -9,7 +9,7 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
+import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
 import type { Ballot, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
 import type { ExpertPlacement, MapVersion, PassNumber } from "../types/rankServer.ts";
 import { hashPlacement } from "./ballots.ts";
@@ -20,8 +20,6 @@
 export interface RankPeer {
     /** Rank that it stands beside. */
     readonly rank: number;
-    /** That rank's server; undefined for the own one. */
-    readonly server: Address | undefined;
     /** Asks for its state; rejects when it does not answer in time. */
     status(): Promise<RankStatus>;
     /**
