--- /dev/null
+++ b/packages/direct/src/shared/__tests__/answers.spec.ts
@@ -0,0 +1,106 @@
+import { seedFaults } from "@magnolialock/kernel";
+import test from "ava";
+import { DirectFixture, DRAFTS, NAMES, ORDERS } from "./directFixture.ts";
+
+const withOrders = (): DirectFixture => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a", "b");
+    return fixture;
+};
+
+test.serial("a whole answer is passed on with status, body and signature", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("status");
+    (await fixture.latest()).answer(201, "stock: 4", { "x-other": "kept", connection: "close" });
+    await fixture.settle(done);
+    t.is(reply.status, 201);
+    t.is(reply.text, "stock: 4");
+    t.is(reply.header(NAMES.signature), "signed");
+    t.is(reply.header("x-other"), "kept");
+    t.is(reply.header("connection"), undefined);
+});
+
+test.serial("an answer to another request never reaches the caller", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("status");
+    const first = await fixture.latest();
+    first.head(200, { [NAMES.requestId]: "request-of-another" }).data("theirs");
+    t.not(first.abortReason, undefined);
+    (await fixture.latest()).answer(200, "own");
+    await fixture.settle(done);
+    t.is(reply.text, "own");
+});
+
+test.serial("it does without the check", async t => {
+    using _fault = seedFaults(["direct.skip-answer-id"]);
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("status");
+    (await fixture.latest()).answer(200, "theirs", { [NAMES.requestId]: "request-of-another" });
+    await fixture.settle(done);
+    t.is(reply.text, "theirs");
+});
+
+for (
+    const [name, headers] of [
+        ["without a signature", { [NAMES.signature]: undefined }],
+        ["with an encoded body", { "content-encoding": "gzip" }],
+    ] as const
+) {
+    test.serial(`a success ${name} is tried elsewhere`, async t => {
+        const fixture = withOrders();
+        const { done, reply } = fixture.send("status");
+        (await fixture.latest()).answer(200, "bad", headers);
+        (await fixture.latest()).answer(200, "good");
+        await fixture.settle(done);
+        t.is(reply.text, "good");
+    });
+}
+
+test.serial("a cut answer never looks complete", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("booking");
+    (await fixture.latest()).head(200).data("half").breakUp();
+    await fixture.settle(done);
+    t.is(reply.status, 502);
+    t.false(reply.text.includes("half"));
+});
+
+test.serial("a refusal that names another request is no promise", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("booking");
+    (await fixture.latest()).refuse({ [NAMES.requestId]: "request-of-another" });
+    await fixture.settle(done);
+    t.is(reply.status, 502);
+});
+
+test.serial("a status read that two servers failed gets the server's own failure", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("status");
+    (await fixture.latest()).answer(500, "first");
+    (await fixture.latest()).answer(500, "second");
+    await fixture.settle(done);
+    t.is(fixture.arrived.length, 2);
+    t.is(reply.status, 500);
+    t.is(reply.header(NAMES.signature), "signed");
+});
+
+test.serial("a status read whose server is silent is tried elsewhere in time", async t => {
+    const fixture = withOrders();
+    const { done, reply } = fixture.send("status");
+    await fixture.clock.advance(400);
+    t.is(fixture.arrived.length, 2);
+    (await fixture.latest()).answer(200, "late but whole");
+    await fixture.settle(done);
+    t.is(reply.text, "late but whole");
+});
+
+test.serial("a caller that leaves ends the work at the server at once", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(DRAFTS, "a");
+    const { done, reply } = fixture.send("draft");
+    const call = await fixture.latest();
+    reply.leave();
+    await fixture.settle(done);
+    t.not(call.abortReason, undefined);
+    t.is(fixture.clock.nowMs(), 0);
+});
--- /dev/null
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -0,0 +1,386 @@
+/**
+ * A direct entry on the virtual clock, with backend servers and callers that a test plays by hand.
+ */
+
+import {
+    type Address,
+    type BackendServerId,
+    branded,
+    type ClientAccountId,
+    createRandomSource,
+    type DataCentreId,
+    EventLog,
+    type InstanceId,
+    type Revision,
+    type ServiceName,
+} from "@magnolialock/kernel";
+import { VirtualClock } from "@magnolialock/test-support";
+import type {
+    AnswerHead,
+    CallerReply,
+    FlatHeaders,
+    IncomingCall,
+    UpstreamCall,
+    UpstreamConsumer,
+    UpstreamEnd,
+    UpstreamRequest,
+    Upstreams,
+} from "../../types/call.ts";
+import type { CallHeaderNames } from "../../types/callHeaders.ts";
+import type { DirectSettings } from "../../types/directSettings.ts";
+import type {
+    FleetConfiguration,
+    ItemContent,
+    RouteRule,
+    ServerEntry,
+    ServiceSpec,
+} from "../../types/fleetPicture.ts";
+import { noCallMetrics } from "../callMetrics.ts";
+import { DirectContext } from "../directContext.ts";
+import { PictureStore } from "../pictureStore.ts";
+import { serveCall } from "../serveCall.ts";
+import { ServerDirectory } from "../serverDirectory.ts";
+
+export const NAMES: CallHeaderNames = {
+    requestId: "x-id",
+    timeLeftMs: "x-left",
+    lastEventId: "last-event-id",
+    signature: "x-signature",
+    account: "x-account",
+    apiKey: "x-key",
+    targetServer: "x-server",
+    notRun: "x-not-run",
+    faultServer: "x-fault",
+    queuePriority: "x-rank",
+    tokenCounts: "x-tokens",
+};
+
+export const DRAFTS = branded<ServiceName>("drafts");
+export const ORDERS = branded<ServiceName>("orders");
+const HERE = branded<DataCentreId>("here");
+export const THERE = branded<DataCentreId>("there");
+
+const SETTINGS: DirectSettings = {
+    instance: branded<InstanceId>("entry-1"),
+    dataCentre: HERE,
+    callers: branded<Address>("10.0.0.1:1"),
+    readiness: branded<Address>("10.0.0.1:2"),
+    metrics: undefined,
+    peers: branded<Address>("10.0.0.1:3"),
+    seeds: [],
+    bounds: {
+        retryRatio: 0.2,
+        retrySlack: 100,
+        retryWindowMs: 10_000,
+        coldOvershoot: 1.5,
+        coldSlack: 5,
+        stallMs: 1_500,
+        graceMs: 8_000,
+        passMs: 120,
+    },
+};
+
+export const route = (name: string, changes: Partial<RouteRule> = {}): RouteRule => ({
+    name,
+    host: "shop.example",
+    prefix: `/${name}/`,
+    answer: "whole",
+    repeat: "always",
+    timeoutMs: 800,
+    targetLatencyMs: 120,
+    targetGapMs: undefined,
+    priority: 2,
+    maxAttempts: 2,
+    isPublic: false,
+    targets: [{ service: ORDERS, weight: 1 }],
+    ...changes,
+});
+
+const STREAM: Partial<RouteRule> = {
+    answer: "stream",
+    repeat: "resume",
+    timeoutMs: 8_000,
+    targetLatencyMs: 400,
+    targetGapMs: 120,
+    targets: [{ service: DRAFTS, weight: 1 }],
+};
+
+export const serviceSpec = (name: ServiceName, changes: Partial<ServiceSpec> = {}): ServiceSpec => ({
+    name,
+    connectionLimit: 100,
+    coldRequestsPerS: 0,
+    engine: undefined,
+    ...changes,
+});
+
+const ENGINE: ServiceSpec["engine"] = {
+    slots: 8,
+    stepMs: 6,
+    perRequestMs: 0.5,
+    perThousandContextMs: 0.05,
+    promptTokensPerS: 60_000,
+    stepsPerPass: 5,
+    usualPromptTokens: 800,
+    usualAnswerTokens: 140,
+    experts: undefined,
+};
+
+export const configuration = (changes: Partial<FleetConfiguration> = {}): FleetConfiguration => ({
+    version: 1,
+    routes: [route("status"), route("booking", { repeat: "never", maxAttempts: 1 }), route("draft", STREAM)],
+    services: [serviceSpec(ORDERS), serviceSpec(DRAFTS, { engine: ENGINE })],
+    accountsByKey: new Map([["key-1", { account: branded<ClientAccountId>("shop"), priority: undefined }]]),
+    limits: { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    ...changes,
+});
+
+export const serverEntry = (
+    id: string,
+    service: ServiceName,
+    changes: Partial<ServerEntry> = {},
+): ServerEntry => ({
+    id: branded<BackendServerId>(id),
+    service,
+    address: branded<Address>(`10.1.0.${id.length}:80`),
+    dataCentre: HERE,
+    slots: 8,
+    state: "ready",
+    ...changes,
+});
+
+/** A call that arrived at a backend server. */
+export class FakeUpstream implements UpstreamCall {
+    public readonly ended: Promise<UpstreamEnd>;
+    public abortReason: string | undefined;
+    private finish: (end: UpstreamEnd) => void = () => {};
+
+    public constructor(
+        public readonly server: string,
+        public readonly request: UpstreamRequest,
+        private readonly consumer: UpstreamConsumer,
+    ) {
+        this.ended = new Promise(resolve => this.finish = resolve);
+    }
+
+    public header(name: string): string | undefined {
+        const { headers } = this.request;
+        const index = headers.findIndex((text, position) =>
+            position % 2 === 0 && text.toLowerCase() === name
+        );
+        return index < 0 ? undefined : headers[index + 1];
+    }
+
+    public head(status: number, headers: AnswerHead["headers"] = {}): this {
+        const id = this.header(NAMES.requestId);
+        this.consumer.onHead({
+            status,
+            headers: { [NAMES.requestId]: id, [NAMES.signature]: "signed", ...headers },
+        });
+        return this;
+    }
+
+    public data(text: string): this {
+        this.consumer.onData(Buffer.from(text));
+        return this;
+    }
+
+    public complete(): void {
+        this.finish({ kind: "complete" });
+    }
+
+    public breakUp(): void {
+        this.finish({ kind: "broken", message: "reset" });
+    }
+
+    public failToSend(): void {
+        this.finish({ kind: "notSent", message: "refused" });
+    }
+
+    public answer(status: number, text = "answer", headers: AnswerHead["headers"] = {}): void {
+        this.head(status, headers).data(text).complete();
+    }
+
+    public refuse(headers: AnswerHead["headers"] = {}): void {
+        this.answer(503, "", { [NAMES.notRun]: "1", [NAMES.signature]: undefined, ...headers });
+    }
+
+    public startStream(): this {
+        return this.head(200, { "content-type": "text/event-stream" });
+    }
+
+    public events(from: number, to: number): this {
+        for (let id = from; id <= to; id++) {
+            this.data(`id: ${id}\ndata: ${id}\n\n`);
+        }
+        return this;
+    }
+
+    public abort(reason: string): void {
+        this.abortReason = reason;
+        this.finish({ kind: "broken", message: reason });
+    }
+
+    public pause(): void {}
+
+    public resume(): void {}
+}
+
+/** What a caller got. */
+export class FakeReply implements CallerReply {
+    public readonly gone: AbortSignal;
+    public head: AnswerHead | undefined;
+    public text = "";
+    public state: "open" | "whole" | "ended" | "broken" = "open";
+    private readonly controller = new AbortController();
+
+    public constructor() {
+        this.gone = this.controller.signal;
+    }
+
+    public get status(): number | undefined {
+        return this.head?.status;
+    }
+
+    public header(name: string): string | undefined {
+        const value = this.head?.headers[name];
+        return typeof value === "string" ? value : undefined;
+    }
+
+    public leave(): void {
+        this.controller.abort();
+    }
+
+    public sendWhole(head: AnswerHead, body: Buffer): void {
+        this.head = head;
+        this.text = body.toString();
+        this.state = "whole";
+    }
+
+    public startStream(head: AnswerHead): void {
+        this.head = head;
+    }
+
+    public write(bytes: Buffer): boolean {
+        this.text += bytes.toString();
+        return true;
+    }
+
+    public onDrain(): void {}
+
+    public end(): void {
+        this.state = "ended";
+    }
+
+    public breakOff(): void {
+        this.state = "broken";
+    }
+}
+
+/** One entry under test. */
+export class DirectFixture implements Upstreams {
+    public readonly clock = new VirtualClock();
+    public readonly events: EventLog;
+    public readonly store: PictureStore;
+    public readonly directory: ServerDirectory;
+    public readonly context: DirectContext;
+    /** Calls that arrived at backend servers, oldest first. */
+    public readonly arrived: FakeUpstream[] = [];
+    public sinceOutageMs = Number.POSITIVE_INFINITY;
+    public fleetSize = 8;
+    private readonly contents = new Map<string, ItemContent>();
+    private revision = 0;
+    private nextRequest = 1;
+
+    public constructor(start: FleetConfiguration | undefined = configuration()) {
+        this.events = new EventLog({ clock: this.clock, instance: "entry-1" });
+        const runtime = { clock: this.clock, events: this.events, random: createRandomSource(1) };
+        this.store = new PictureStore({
+            events: this.events,
+            decode: (key, text) => this.contents.get(`${key} ${text}`) ?? { kind: "ignored" },
+        });
+        this.directory = new ServerDirectory({
+            runtime,
+            store: this.store,
+            sinceOutageMs: () => this.sinceOutageMs,
+        });
+        this.context = new DirectContext({
+            runtime,
+            settings: SETTINGS,
+            headers: NAMES,
+            store: this.store,
+            directory: this.directory,
+            upstreams: this,
+            metrics: noCallMetrics,
+            fleetSize: () => this.fleetSize,
+        });
+        if (start) {
+            this.publish("config", { kind: "configuration", configuration: start });
+        }
+    }
+
+    public publish(key: string, content: ItemContent): void {
+        const revision = branded<Revision>(++this.revision);
+        const text = String(revision);
+        this.contents.set(`${key} ${text}`, content);
+        this.store.apply(revision, [{ key, text, revision }], "platform");
+    }
+
+    public remove(key: string): void {
+        const revision = branded<Revision>(++this.revision);
+        this.store.apply(revision, [{ key, text: undefined, revision }], "platform");
+    }
+
+    public addServers(service: ServiceName, ...ids: readonly string[]): void {
+        for (const id of ids) {
+            this.publish(id, { kind: "server", server: serverEntry(id, service) });
+        }
+    }
+
+    public start(
+        server: string,
+        _address: Address,
+        request: UpstreamRequest,
+        consumer: UpstreamConsumer,
+    ): UpstreamCall {
+        const call = new FakeUpstream(server, request, consumer);
+        this.arrived.push(call);
+        return call;
+    }
+
+    public forget(): void {}
+
+    /** Sends a request; `call` settles once the entry is done with it. */
+    public send(
+        name: string,
+        headers: Record<string, string> = {},
+    ): { readonly reply: FakeReply; readonly done: Promise<void>; } {
+        const all: Record<string, string> = {
+            host: "shop.example",
+            [NAMES.requestId]: `request-${this.nextRequest++}`,
+            [NAMES.apiKey]: "key-1",
+            [NAMES.timeLeftMs]: "8000",
+            ...headers,
+        };
+        const rawHeaders: FlatHeaders = Object.entries(all).flat();
+        const call: IncomingCall = {
+            method: "POST",
+            path: `/${name}/1?x=2`,
+            headers: all,
+            rawHeaders,
+            body: Buffer.from("body"),
+            receivedMs: this.clock.nowMs(),
+        };
+        const reply = new FakeReply();
+        return { reply, done: serveCall(this.context, call, reply) };
+    }
+
+    /** The newest call that arrived, after what was started has run. */
+    public async latest(): Promise<FakeUpstream> {
+        await this.clock.advance(0);
+        return this.arrived.at(-1) as FakeUpstream;
+    }
+
+    public settle(done: Promise<void>): Promise<void> {
+        return this.clock.runUntilSettled(done, 20_000);
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/__tests__/routing.spec.ts
@@ -0,0 +1,193 @@
+import { branded, type ClientAccountId, createRandomSource, seedFaults } from "@magnolialock/kernel";
+import test from "ava";
+import { drawService, RouteTable } from "../routeTable.ts";
+import {
+    configuration,
+    DirectFixture,
+    DRAFTS,
+    NAMES,
+    ORDERS,
+    route,
+    serverEntry,
+    serviceSpec,
+    THERE,
+} from "./directFixture.ts";
+
+const statusOf = async (fixture: DirectFixture, name: string, headers: Record<string, string> = {}) => {
+    const { done, reply } = fixture.send(name, headers);
+    await fixture.settle(done);
+    return reply.status;
+};
+
+test("the longest prefix of the host counts", t => {
+    const table = new RouteTable([
+        route("all", { prefix: "/" }),
+        route("a"),
+        route("ab", { prefix: "/a/b/" }),
+        route("elsewhere", { host: "other.example", prefix: "/a/b/c/" }),
+    ]);
+    t.is(table.find("shop.example", "/a/b/c")?.name, "ab");
+    t.is(table.find("SHOP.example:8080", "/a/b/")?.name, "ab");
+    t.is(table.find("shop.example", "/a/b")?.name, "a");
+    t.is(table.find("shop.example", "/a/x?y=/a/b/")?.name, "a");
+    t.is(table.find("shop.example", "/x")?.name, "all");
+    t.is(table.find("unknown.example", "/a/b"), undefined);
+});
+
+test("a split sends each service its share", t => {
+    const split = route("split", {
+        targets: [{ service: ORDERS, weight: 90 }, { service: DRAFTS, weight: 10 }],
+    });
+    const random = createRandomSource(3);
+    let drafts = 0;
+    for (let draw = 0; draw < 2_000; draw++) {
+        drafts += drawService(split, random) === DRAFTS ? 1 : 0;
+    }
+    t.true(drafts > 140 && drafts < 260);
+});
+
+test.serial("an instance that knows no configuration refuses, it never denies", async t => {
+    const fixture = new DirectFixture(undefined);
+    fixture.store.apply(branded(0), [], "platform");
+    const empty = new DirectFixture(undefined);
+    t.is(await statusOf(empty, "status"), 503);
+});
+
+test.serial("unknown routes and keys are denied", async t => {
+    const fixture = new DirectFixture();
+    t.is(await statusOf(fixture, "nowhere"), 404);
+    t.is(await statusOf(fixture, "status", { [NAMES.apiKey]: "wrong" }), 401);
+});
+
+test.serial("the server gets the account, never the key or what the caller says of it", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    fixture.send("status", {
+        [NAMES.account]: "somebody-else",
+        connection: "x-hop",
+        "x-hop": "1",
+        "x-kept": "2",
+    });
+    const call = await fixture.latest();
+    t.is(call.header(NAMES.account), "shop");
+    t.is(call.header(NAMES.apiKey), undefined);
+    t.is(call.header("x-hop"), undefined);
+    t.is(call.header("x-kept"), "2");
+    t.is(call.header(NAMES.targetServer), "a");
+    t.is(call.request.path, "/status/1?x=2");
+});
+
+test.serial("a public route needs no key, and an unknown key names no account", async t => {
+    const fixture = new DirectFixture(configuration({ routes: [route("open", { isPublic: true })] }));
+    fixture.addServers(ORDERS, "a");
+    fixture.send("open", { [NAMES.apiKey]: "wrong" });
+    t.is((await fixture.latest()).header(NAMES.account), undefined);
+});
+
+test.serial("a newer configuration takes a key away, an older one never brings it back", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    const others = new Map([["key-2", { account: branded<ClientAccountId>("shop"), priority: undefined }]]);
+    fixture.publish("config", {
+        kind: "configuration",
+        configuration: configuration({ version: 5, accountsByKey: others }),
+    });
+    t.is(await statusOf(fixture, "status"), 401);
+    fixture.publish("config", { kind: "configuration", configuration: configuration({ version: 4 }) });
+    t.is(await statusOf(fixture, "status"), 401);
+});
+
+test.serial("the time that is left goes along", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a", "b");
+    fixture.send("status", { [NAMES.timeLeftMs]: "1500" });
+    const first = await fixture.latest();
+    t.is(first.header(NAMES.timeLeftMs), "1500");
+    await fixture.clock.advance(100);
+    first.breakUp();
+    t.is((await fixture.latest()).header(NAMES.timeLeftMs), "1400");
+});
+
+test.serial("draining servers and data centres that are out get nothing", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a", "b");
+    fixture.publish("a", { kind: "server", server: serverEntry("a", ORDERS, { state: "draining" }) });
+    fixture.publish("c", { kind: "server", server: serverEntry("c", ORDERS, { dataCentre: THERE }) });
+    fixture.publish("out", { kind: "outDataCentre", dataCentre: THERE });
+    for (let request = 0; request < 10; request++) {
+        fixture.send("status");
+        t.is((await fixture.latest()).server, "b");
+    }
+    fixture.remove("out");
+    fixture.send("status");
+    t.is((await fixture.latest()).server, "c");
+});
+
+test.serial("a server whose entry is removed gets nothing more at once", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    fixture.remove("a");
+    t.is(await statusOf(fixture, "status"), 503);
+});
+
+test.serial("entries that lapsed in an outage are used for two seconds after its end", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    fixture.sinceOutageMs = 500;
+    fixture.remove("a");
+    fixture.send("status");
+    t.is((await fixture.latest()).server, "a");
+    await fixture.clock.advance(1_600);
+    t.is(await statusOf(fixture, "status"), 503);
+});
+
+test.serial("an entry that comes back in time stays", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    fixture.sinceOutageMs = 500;
+    fixture.remove("a");
+    fixture.addServers(ORDERS, "a");
+    await fixture.clock.advance(5_000);
+    fixture.send("status");
+    t.is((await fixture.latest()).server, "a");
+});
+
+test.serial("an instance stays within its share of what a cold server bears", async t => {
+    const fixture = new DirectFixture(
+        configuration({ services: [serviceSpec(ORDERS, { coldRequestsPerS: 38 })] }),
+    );
+    fixture.fleetSize = 7;
+    fixture.addServers(ORDERS, "a");
+    for (let request = 0; request < 30; request++) {
+        fixture.send("status");
+    }
+    await fixture.latest();
+    // Seven instances, each with this many, stay under 38 × 1.5 + 5 a second.
+    t.true(fixture.arrived.length * 7 <= 62);
+    t.true(fixture.arrived.length >= 5);
+    await fixture.clock.advance(1_001);
+    fixture.send("status");
+    t.true((await fixture.latest()).server === "a");
+});
+
+test.serial("retries stay within this instance's share, whatever fails", async t => {
+    const played = async (): Promise<number> => {
+        const fixture = new DirectFixture();
+        fixture.addServers(ORDERS, "a", "b", "c");
+        for (let request = 0; request < 100; request++) {
+            const { done } = fixture.send("status");
+            for (let last: unknown; last !== fixture.arrived.at(-1);) {
+                last = fixture.arrived.at(-1);
+                fixture.arrived.at(-1)?.breakUp();
+                await fixture.latest();
+            }
+            await fixture.settle(done);
+        }
+        return fixture.arrived.length - 100;
+    };
+    const retries = await played();
+    // Eight instances share 100 retries beyond a fifth of the requests that succeed, and none succeeds here.
+    t.true(retries * 8 <= 100, `${retries} retries`);
+    using _fault = seedFaults(["direct.skip-retry-budget"]);
+    t.true(await played() * 8 > 100);
+});
--- /dev/null
+++ b/packages/direct/src/shared/__tests__/streams.spec.ts
@@ -0,0 +1,94 @@
+import { seedFaults } from "@magnolialock/kernel";
+import test from "ava";
+import { EventStreamSplitter } from "../eventStreamSplitter.ts";
+import { DirectFixture, DRAFTS, NAMES } from "./directFixture.ts";
+
+const withDrafts = (): DirectFixture => {
+    const fixture = new DirectFixture();
+    fixture.addServers(DRAFTS, "a", "b", "c");
+    return fixture;
+};
+
+const idsOf = (text: string): number[] => [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+
+test.serial("a stream goes on at another server after its last whole event", async t => {
+    const fixture = withDrafts();
+    const { done, reply } = fixture.send("draft");
+    const first = await fixture.latest();
+    first.startStream().events(1, 4).data("id: 5\nda").breakUp();
+    const second = await fixture.latest();
+    t.not(second.server, first.server);
+    t.is(second.header(NAMES.lastEventId), "4");
+    second.head(200, { "content-type": "text/event-stream", [NAMES.signature]: "other" }).events(5, 7)
+        .complete();
+    await fixture.settle(done);
+    t.deepEqual(idsOf(reply.text), [1, 2, 3, 4, 5, 6, 7]);
+    t.is(reply.header(NAMES.signature), "signed");
+    t.is(reply.state, "ended");
+});
+
+test.serial("an event that repeats or skips one is not passed on", async t => {
+    for (const next of [3, 6]) {
+        const fixture = withDrafts();
+        const { done, reply } = fixture.send("draft");
+        (await fixture.latest()).startStream().events(1, 4).events(next, next);
+        (await fixture.latest()).startStream().events(5, 5).complete();
+        await fixture.settle(done);
+        t.deepEqual(idsOf(reply.text), [1, 2, 3, 4, 5]);
+    }
+});
+
+test.serial("it is passed on without the check", async t => {
+    using _fault = seedFaults(["direct.skip-event-order"]);
+    const fixture = withDrafts();
+    const { done, reply } = fixture.send("draft");
+    (await fixture.latest()).startStream().events(1, 4).events(6, 6).complete();
+    await fixture.settle(done);
+    t.deepEqual(idsOf(reply.text), [1, 2, 3, 4, 6]);
+});
+
+test.serial("a stream that cannot be resumed is broken off, never ended", async t => {
+    const fixture = withDrafts();
+    const { done, reply } = fixture.send("draft");
+    (await fixture.latest()).startStream().events(1, 2).breakUp();
+    (await fixture.latest()).startStream().events(3, 4).breakUp();
+    await fixture.settle(done);
+    t.is(fixture.arrived.length, 2);
+    t.is(reply.state, "broken");
+});
+
+test.serial("a stream that ends within an event is not complete", async t => {
+    const fixture = withDrafts();
+    const { done, reply } = fixture.send("draft");
+    (await fixture.latest()).startStream().events(1, 2).data("id: 3\n").complete();
+    (await fixture.latest()).startStream().events(3, 3).complete();
+    await fixture.settle(done);
+    t.deepEqual(idsOf(reply.text), [1, 2, 3]);
+});
+
+test.serial("a caller's own resume is passed on", async t => {
+    const fixture = withDrafts();
+    const { done } = fixture.send("draft", { [NAMES.lastEventId]: "12" });
+    const call = await fixture.latest();
+    t.is(call.header(NAMES.lastEventId), "12");
+    call.startStream().events(13, 14).complete();
+    await fixture.settle(done);
+});
+
+test("events are found whatever the pieces are", t => {
+    const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nx-version: 3\nid: 3\ndata: c\n\n";
+    for (let size = 1; size < 20; size++) {
+        const splitter = new EventStreamSplitter();
+        const ids: (number | undefined)[] = [];
+        let joined = "";
+        for (let start = 0; start < text.length; start += size) {
+            for (const event of splitter.push(Buffer.from(text.slice(start, start + size)))) {
+                ids.push(event.id);
+                joined += event.bytes.toString();
+            }
+        }
+        t.deepEqual(ids, [1, 2, 3]);
+        t.is(joined, text);
+        t.is(splitter.pendingBytes, 0);
+    }
+});
--- a/packages/direct/src/shared/answerCheck.ts
+++ b/packages/direct/src/shared/answerCheck.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { isFaultSeeded } from "@magnolialock/kernel";
 import type { AnswerHead } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import { answerHeader } from "./callHeaders.ts";
@@ -34,7 +35,8 @@
     const answeredId = answerHeader(head, names.requestId);
     const isMisdirected = head.status === HTTP_MISDIRECTED;
     // Another server at the address has not read the request and repeats no identifier.
-    if (answeredId !== requestId && !(isMisdirected && answeredId === undefined)) {
+    const isOwn = answeredId === requestId || isMisdirected && answeredId === undefined;
+    if (!isOwn && !isFaultSeeded("direct.skip-answer-id")) {
         return {
             kind: "foreign",
             message: `the answer belongs to request ${answeredId ?? "without an identifier"}`,
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { sleep, timeoutSignal } from "@magnolialock/kernel";
+import { isFaultSeeded, sleep, timeoutSignal } from "@magnolialock/kernel";
 import { match } from "ts-pattern";
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { AnswerHead, CallerReply, IncomingCall } from "../types/call.ts";
@@ -223,7 +223,10 @@
             .with({ kind: "broken" }, ({ message }) => {
                 this.sentAttempts++;
                 this.mayHaveRun = true;
-                return this.isRepeatable ? this.sendAgain(message) : { kind: "stop", reason: message };
+                if (this.isRepeatable || isFaultSeeded("direct.repeat-once")) {
+                    return this.sendAgain(message);
+                }
+                return { kind: "stop", reason: message };
             })
             .exhaustive();
     }
@@ -253,10 +256,11 @@
     /** Whether a request that was sent may be sent once more. */
     private sendAgain(reason: string): NextStep {
         const { maxAttempts } = this.admitted.route;
-        if (this.sentAttempts >= maxAttempts || this.reply.gone.aborted) {
+        const mostAttempts = isFaultSeeded("direct.repeat-once") ? maxAttempts + 1 : maxAttempts;
+        if (this.sentAttempts >= mostAttempts || this.reply.gone.aborted) {
             return { kind: "stop", reason };
         }
-        return this.state.budget.tryTake()
+        return this.state.budget.tryTake() || isFaultSeeded("direct.skip-retry-budget")
             ? { kind: "again" }
             : { kind: "stop", reason: `${reason}; no retries left` };
     }
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 
+import { isFaultSeeded } from "@magnolialock/kernel";
 import type { AnswerHead, CallerReply, IncomingCall, UpstreamCall, UpstreamConsumer } from "../types/call.ts";
 import type { AccountSpec, RouteRule } from "../types/fleetPicture.ts";
 import { type HeadVerdict, judgeHead } from "./answerCheck.ts";
@@ -137,7 +138,9 @@
         for (const event of this.splitter.push(bytes)) {
             this.noteFirstByte();
             const { id } = event;
-            if (id !== undefined && cursor.lastEventId !== undefined && id !== cursor.lastEventId + 1) {
+            const isInOrder = id === undefined || cursor.lastEventId === undefined
+                || id === cursor.lastEventId + 1;
+            if (!isInOrder && !isFaultSeeded("direct.skip-event-order")) {
                 this.giveUp(`event ${id} came after event ${cursor.lastEventId}`);
                 return;
             }
