feat(cli): explain requests from structured logs, with what the instance knew then

Cause: on the platform on-call engineers have only logs; explain asked running processes. Rank 0 leads its group without waiting.

--- a/packages/cli/src/node/commands/explain.ts
+++ b/packages/cli/src/node/commands/explain.ts
@@ -8,12 +8,15 @@
     compareTimelineEntries,
     createTcpNetwork,
     ExitCode,
+    type Finding,
     formatFinding,
     type TimelineEntry,
 } from "@magnolialock/kernel";
+import type { ArgumentsCamelCase } from "yargs";
 import { commands } from "../command.ts";
 import { addPeerOption, readPeers } from "../peerOptions.ts";
 import { explainRequest } from "../timeline/explainRequest.ts";
+import { readLogs } from "../timeline/readLogs.ts";
 import { readTimelines } from "../timeline/readTimelines.ts";
 
 /** Explains a request. */
@@ -23,25 +26,51 @@
     description: "Tell in plain sentences what became of a request",
     builder: yargs =>
         addPeerOption(yargs, "control addresses of entries and agents to read")
+            .option("log", {
+                type: "string",
+                array: true,
+                describe: "log files to read instead of processes; - is standard input",
+            })
             .positional("request", {
                 type: "string",
                 demandOption: true,
                 describe: "identifier of the request",
             }),
     run: async args => {
-        await using network = createTcpNetwork();
-        const request = String(args["request"]);
-        const entries: TimelineEntry[] = [];
-        const findings = await readTimelines({
-            network,
-            peers: readPeers(args),
-            filter: { request },
-            follow: false,
-            signal: new AbortController().signal,
-            onEntry: entry => void entries.push(entry),
-        });
-        process.stdout.write(`${explainRequest(request, entries.sort(compareTimelineEntries)).join("\n")}\n`);
-        process.stderr.write(findings.map(finding => `${formatFinding(finding)}\n`).join(""));
-        return entries.length > 0 && findings.length === 0 ? ExitCode.Success : ExitCode.Failure;
+        const logs = args["log"] as string[] | undefined;
+        return logs ? explainFromLogs(String(args["request"]), logs) : explainFromPeers(args);
     },
 });
+
+const explainFromLogs = async (request: string, paths: readonly string[]): Promise<number> => {
+    const all: TimelineEntry[] = [];
+    const findings = await readLogs(paths, entry => void all.push(entry));
+    all.sort(compareTimelineEntries);
+    const entries = all.filter(({ fields }) => fields["requestId"] === request);
+    return report(explainRequest(request, entries, all), entries, findings);
+};
+
+const explainFromPeers = async (args: ArgumentsCamelCase): Promise<number> => {
+    await using network = createTcpNetwork();
+    const request = String(args["request"]);
+    const entries: TimelineEntry[] = [];
+    const findings = await readTimelines({
+        network,
+        peers: readPeers(args),
+        filter: { request },
+        follow: false,
+        signal: new AbortController().signal,
+        onEntry: entry => void entries.push(entry),
+    });
+    return report(explainRequest(request, entries.sort(compareTimelineEntries)), entries, findings);
+};
+
+const report = (
+    lines: readonly string[],
+    entries: readonly TimelineEntry[],
+    findings: readonly Finding[],
+): number => {
+    process.stdout.write(`${lines.join("\n")}\n`);
+    process.stderr.write(findings.map(finding => `${formatFinding(finding)}\n`).join(""));
+    return entries.length > 0 && findings.length === 0 ? ExitCode.Success : ExitCode.Failure;
+};
--- a/packages/cli/src/node/timeline/explainRequest.ts
+++ b/packages/cli/src/node/timeline/explainRequest.ts
@@ -6,9 +6,54 @@
 
 import type { TimelineEntry } from "@magnolialock/kernel";
 import { match, P } from "ts-pattern";
+import { decidingBeliefs } from "./decidingBeliefs.ts";
+
+const detailsOf = ({ fields, instance, name }: TimelineEntry): string => {
+    const details = Object.entries(fields).filter(([key]) => key !== "requestId")
+        .map(([key, value]) => `${key} ${value}`);
+    return `${instance}: ${[name, ...details].join(", ")}.`;
+};
+
+/** What an event of a direct entry says. */
+const directSentenceOf = (entry: TimelineEntry): string => {
+    const { fields, instance, name } = entry;
+    const field = (key: string): string => fields[key] ?? "?";
+    return match(name)
+        .with(
+            "direct.attempt.failed",
+            () =>
+                `${instance} sent it to backend server ${field("server")}, which gave no answer to pass on: ${
+                    field("outcome")
+                } (${field("detail")}).`,
+        )
+        .with(
+            "direct.call.answered",
+            () =>
+                `${instance} gave the caller the whole answer of backend server ${
+                    field("server")
+                } with status ${field("status")} after ${field("durationMs")} ms.`,
+        )
+        .with(
+            "direct.call.refused",
+            () =>
+                `${instance} refused it with status ${field("status")}, not run, after ${
+                    field("durationMs")
+                } ms: ${field("reason")}.`,
+        )
+        .with(
+            "direct.call.failed",
+            () =>
+                `${instance} could not give a whole answer after ${field("durationMs")} ms (${
+                    field("status") === "0" ? "the answer was broken off" : `status ${field("status")}`
+                }): ${field("reason")}.`,
+        )
+        .with("direct.call.left", () => `${instance} saw the caller leave after ${field("durationMs")} ms.`)
+        .otherwise(() => detailsOf(entry));
+};
 
 /** What an event says, in the words of an operator. */
-const sentenceOf = ({ name, instance, fields }: TimelineEntry): string => {
+const sentenceOf = (entry: TimelineEntry): string => {
+    const { fields, instance, name } = entry;
     const field = (key: string): string => fields[key] ?? "?";
     return match(name)
         .with(
@@ -61,16 +106,26 @@
                     field("message")
                 }.`,
         )
-        .with(P.string, () => {
-            const details = Object.entries(fields).filter(([key]) => key !== "requestId")
-                .map(([key, value]) => `${key} ${value}`);
-            return `${instance}: ${[name, ...details].join(", ")}.`;
-        })
+        .with(P.string.startsWith("direct."), () => directSentenceOf(entry))
+        .with(P.string, () => detailsOf(entry))
         .exhaustive();
 };
+const directVerdictOf = ({ fields, name }: TimelineEntry): string =>
+    match(name)
+        .with("direct.call.answered", () => "The caller has its whole answer.")
+        .with("direct.call.refused", () => "It has not run, and the caller was told so.")
+        .with("direct.call.failed", () =>
+            fields["mayHaveRun"] === "true"
+                ? "It may have run: no promise was made to the caller."
+                : "It has not run.")
+        .otherwise(() => "The caller gave up first.");
 
 /** What the caller knows in the end. */
 const verdictOf = (entries: readonly TimelineEntry[]): string => {
+    const direct = entries.findLast(({ name }) => name.startsWith("direct.call."));
+    if (direct) {
+        return directVerdictOf(direct);
+    }
     const last = entries.findLast(({ name }) =>
         name === "entry.request.answered" || name === "entry.request.failed"
     );
@@ -82,14 +137,32 @@
         .otherwise(() => `No process that was read knows the end of it. ${runs}`);
 };
 
+const beliefLines = (
+    entries: readonly TimelineEntry[],
+    surroundings: readonly TimelineEntry[],
+): string[] => {
+    const decision = entries.findLast(({ name }) => name.startsWith("direct."));
+    const beliefs = decision ? decidingBeliefs(decision, surroundings) : [];
+    const lines = beliefs.map(({ ageMs, entry }) => {
+        const details = Object.entries(entry.fields).map(([key, value]) => `${key} ${value}`).join(", ");
+        return `  ${Math.round(ageMs)} ms before: ${entry.name} (${details})`;
+    });
+    return lines.length > 0 ? [`What ${decision?.instance ?? ""} knew then:`, ...lines] : [];
+};
+
 /**
  * Explains a request.
  *
  * @param requestId - its identifier
  * @param entries - its events, in order
+ * @param surroundings - all events that are known, in order; the beliefs behind the decision are among them
  * @returns lines to print
  */
-export const explainRequest = (requestId: string, entries: readonly TimelineEntry[]): string[] => {
+export const explainRequest = (
+    requestId: string,
+    entries: readonly TimelineEntry[],
+    surroundings: readonly TimelineEntry[] = [],
+): string[] => {
     const [first] = entries;
     if (!first) {
         return [`No process that was read remembers request ${requestId}: name more peers, or ask sooner.`];
@@ -100,5 +173,6 @@
             `  +${Math.round(entry.time.wallMs - first.time.wallMs)} ms  ${sentenceOf(entry)}`
         ),
         verdictOf(entries),
+        ...beliefLines(entries, surroundings),
     ];
 };
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -155,7 +155,8 @@
     private mayLead(rank: number): boolean {
         const { clock, events } = this.options;
         const silentMs = clock.nowMs() - this.lowerRankAskedMs;
-        const mayLead = silentMs > TAKE_OVER_MS + rank * TAKE_OVER_PER_RANK_MS;
+        // Nobody goes before rank 0: after a restart of the whole group it need not wait for anyone.
+        const mayLead = rank === 0 || silentMs > TAKE_OVER_MS + rank * TAKE_OVER_PER_RANK_MS;
         if (mayLead !== this.isLeading) {
             this.isLeading = mayLead;
             this.demand = undefined;
