feat(rank): relieve slow ranks; pass answers without a length on without one

Change: plans weigh each rank's load by its slowness; an answer without a length goes to the caller without one.

--- a/packages/direct/src/node/callerFront.ts
+++ b/packages/direct/src/node/callerFront.ts
@@ -72,6 +72,14 @@
 
     public sendWhole(head: AnswerHead, body: Buffer): void {
         this.isFinished = true;
+        if (head.isUnframed) {
+            // A length would vouch for an end that the backend server has not vouched for.
+            this.response.useChunkedEncodingByDefault = false;
+            this.response.shouldKeepAlive = false;
+            this.writeHead(head);
+            this.response.end(body);
+            return;
+        }
         this.writeHead({ ...head, headers: { ...head.headers, "content-length": String(body.length) } });
         this.response.end(body);
     }
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -104,7 +104,7 @@
                 onResponseStart: (_started, status, headers) => {
                     isUnframed = headers["content-length"] === undefined
                         && headers["transfer-encoding"] === undefined;
-                    consumer.onHead({ status, headers });
+                    consumer.onHead({ status, headers, isUnframed });
                 },
                 onResponseData: (_started, bytes) => consumer.onData(bytes),
                 onResponseEnd: () => {
--- a/packages/direct/src/shared/callHeaders.ts
+++ b/packages/direct/src/shared/callHeaders.ts
@@ -95,7 +95,7 @@
  * @returns the head without headers of the server's connection
  */
 export const callerHead = (head: AnswerHead): AnswerHead => ({
-    status: head.status,
+    ...head,
     headers: Object.fromEntries(
         Object.entries(head.headers).filter(([name]) => !CONNECTION_HEADERS.has(name)),
     ),
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -31,6 +31,8 @@
     readonly status: number;
     /** Headers by lower-case name. */
     readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+    /** Whether only the end of the connection ends the body: nobody can tell then whether it is complete. */
+    readonly isUnframed?: boolean;
 }
 
 /** The way back to a caller. */
--- a/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
+++ b/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
@@ -85,3 +85,17 @@
     t.is(plan.copies, 0);
     t.deepEqual(plan.placement, inTurn());
 });
+
+test("a slow rank is relieved, as the whole group waits for it", t => {
+    for (let seed = 1; seed <= 10; seed++) {
+        const shares = drawShares(seed);
+        const slowness = new Array<number>(RANKS).fill(1);
+        slowness[3] = 3;
+        let current = inTurn();
+        for (let plans = 0; plans < 4; plans++) {
+            current = improvePlacement(current, shares, { ...OPTIONS, slowness }).placement;
+        }
+        // A rank that is three times slower and carries its whole part would set a skew of three.
+        t.true(skewOf(current, shares, slowness) < 1.6, `seed ${seed}: ${skewOf(current, shares, slowness)}`);
+    }
+});
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -182,11 +182,14 @@
         if (!group || !current || peers.length !== group.size || !this.demand?.isKnown) {
             return;
         }
-        if (!isUneven(skewOf(current, this.demand.shares()), this.passes.passMs)) {
+        const shares = this.demand.shares();
+        const slowness = slownessByRank(statuses);
+        if (!isUneven(skewOf(current, shares, slowness), this.passes.passMs)) {
             return;
         }
-        const plan = improvePlacement(current, this.demand.shares(), {
+        const plan = improvePlacement(current, shares, {
             limits,
+            slowness,
             maxCopiesPerRank: MAX_COPIES_PER_RANK,
             tolerance: TOLERANCE,
         });
@@ -244,6 +247,16 @@
     }
 }
 
+const slownessByRank = (statuses: readonly RankStatus[]): number[] => {
+    const slowness: number[] = [];
+    for (const { report } of statuses) {
+        if (report.group) {
+            slowness[report.group.rank] = Math.max(1, report.slowness);
+        }
+    }
+    return slowness;
+};
+
 const SKEW_DIGITS = 3;
 
 const rounded = (skew: number): number => Number(skew.toFixed(SKEW_DIGITS));
--- a/packages/rank/src/shared/improvePlacement.ts
+++ b/packages/rank/src/shared/improvePlacement.ts
@@ -18,6 +18,8 @@
     readonly maxCopiesPerRank: number;
     /** Excess of the fullest rank over the mean, as a share of the mean, that is left alone. */
     readonly tolerance: number;
+    /** Factor by which each rank is slower than it should be; a slow rank must carry less. All 1 by default. */
+    readonly slowness?: readonly number[];
 }
 
 /** A planned map. */
@@ -65,6 +67,7 @@
         private readonly limits: ExpertSpec,
         private readonly copies: Int32Array,
         private readonly maxCopiesPerRank: number,
+        private readonly slowness: readonly number[],
     ) {
         this.ranks = placement.map(experts => new Set(experts));
         this.original = placement.map(experts => new Set(experts));
@@ -72,7 +75,7 @@
         this.ranks.forEach((experts, rank) => experts.forEach(expert => this.holders[expert]?.add(rank)));
         this.loads = new Float64Array(placement.length);
         this.holders.forEach((ranks, expert) => this.addLoad(this.loads, ranks, this.shareOf(expert)));
-        this.meanLoad = this.loads.reduce((sum, load) => sum + load, 0) / placement.length;
+        this.meanLoad = shares.reduce((sum, share) => sum + share, 0) / placement.length;
     }
 
     public get peak(): number {
@@ -108,7 +111,7 @@
 
     private addLoad(loads: Float64Array, ranks: ReadonlySet<number>, load: number): void {
         for (const rank of ranks) {
-            loads[rank] = (loads[rank] as number) + load / ranks.size;
+            loads[rank] = (loads[rank] as number) + load / ranks.size * (this.slowness[rank] ?? 1);
         }
     }
 
@@ -255,9 +258,14 @@
  *
  * @param placement - the map
  * @param shares - share of the tokens that each expert gets, by set
+ * @param slowness - factor by which each rank is slower than it should be; all 1 by default
  * @returns load of the fullest ranks over that of the mean, over all sets; 1 is even
  */
-export const skewOf = (placement: ExpertPlacement, shares: readonly (readonly number[])[]): number => {
+export const skewOf = (
+    placement: ExpertPlacement,
+    shares: readonly (readonly number[])[],
+    slowness: readonly number[] = [],
+): number => {
     let peaks = 0;
     let means = 0;
     placement.forEach((ranks, set) => {
@@ -268,7 +276,7 @@
         const loads = ranks.map(experts =>
             experts.reduce((sum, expert) => sum + (shares[set]?.[expert] ?? 0) / (copies.get(expert) ?? 1), 0)
         );
-        peaks += Math.max(...loads);
+        peaks += Math.max(...loads.map((load, rank) => load * (slowness[rank] ?? 1)));
         means += loads.reduce((sum, load) => sum + load, 0) / loads.length;
     });
     return means > 0 ? peaks / means : 1;
@@ -287,10 +295,10 @@
     shares: readonly (readonly number[])[],
     options: ImprovePlacementOptions,
 ): PlacementPlan => {
-    const { limits, maxCopiesPerRank, tolerance } = options;
+    const { limits, maxCopiesPerRank, slowness = [], tolerance } = options;
     const copies = new Int32Array(current[0]?.length ?? 0);
     const plans = current.map((ranks, set) =>
-        new SetPlan(ranks, shares[set] ?? [], limits, copies, maxCopiesPerRank)
+        new SetPlan(ranks, shares[set] ?? [], limits, copies, maxCopiesPerRank, slowness)
     );
     // The most uneven sets come first: they get the copies that a rank may take in one plan.
     const order = [...plans].sort((left, right) => right.peak / right.mean - left.peak / left.mean);
@@ -302,7 +310,7 @@
         placement,
         copies: copies.reduce((sum, count) => sum + count, 0),
         copiesOfFullestRank: Math.max(0, ...copies),
-        skewBefore: skewOf(current, shares),
-        skewAfter: skewOf(placement, shares),
+        skewBefore: skewOf(current, shares, slowness),
+        skewAfter: skewOf(placement, shares, slowness),
     };
 };
