--- a/packages/direct/src/node/callerFront.ts
+++ b/packages/direct/src/node/callerFront.ts
@@ -72,15 +72,8 @@
 
     public sendWhole(head: AnswerHead, body: Buffer): void {
         this.isFinished = true;
-        if (head.isUnframed) {
-            // A length would vouch for an end that the backend server has not vouched for.
-            this.response.useChunkedEncodingByDefault = false;
-            this.response.shouldKeepAlive = false;
-            this.writeHead(head);
-            this.response.end(body);
-            return;
-        }
-        this.writeHead({ ...head, headers: { ...head.headers, "content-length": String(body.length) } });
+        const length = head.isUnframed ? {} : { "content-length": String(body.length) };
+        this.writeHead({ ...head, headers: { ...head.headers, ...length } });
         this.response.end(body);
     }
 
@@ -107,6 +100,11 @@
     }
 
     private writeHead(head: AnswerHead): void {
+        if (head.isUnframed) {
+            // A length or a last chunk would vouch for an end that the backend server has not vouched for.
+            this.response.useChunkedEncodingByDefault = false;
+            this.response.shouldKeepAlive = false;
+        }
         if (this.isStopping()) {
             this.response.setHeader("connection", "close");
         }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./node/commandLine.ts";
 export * from "./node/datagramSocket.ts";
 export * from "./node/debugSink.ts";
+export * from "./node/jsonLogSink.ts";
 export * from "./node/processRuntime.ts";
 export * from "./node/settings.ts";
 export * from "./node/statsdMetrics.ts";
--- a/packages/kernel/src/node/jsonLogSink.ts
+++ b/packages/kernel/src/node/jsonLogSink.ts
@@ -7,7 +7,16 @@
 
 import pino from "pino";
 import type { Clock } from "../shared/clock.ts";
-import type { EventLevel, EventRecord, EventSink } from "../shared/events.ts";
+import { defineEvent, type EventLevel, type EventRecord, type EventSink } from "../shared/events.ts";
+
+/** Lines were left out. */
+const linesLeftOut = defineEvent({
+    number: 100,
+    name: "log.lines.left-out",
+    level: "info",
+    summary:
+        "Log lines were left out: successes beyond the sampling rate, or lines that a slow reader did not take.",
+});
 
 /** Options of {@link createJsonLogSink}. */
 export interface JsonLogSinkOptions {
@@ -67,7 +76,8 @@
             windowStartMs = clock.nowMs();
             debugLines = 0;
             if (sampledOutLines > 0 || droppedLines > 0) {
-                logger.info({ event: 1100, name: "log.lines.left-out", sampledOutLines, droppedLines });
+                const { name, number: event } = linesLeftOut;
+                logger.info({ event, name, sampledOutLines, droppedLines });
                 sampledOutLines = 0;
                 droppedLines = 0;
             }
--- a/packages/lab/src/node/platformStandIns/backendStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/backendStandIn.ts
@@ -21,6 +21,8 @@
     | "cut"
     /** Sends a body without a length and resets the connection within it. */
     | "cutUnframed"
+    /** Sends a body without a length; the end of the connection ends it. */
+    | "unframed"
     /** Sends a second answer, which belongs to no request, after the first. */
     | "extra"
     /** Answers with the identifier of another request. */
@@ -122,7 +124,7 @@
         response.on("close", () => {
             this.abandoned += response.writableFinished ? 0 : 1;
         });
-        if (this.behaviour === "answer" && url?.includes("/stream")) {
+        if ((this.behaviour === "answer" || this.behaviour === "unframed") && url?.includes("/stream")) {
             await this.stream(requestId, Number(headers["last-event-id"] ?? 0), response);
             return;
         }
@@ -155,6 +157,10 @@
                     );
                 });
                 return;
+            case "unframed":
+                response.useChunkedEncodingByDefault = false;
+                response.writeHead(HTTP_OK, { ...headers, connection: "close" }).end(body);
+                return;
             case "extra": {
                 const { socket } = response;
                 response.writeHead(HTTP_OK, framed).end(body, () => {
@@ -177,6 +183,9 @@
     }
 
     private async stream(requestId: string, lastEventId: number, response: ServerResponse): Promise<void> {
+        if (this.behaviour === "unframed") {
+            response.useChunkedEncodingByDefault = false;
+        }
         const { clock, eventGapMs = DEFAULT_EVENT_GAP_MS, id, streamEvents = DEFAULT_STREAM_EVENTS } =
             this.options;
         response.writeHead(HTTP_OK, {
--- a/scripts/reference.ts
+++ b/scripts/reference.ts
@@ -4,6 +4,7 @@
 
 import { agentProgram } from "@magnolialock/agent";
 import "@magnolialock/control";
+import "@magnolialock/direct";
 import { entryProgram } from "@magnolialock/entry";
 import {
     environmentVariable,
@@ -14,6 +15,8 @@
 } from "@magnolialock/kernel";
 import "@magnolialock/lab";
 import "@magnolialock/maps";
+import { platformEntryProgram, platformRankProgram } from "@magnolialock/platform";
+import "@magnolialock/rank";
 import { type FieldDefinition, type RuleKind, ruleKinds } from "@magnolialock/rules";
 import { readFile, writeFile } from "node:fs/promises";
 
@@ -30,7 +33,8 @@
     "",
     GENERATED,
     "Logs and the time line show events as `E` and the number. Numbers 1000 to 1999 come from the control plane,",
-    "2000 to 2999 from agents, 3000 to 3999 from entries, 4000 to 4999 from expert maps, 5000 to 5999 from the lab.",
+    "2000 to 2999 from agents, 3000 to 3999 from entries, 4000 to 4999 from expert maps, 5000 to 5999 from the lab,",
+    "8000 to 8999 from direct entries, 9000 to 9999 from rank agents.",
     "",
     ...table(
         ["number", "name", "level", "meaning"],
@@ -83,6 +87,9 @@
     "",
     ...programSection(entryProgram),
     ...programSection(agentProgram),
+    ...programSection(platformEntryProgram),
+    ...programSection(platformRankProgram),
+    "Both platform programs read everything else from the file that `MAGNOLIALOCK_SETTINGS` names, in the platform's format.",
 ];
 
 const fieldRow = (name: string, field: FieldDefinition): string[] => [
