--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -53,7 +53,7 @@
 /** Copies of one plan on one rank: they are copied one after the other, and the plan must still be right afterwards. */
 const MAX_COPIES_PER_RANK = 3;
 /** Excess of the fullest rank that a plan leaves alone: the last copies cost most and save least. */
-const TOLERANCE = 0.12;
+const TOLERANCE = 0.15;
 /** Factor and constant by which copies may take longer than the link needs, before the round is given up. */
 const COPY_TIME_FACTOR = 3;
 const COPY_TIME_SLACK_MS = 1_500;
--- a/packages/rank/src/shared/movePolicy.ts
+++ b/packages/rank/src/shared/movePolicy.ts
@@ -14,11 +14,11 @@
 /** Skew that is left alone in a busy group; below it copies would follow chance. */
 const BUSY_SKEW = 1.25;
 /** Skew that is left alone in a quiet group; more would make the next burst late before a change is done. */
-const QUIET_SKEW = 1.8;
+const QUIET_SKEW = 2.2;
 /** Skew that a plan must save at least: a change takes the attention of all ranks. */
 const LEAST_SAVING = 0.1;
 /** Skew that a plan must save for each copy, since copies have a price and slow passes down. */
-const SAVING_PER_COPY = 0.006;
+const SAVING_PER_COPY = 0.008;
 
 /**
  * Tells whether a plan should be made.
