perf: fewer bytes and calls on large installations, copies by their time

Change: watches pause 0.4 s after changes; while copies run only the rank's state is read, first after 0.8 of their time; counts as differences; one report in five goes to other data centres; copies and their price by their time.

--- a/packages/direct/src/shared/followSource.ts
+++ b/packages/direct/src/shared/followSource.ts
@@ -27,6 +27,11 @@
 const MOST_WAIT_MS = 6_000;
 /** Time after the end of a wait in which its answer must arrive; less takes slow answers for losses. */
 const WATCH_SLACK_MS = 1_500;
+/**
+ * Pause after an answer with changes, in milliseconds. Changes come in bursts, and each of them would wake every
+ * instance for a call; it counts against the time in which a configuration must be in force.
+ */
+const CHANGE_PAUSE_MS = 400;
 /** Longest read of everything: a slow platform needs seconds for many pages. */
 const READ_TIMEOUT_MS = 8_000;
 /** Time between tries while the platform refuses; much less spends its read rate for nothing. */
@@ -115,6 +120,9 @@
             return;
         }
         store.apply(result.revision, result.changes, "platform");
+        if (result.changes.length > 0) {
+            await sleep(runtime.clock, CHANGE_PAUSE_MS, signal);
+        }
     }
 
     private noteAnswer(): void {
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -48,13 +48,15 @@
 /** Time between reports: load that is reported later than this is missed by those who choose servers. */
 const REPORT_PERIOD_MS = 200;
 /** Silence after which an instance counts as gone: a few lost datagrams are no sign of it. */
-const PEER_LIFETIME_MS = 1_500;
+const PEER_LIFETIME_MS = 3_500;
 /** Time for which a silent instance still counts for shares: it may be cut off and serve on. */
 const SHARE_LIFETIME_MS = 60_000;
 /** Instances that are assumed before others were heard: one that starts alone may be one of many. */
 const LEAST_FLEET_SIZE = 8;
-/** Instances that each report reaches; beyond it the own data centre and a sample of the others. */
-const MAX_RECEIVERS = 64;
+/** Reports of which one goes to other data centres: load there matters less, and bytes between data centres are dear. */
+const FAR_EVERY_REPORTS = 5;
+/** Instances of other data centres that a report reaches; in a larger fleet a sample spreads news and members. */
+const MAX_FAR_RECEIVERS = 64;
 /** Addresses of members in a report. */
 const MEMBERS_PER_REPORT = 8;
 /** Time for which another instance must be ahead before its state is fetched: the platform usually brings it first. */
@@ -77,6 +79,7 @@
     private readonly stopping = new AbortController();
     private aheadSinceMs: number | undefined;
     private isFetching = false;
+    private reportCount = 0;
 
     /** @param options - identity, store and directory */
     public constructor(options: PeerExchangeOptions) {
@@ -191,7 +194,7 @@
     }
 
     private send(socket: DatagramSocket): void {
-        const { clock, random } = this.options.runtime;
+        const { random } = this.options.runtime;
         const { settings, directory, services, store } = this.options;
         const running = new Map<string, number>();
         for (const { entry, health } of directory.all()) {
@@ -219,24 +222,24 @@
         if (bytes.length > MAX_DATAGRAM_BYTES) {
             bytes = encodePeerReport({ ...report, members: [], running: largest(running) });
         }
-        const receivers = known.length + this.candidates.size <= MAX_RECEIVERS
-            ? known
-            : this.sampleReceivers(clock.nowMs());
-        for (const receiver of [...receivers, ...this.candidates]) {
+        const isForAll = this.reportCount++ % FAR_EVERY_REPORTS === 0;
+        for (const receiver of this.receivers(isForAll)) {
             socket.send(receiver, bytes);
         }
     }
 
-    /** In a large fleet: all of the own data centre, and a sample of the others so that news and members spread. */
-    private sampleReceivers(nowMs: number): Address[] {
+    /** All of the own data centre, now and then the others too. */
+    private receivers(isForAll: boolean): Address[] {
         const { settings, runtime } = this.options;
         const near: Address[] = [];
         const far: Address[] = [];
-        for (const [address, { heardMs, report }] of this.peers) {
-            const isNear = report.dataCentre === settings.dataCentre && nowMs - heardMs < SHARE_LIFETIME_MS;
-            (isNear ? near : far).push(address);
+        for (const [address, { report }] of this.peers) {
+            (report.dataCentre === settings.dataCentre ? near : far).push(address);
         }
-        return [...near, ...shuffled(runtime.random, far).slice(0, MEMBERS_PER_REPORT)];
+        const sample = far.length <= MAX_FAR_RECEIVERS
+            ? far
+            : shuffled(runtime.random, far).slice(0, MAX_FAR_RECEIVERS);
+        return isForAll ? [...near, ...sample, ...this.candidates] : near;
     }
 
     /** Fetches the published state of an instance that has been ahead for a while. */
--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -13,7 +13,7 @@
 import type { RoundCall } from "../types/rankMessages.ts";
 import type { RankServer } from "../types/rankServer.ts";
 import type { RankSettings } from "../types/rankSettings.ts";
-import { CALL_PATH, RankPeers, STATUS_PATH } from "./rankPeers.ts";
+import { CALL_PATH, RankPeers, REPORT_PATH, STATUS_PATH } from "./rankPeers.ts";
 
 /** Options of {@link startRankAgent}. */
 export interface RankAgentOptions {
@@ -31,13 +31,14 @@
 const createApp = (member: RankMember, leader: GroupLeader): Hono => {
     const app = new Hono();
     app.get(STATUS_PATH, async context => {
-        const status = await member.status();
         const asking = Number(context.req.query("rank"));
+        const status = await member.status(asking);
         if (status.report.group && Number.isInteger(asking)) {
             leader.noteAsked(asking, status.report.group.rank);
         }
         return context.json(status);
     });
+    app.get(REPORT_PATH, async context => context.json(await member.readReport()));
     app.post(
         CALL_PATH,
         async context => context.json(await member.take(await context.req.json<RoundCall>())),
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -40,10 +40,12 @@
 
 /** Path of an agent's state; the query names the asking rank. */
 export const STATUS_PATH = "/rank/status";
+/** Path of the state of an agent's rank alone. */
+export const REPORT_PATH = "/rank/report";
 /** Path of the calls of a round. */
 export const CALL_PATH = "/rank/call";
 /** Time between reads of the list; a server that starts again is found within it. */
-const LIST_PERIOD_MS = 2_000;
+const LIST_PERIOD_MS = 4_000;
 const LIST_TIMEOUT_MS = 1_000;
 /** Time between reads of the list while none succeeded. */
 const LIST_RETRY_MS = 200;
@@ -153,6 +155,7 @@
         return {
             rank,
             status: () => this.status(address, ownRank),
+            report: () => this.call(`http://${address}${REPORT_PATH}`, undefined, STATUS_TIMEOUT_MS),
             send: call => this.send(address, call),
         };
     }
--- a/packages/rank/src/shared/__tests__/virtualGroup.ts
+++ b/packages/rank/src/shared/__tests__/virtualGroup.ts
@@ -293,8 +293,9 @@
             status: () =>
                 call(500, life => {
                     life.leader.noteAsked(this.rank.rank, rank);
-                    return life.member.status();
+                    return life.member.status(this.rank.rank);
                 }),
+            report: () => call(500, life => life.member.readReport()),
             send: message => call(800, life => life.member.take(message)),
         };
     }
--- a/packages/rank/src/shared/expertDemand.ts
+++ b/packages/rank/src/shared/expertDemand.ts
@@ -19,7 +19,6 @@
 /** Follows the demand of one group. */
 export class ExpertDemand {
     private readonly estimate: PopularityEstimate;
-    private readonly last = new Map<number, readonly number[]>();
 
     /**
      * @param spec - bounds of maps
@@ -45,17 +44,9 @@
      */
     public add(statuses: readonly RankStatus[], nowMs: number): void {
         const sums = new Float64Array(this.spec.sets * this.spec.experts);
-        for (const { counts, report } of statuses) {
-            const rank = report.group?.rank;
-            if (rank === undefined) {
-                continue;
-            }
-            const before = this.last.get(rank);
-            this.last.set(rank, counts);
-            for (let index = 0; before && index < sums.length; index++) {
-                // A server that has started again counts from zero.
-                sums[index] = (sums[index] as number)
-                    + Math.max(0, (counts[index] ?? 0) - (before[index] ?? 0));
+        for (const { newCounts } of statuses) {
+            for (let index = 0; index < sums.length; index++) {
+                sums[index] = (sums[index] as number) + (newCounts[index] ?? 0);
             }
         }
         this.estimate.add({ endMs: nowMs, counts: sums });
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -44,19 +44,19 @@
     readonly spec: () => ExpertSpec | undefined;
 }
 
+/** Name under which an agent asks its own rank. */
+const OWN_RANK = -1;
 /** Time between looks at the group; popularity shifts within a second. */
 const PERIOD_MS = 150;
 /** Silence of the agents of lower ranks after which the next one leads. */
 const TAKE_OVER_MS = 700;
 /** Additional silence for each rank, so that the agents do not all begin to lead. */
 const TAKE_OVER_PER_RANK_MS = 200;
-/** Copies of one plan on one rank: they are copied one after the other, and the plan must still be right afterwards. */
-const MAX_COPIES_PER_RANK = 3;
+/** Time for the copies of one plan on one rank, in milliseconds: the plan must still be right when they are done. */
+const COPY_BUDGET_MS = 430;
+const LEAST_COPIES_PER_RANK = 1;
 /** Excess of the fullest rank that a plan leaves alone: the last copies cost most and save least. */
 const TOLERANCE = 0.15;
-/** Factor and constant by which copies may take longer than the link needs, before the round is given up. */
-const COPY_TIME_FACTOR = 3;
-const COPY_TIME_SLACK_MS = 1_500;
 
 /** Watches one rank and leads its group when it is its turn. */
 export class GroupLeader implements AsyncDisposable {
@@ -121,7 +121,7 @@
 
     private async step(): Promise<void> {
         const { clock, events, member, peersOf, spec } = this.options;
-        const own = await member.status();
+        const own = await this.readOwn();
         const { group, heldPass } = own.report;
         if (!group?.isOpen) {
             return;
@@ -152,6 +152,11 @@
         await this.plan(own, [this.ownPeer(group), ...peers], statuses, limits);
     }
 
+    private async readOwn(): Promise<RankStatus> {
+        // The own rank's number is not known before the first answer; counts since then are all that matters.
+        return await this.options.member.status(OWN_RANK);
+    }
+
     private mayLead(rank: number): boolean {
         const { clock, events } = this.options;
         const silentMs = clock.nowMs() - this.lowerRankAskedMs;
@@ -190,10 +195,10 @@
         const plan = improvePlacement(current, shares, {
             limits,
             slowness,
-            maxCopiesPerRank: MAX_COPIES_PER_RANK,
+            maxCopiesPerRank: Math.max(LEAST_COPIES_PER_RANK, Math.floor(COPY_BUDGET_MS / limits.copyMs)),
             tolerance: TOLERANCE,
         });
-        if (!isWorthCopies(plan)) {
+        if (!isWorthCopies(plan, limits.copyMs)) {
             return;
         }
         const versions = statuses.flatMap(({ report }) => [report.mapVersion, report.preparedVersion ?? 0]);
@@ -216,7 +221,7 @@
             ballot: this.nextBallot(statuses, group),
             version,
             placement: plan.placement,
-            copyTimeoutMs: plan.copiesOfFullestRank * limits.copyMs * COPY_TIME_FACTOR + COPY_TIME_SLACK_MS,
+            copyMs: plan.copiesOfFullestRank * limits.copyMs,
         });
         if (result.kind === "failed") {
             events.emit(roundAborted, { epoch: group.epoch, version, reason: result.reason });
@@ -237,7 +242,12 @@
 
     private ownPeer({ rank }: GroupMembership): RankPeer {
         const { member } = this.options;
-        return { rank, status: () => member.status(), send: call => member.take(call) };
+        return {
+            rank,
+            status: () => member.status(OWN_RANK),
+            report: () => member.readReport(),
+            send: call => member.take(call),
+        };
     }
 
     private nextBallot(statuses: readonly RankStatus[], { rank }: GroupMembership): Ballot {
--- a/packages/rank/src/shared/movePolicy.ts
+++ b/packages/rank/src/shared/movePolicy.ts
@@ -17,8 +17,8 @@
 const QUIET_SKEW = 2.2;
 /** Skew that a plan must save at least: a change takes the attention of all ranks. */
 const LEAST_SAVING = 0.1;
-/** Skew that a plan must save for each copy, since copies have a price and slow passes down. */
-const SAVING_PER_COPY = 0.008;
+/** Skew that a plan must save for each millisecond of copying, since copies have a price and slow passes down. */
+const SAVING_PER_COPY_MS = 5.6e-5;
 
 /**
  * Tells whether a plan should be made.
@@ -33,7 +33,9 @@
  * Tells whether a plan pays for its copies.
  *
  * @param plan - the plan
+ * @param copyMs - time that a rank takes to copy one expert, in milliseconds
  */
 export const isWorthCopies = (
     plan: Pick<PlacementPlan, "copies" | "skewAfter" | "skewBefore">,
-): boolean => plan.skewBefore - plan.skewAfter >= LEAST_SAVING + plan.copies * SAVING_PER_COPY;
+    copyMs: number,
+): boolean => plan.skewBefore - plan.skewAfter >= LEAST_SAVING + plan.copies * copyMs * SAVING_PER_COPY_MS;
--- a/packages/rank/src/shared/rankMember.ts
+++ b/packages/rank/src/shared/rankMember.ts
@@ -78,6 +78,7 @@
     private closed: Ballot = NO_BALLOT;
     private prepared: PreparedMap | undefined;
     private held: HeldExperts | undefined;
+    private readonly countsByAsking = new Map<number, readonly number[]>();
     private isFenced = false;
     private wasOvertaken = false;
 
@@ -97,8 +98,12 @@
         return this.serial.run(() => this.report());
     }
 
-    /** Reads everything that a leader needs to know. */
-    public status(): Promise<RankStatus> {
+    /**
+     * Reads everything that a leader needs to know.
+     *
+     * @param asking - rank of the leader; it gets the counts since it asked last
+     */
+    public status(asking: number): Promise<RankStatus> {
         return this.serial.run(async () => {
             const report = await this.report();
             const epoch = report.group?.epoch;
@@ -117,12 +122,19 @@
                 incarnation: this.options.incarnation,
                 report,
                 experts: this.held.experts,
-                counts,
+                newCounts: this.countsSince(asking, counts),
                 promised: this.promised,
             };
         });
     }
 
+    /** A server that has started again counts from zero; the first answer to a rank has no counts. */
+    private countsSince(asking: number, counts: readonly number[]): number[] {
+        const before = this.countsByAsking.get(asking) ?? counts;
+        this.countsByAsking.set(asking, counts);
+        return counts.map((count, index) => Math.max(0, count - (before[index] ?? 0)));
+    }
+
     /**
      * Takes a call of a round.
      *
--- a/packages/rank/src/shared/switchRound.ts
+++ b/packages/rank/src/shared/switchRound.ts
@@ -11,7 +11,7 @@
 
 import { type Clock, errorMessage, type EventLog, isFaultSeeded, sleep } from "@magnolialock/kernel";
 import type { Ballot, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
-import type { ExpertPlacement, MapVersion, PassNumber } from "../types/rankServer.ts";
+import type { ExpertPlacement, MapVersion, PassNumber, RankReport } from "../types/rankServer.ts";
 import { hashPlacement } from "./ballots.ts";
 import { mapSwitched, rankPeerFailed, roundAborted } from "./rankEvents.ts";
 import type { RankMember, ReleaseResult } from "./rankMember.ts";
@@ -20,8 +20,10 @@
 export interface RankPeer {
     /** Rank that it stands beside. */
     readonly rank: number;
-    /** Asks for its state; rejects when it does not answer in time. */
+    /** Asks for everything that a leader plans with; rejects when the agent does not answer in time. */
     status(): Promise<RankStatus>;
+    /** Asks for the state of its rank alone; rejects when the agent does not answer in time. */
+    report(): Promise<RankReport>;
     /**
      * Sends a call of a round; rejects when the agent does not answer in time.
      *
@@ -48,8 +50,8 @@
     readonly version: MapVersion;
     /** The new map. */
     readonly placement: ExpertPlacement;
-    /** Longest time for the copies, in milliseconds. */
-    readonly copyTimeoutMs: number;
+    /** Time that the copies take on an idle link, in milliseconds. */
+    readonly copyMs: number;
 }
 
 /** How a round ended. */
@@ -64,6 +66,11 @@
 const LEAD_PASSES = 3;
 /** Time between looks at copies, in milliseconds. */
 const COPY_POLL_MS = 40;
+/** Share of the copies' time after which it is worth looking: each look asks all ranks. */
+const EARLY_LOOK_SHARE = 0.8;
+/** Factor and constant by which copies may take longer than the link needs, before the round is given up. */
+const COPY_TIME_FACTOR = 3;
+const COPY_TIME_SLACK_MS = 1_500;
 /** Time between tries to disarm a rank, in milliseconds: the group may stand still meanwhile. */
 const DISARM_RETRY_MS = 25;
 
@@ -96,23 +103,24 @@
 
 /** Waits until all ranks have the copies. */
 const waitForCopies = async (options: SwitchRoundOptions): Promise<RoundResult | undefined> => {
-    const { clock, copyTimeoutMs, epoch, peers, version } = options;
-    const endMs = clock.nowMs() + copyTimeoutMs;
+    const { clock, copyMs, epoch, peers, version } = options;
+    const endMs = clock.nowMs() + copyMs * COPY_TIME_FACTOR + COPY_TIME_SLACK_MS;
+    await sleep(clock, copyMs * EARLY_LOOK_SHARE);
     let waiting = [...peers];
     while (waiting.length > 0) {
         if (clock.nowMs() >= endMs) {
             return { kind: "failed", reason: "the copies took too long", promised: undefined };
         }
         await sleep(clock, COPY_POLL_MS);
-        const states = await Promise.allSettled(waiting.map(peer => peer.status()));
+        const states = await Promise.allSettled(waiting.map(peer => peer.report()));
         for (const state of states) {
-            if (state.status === "fulfilled" && state.value.report.group?.epoch !== epoch) {
+            if (state.status === "fulfilled" && state.value.group?.epoch !== epoch) {
                 return { kind: "failed", reason: "the group has another epoch", promised: undefined };
             }
         }
         waiting = waiting.filter((_, index) => {
             const state = states[index];
-            return state?.status !== "fulfilled" || state.value.report.preparedVersion !== version;
+            return state?.status !== "fulfilled" || state.value.preparedVersion !== version;
         });
     }
     return undefined;
--- a/packages/rank/src/types/rankMessages.ts
+++ b/packages/rank/src/types/rankMessages.ts
@@ -25,8 +25,8 @@
     readonly report: RankReport;
     /** Experts that the rank holds, by set. */
     readonly experts: readonly (readonly number[])[];
-    /** How often its requests chose each expert, by set and expert. */
-    readonly counts: readonly number[];
+    /** How often its requests chose each expert since the asking rank asked last, by set and expert. */
+    readonly newCounts: readonly number[];
     /** Highest ballot that the agent has seen. */
     readonly promised: Ballot;
 }
