feat(direct): reports between entries stay within a budget of bytes

Cause: at 400 entries five reports a second to 36 of the own data centre and one to 64 others would be 120 KB/s of 10. Change: the period of reports grows with their bytes and receivers, from 0.2 s at 7 or 20 entries to 2 s at 400; tests of the exchange (shares, seeds, load, state of an entry that is ahead, budget at the target size).

--- /dev/null
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -0,0 +1,148 @@
+import {
+    type Address,
+    branded,
+    createRandomSource,
+    type DataCentreId,
+    type InstanceId,
+    type Revision,
+} from "@magnolialock/kernel";
+import test from "ava";
+import type { DirectSettings } from "../../types/directSettings.ts";
+import type { PublishedState } from "../../types/fleetPicture.ts";
+import { PeerExchange } from "../peerExchange.ts";
+import { encodePeerReport } from "../peerMessages.ts";
+import { DirectFixture, ORDERS } from "./directFixture.ts";
+
+const addressOf = (index: number): Address =>
+    branded<Address>(`10.9.${Math.floor(index / 200)}.${index % 200 + 1}:7340`);
+
+/** One instance whose datagrams are counted instead of sent. */
+class ExchangeFixture {
+    public readonly direct = new DirectFixture();
+    public readonly exchange: PeerExchange;
+    public sentBytes = 0;
+    public readonly receivers = new Map<Address, number>();
+    public fetches = 0;
+    public state: PublishedState | undefined;
+
+    public constructor(seeds: readonly Address[] = []) {
+        const { clock, context, directory, events, store } = this.direct;
+        const settings: DirectSettings = { ...context.options.settings, seeds };
+        this.exchange = new PeerExchange({
+            runtime: { clock, events, random: createRandomSource(1) },
+            settings,
+            store,
+            directory,
+            services: () => context.serviceStates(),
+            fetchState: async () => {
+                this.fetches++;
+                return this.state ?? { revision: branded<Revision>(0), items: [] };
+            },
+        });
+        void this.exchange.run({
+            send: (to, bytes) => {
+                this.sentBytes += bytes.length;
+                this.receivers.set(to, (this.receivers.get(to) ?? 0) + 1);
+            },
+            [Symbol.asyncDispose]: async () => {},
+        });
+    }
+
+    public hear(
+        index: number,
+        changes: {
+            readonly revision?: number;
+            readonly dataCentre?: string;
+            readonly running?: ReadonlyMap<string, number>;
+        } = {},
+    ): void {
+        this.exchange.receive(
+            addressOf(index),
+            encodePeerReport({
+                instance: branded<InstanceId>(`entry-${index}`),
+                incarnation: branded("life"),
+                dataCentre: branded<DataCentreId>(changes.dataCentre ?? "here"),
+                revision: branded<Revision>(changes.revision ?? 1),
+                running: changes.running ?? new Map(),
+                groupUpMs: new Map(),
+                members: [],
+            }),
+        );
+    }
+}
+
+test.serial("the share of bounds is sized by the largest fleet that may be alive", async t => {
+    const fixture = new ExchangeFixture();
+    t.is(fixture.exchange.fleetSize, 8);
+    for (let index = 0; index < 20; index++) {
+        fixture.hear(index);
+    }
+    t.is(fixture.exchange.fleetSize, 21);
+    await fixture.direct.clock.advance(30_000);
+    t.is(fixture.exchange.aliveCount, 0);
+    t.is(fixture.exchange.fleetSize, 21);
+    await fixture.direct.clock.advance(40_000);
+    t.is(fixture.exchange.fleetSize, 8);
+});
+
+test.serial("seeds are asked until they answer, and members of a report are found", async t => {
+    const fixture = new ExchangeFixture([addressOf(1), addressOf(2)]);
+    await fixture.direct.clock.advance(3_000);
+    t.true((fixture.receivers.get(addressOf(1)) ?? 0) >= 2);
+});
+
+test.serial("the load of other instances counts, and is forgotten with them", async t => {
+    const fixture = new ExchangeFixture();
+    fixture.direct.addServers(ORDERS, "a");
+    fixture.hear(1, { running: new Map([["a", 3]]) });
+    await fixture.direct.clock.advance(300);
+    const [server] = [...fixture.direct.directory.all()];
+    t.is(server?.running, 3);
+    await fixture.direct.clock.advance(6_000);
+    t.is(server?.running, 0);
+});
+
+test.serial("an instance that the platform turns away takes the state of one that is ahead", async t => {
+    const fixture = new ExchangeFixture();
+    fixture.state = { revision: branded<Revision>(90), items: [] };
+    fixture.hear(1, { revision: 90 });
+    await fixture.direct.clock.advance(300);
+    t.is(fixture.fetches, 0);
+    await fixture.direct.clock.advance(700);
+    t.is(Number(fixture.direct.store.revision), 90);
+    fixture.hear(2, { revision: 50 });
+    await fixture.direct.clock.advance(1_000);
+    t.is(Number(fixture.direct.store.revision), 90);
+});
+
+test.serial("reports of 400 instances in 11 data centres stay within 10 KB a second", async t => {
+    const fixture = new ExchangeFixture();
+    fixture.direct.addServers(ORDERS, ...Array.from({ length: 55 }, (_, index) => `server-${index}`));
+    for (const { health } of fixture.direct.directory.all()) {
+        health.begin();
+    }
+    const hearAll = (): void => {
+        for (let index = 0; index < 399; index++) {
+            fixture.hear(index, { dataCentre: index < 36 ? "here" : `centre-${index % 10}` });
+        }
+    };
+    for (let second = 0; second < 60; second++) {
+        hearAll();
+        await fixture.direct.clock.advance(1_000);
+    }
+    fixture.sentBytes = 0;
+    for (let second = 0; second < 60; second++) {
+        hearAll();
+        await fixture.direct.clock.advance(1_000);
+    }
+    t.true(fixture.sentBytes / 60 <= 10_000, `${fixture.sentBytes / 60} bytes a second`);
+    t.true(fixture.sentBytes > 0);
+});
+
+test.serial("bytes that are no report change nothing", t => {
+    const fixture = new ExchangeFixture();
+    for (const text of ["", "{}", "[1]", '[2,"a","b","c",1]', "\u0000\u0001"]) {
+        fixture.exchange.receive(addressOf(1), Buffer.from(text));
+    }
+    t.is(fixture.exchange.aliveCount, 0);
+});
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -47,8 +47,13 @@
 
 /** Time between reports: load that is reported later than this is missed by those who choose servers. */
 const REPORT_PERIOD_MS = 200;
+/** Bytes a second that reports may take at one instance; in a larger fleet they go out less often. */
+const REPORT_BYTES_PER_S = 8_000;
 /** Silence after which an instance counts as gone: a few lost datagrams are no sign of it. */
-const PEER_LIFETIME_MS = 3_500;
+const LEAST_PEER_LIFETIME_MS = 3_500;
+/** The same in reports to other data centres, for fleets whose reports are rare. */
+const PEER_LIFETIME_REPORTS = 3;
+const MS_PER_SECOND = 1_000;
 /** Time for which a silent instance still counts for shares: it may be cut off and serve on. */
 const SHARE_LIFETIME_MS = 60_000;
 /** Instances that are assumed before others were heard: one that starts alone may be one of many. */
@@ -80,6 +85,7 @@
     private aheadSinceMs: number | undefined;
     private isFetching = false;
     private reportCount = 0;
+    private periodMs = REPORT_PERIOD_MS;
 
     /** @param options - identity, store and directory */
     public constructor(options: PeerExchangeOptions) {
@@ -156,7 +162,7 @@
             this.spreadLoad();
             this.send(socket);
             void this.catchUp();
-            await sleep(clock, REPORT_PERIOD_MS * (0.9 + random.nextFloat() / 5), signal).catch(() => {});
+            await sleep(clock, this.periodMs * (0.9 + random.nextFloat() / 5), signal).catch(() => {});
         }
     }
 
@@ -167,9 +173,13 @@
 
     private expire(): void {
         const { clock, events } = this.options.runtime;
+        const lifetimeMs = Math.max(
+            LEAST_PEER_LIFETIME_MS,
+            PEER_LIFETIME_REPORTS * FAR_EVERY_REPORTS * this.periodMs,
+        );
         for (const [address, peer] of this.peers) {
             const silentMs = clock.nowMs() - peer.heardMs;
-            if (peer.isAlive && silentMs > PEER_LIFETIME_MS) {
+            if (peer.isAlive && silentMs > lifetimeMs) {
                 peer.isAlive = false;
                 events.emit(peerLost, { peer: peer.report.instance, silentMs: Math.round(silentMs) });
             }
@@ -223,9 +233,15 @@
             bytes = encodePeerReport({ ...report, members: [], running: largest(running) });
         }
         const isForAll = this.reportCount++ % FAR_EVERY_REPORTS === 0;
-        for (const receiver of this.receivers(isForAll)) {
+        const receivers = this.receivers(isForAll);
+        for (const receiver of receivers) {
             socket.send(receiver, bytes);
         }
+        if (isForAll) {
+            const near = this.receivers(false).length;
+            const meanBytes = bytes.length * (near + (receivers.length - near) / FAR_EVERY_REPORTS);
+            this.periodMs = Math.max(REPORT_PERIOD_MS, meanBytes / REPORT_BYTES_PER_S * MS_PER_SECOND);
+        }
     }
 
     /** All of the own data centre, now and then the others too. */
