refactor: say once what stands twice, drop what nobody reads, keep fewer idle connections

Cause: read as a newcomer would: both programs and both stand-ins began alike; engine figures, bounds and a header name were decoded and never read; the time to the first byte was never observed; header bounds of the operator were not kept; seven entries with eight idle connections each exceed a server's limit of 49.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -23,8 +23,6 @@
 const KEEP_ALIVE_MARGIN_MS = 500;
 /** Idle time after which a silent peer is probed, in milliseconds: the least that the system takes. */
 const TCP_PROBE_DELAY_MS = 1_000;
-/** Idle connections kept for one server; more are closed, as servers cap the connections of all callers together. */
-const MAX_IDLE_PER_SERVER = 8;
 
 /** A connection that carries at most one request. */
 class ServerConnection {
@@ -116,7 +114,7 @@
                         });
                         return;
                     }
-                    this.release(server, connection);
+                    this.release(server, connection, request.maxKept);
                     resolve({ kind: "complete" });
                 },
                 onResponseError: (_started, error) => {
@@ -174,12 +172,12 @@
         return new ServerConnection(address);
     }
 
-    private release(server: string, connection: ServerConnection): void {
+    private release(server: string, connection: ServerConnection, maxKept: number): void {
         connection.idleSinceMs = this.clock.nowMs();
         const kept = this.idle.get(server) ?? [];
         this.idle.set(server, kept);
         kept.push(connection);
-        while (kept.length > MAX_IDLE_PER_SERVER) {
+        while (kept.length > maxKept) {
             kept.shift()?.close();
         }
     }
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -52,7 +52,6 @@
     notRun: "x-not-run",
     faultServer: "x-fault",
     queuePriority: "x-rank",
-    tokenCounts: "x-tokens",
 };
 
 export const DRAFTS = branded<ServiceName>("drafts");
@@ -74,9 +73,7 @@
         retryWindowMs: 10_000,
         coldOvershoot: 1.5,
         coldSlack: 5,
-        stallMs: 1_500,
         graceMs: 8_000,
-        passMs: 120,
     },
 };
 
@@ -113,17 +110,7 @@
     ...changes,
 });
 
-const ENGINE: ServiceSpec["engine"] = {
-    slots: 8,
-    stepMs: 6,
-    perRequestMs: 0.5,
-    perThousandContextMs: 0.05,
-    promptTokensPerS: 60_000,
-    stepsPerPass: 5,
-    usualPromptTokens: 800,
-    usualAnswerTokens: 140,
-    experts: undefined,
-};
+const ENGINE: ServiceSpec["engine"] = { experts: undefined };
 
 export const configuration = (changes: Partial<FleetConfiguration> = {}): FleetConfiguration => ({
     version: 1,
--- a/packages/direct/src/shared/__tests__/routing.spec.ts
+++ b/packages/direct/src/shared/__tests__/routing.spec.ts
@@ -59,6 +59,19 @@
     t.is(await statusOf(fixture, "status", { [NAMES.apiKey]: "wrong" }), 401);
 });
 
+test.serial("headers beyond the operator's bound are refused", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a");
+    t.is(await statusOf(fixture, "status", { "x-long": "x".repeat(20_000) }), 431);
+});
+
+test("idle connections to a server stay within its limit over all instances", t => {
+    const limited = configuration({ services: [serviceSpec(ORDERS, { connectionLimit: 49 })] });
+    const fixture = new DirectFixture(limited);
+    t.true(fixture.context.keptConnections(ORDERS) * 8 <= 49);
+    t.true(fixture.context.keptConnections(ORDERS) >= 1);
+});
+
 test.serial("the server gets the account, never the key or what the caller says of it", async t => {
     const fixture = new DirectFixture();
     fixture.addServers(ORDERS, "a");
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -177,6 +177,7 @@
             cursor: this.cursor,
             timeLeftMs: this.callerEndMs - this.nowMs,
             maxIdleMs: this.isRepeatable ? USUAL_IDLE_MS : FRESH_IDLE_MS,
+            maxKept: this.context.keptConnections(service),
             signal: timeout.signal,
             onServing: () => this.noteServing(),
         });
@@ -325,6 +326,8 @@
     }
 
     private noteServing(): void {
+        const { metrics } = this.context.options;
+        metrics.observeFirstByte(this.admitted.service, this.nowMs - this.call.receivedMs);
         if (this.admitted.spec?.engine) {
             this.state.group.noteUp();
         }
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -55,6 +55,11 @@
 /** Share of the cold bound that is used: clocks of the instances cut seconds differently. */
 const COLD_SHARE = 0.9;
 
+/** Share of a server's connections that idle ones may take; the others are for bursts. */
+const KEPT_SHARE = 0.5;
+/** More idle connections are never used again before they time out. */
+const MAX_KEPT_CONNECTIONS = 8;
+
 /** State of one direct entry. */
 export class DirectContext {
     /** Options that it was created with. */
@@ -121,6 +126,18 @@
         return Math.max(1, Math.floor(bound / this.options.fleetSize()));
     }
 
+    /**
+     * Most idle connections that this instance keeps to one backend server of a service. Servers cap the connections of
+     * all callers together and reset those beyond.
+     *
+     * @param service - the service
+     */
+    public keptConnections(service: ServiceName): number {
+        const limit = this.options.store.configuration?.services.get(service)?.connectionLimit ?? 0;
+        const share = Math.floor(limit * KEPT_SHARE / this.options.fleetSize());
+        return Math.min(MAX_KEPT_CONNECTIONS, Math.max(1, share));
+    }
+
     private budgetShare(): { readonly retriesPerS: number; readonly capacity: number; } {
         const { retrySlack, retryWindowMs } = this.bounds;
         const share = retrySlack * SLACK_SHARE / this.options.fleetSize();
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -44,6 +44,8 @@
     readonly timeLeftMs: number;
     /** Longest idle time of a kept connection that may be used, in milliseconds. */
     readonly maxIdleMs: number;
+    /** Most idle connections that are kept to the server. */
+    readonly maxKept: number;
     /** Gives the attempt up. */
     readonly signal: AbortSignal;
     /** Called when the server has begun to work on the request. */
@@ -207,7 +209,7 @@
     });
     const taker = new AnswerTaker(options);
     const { body, method, path } = call;
-    const request = { method, path, headers, body, maxIdleMs: options.maxIdleMs };
+    const request = { method, path, headers, body, maxIdleMs: options.maxIdleMs, maxKept: options.maxKept };
     const upstream = context.options.upstreams.start(entry.id, entry.address, request, taker);
     taker.upstream = upstream;
     const onAbort = (): void => upstream.abort("the call was given up");
--- a/packages/direct/src/shared/serveCall.ts
+++ b/packages/direct/src/shared/serveCall.ts
@@ -20,6 +20,7 @@
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TOO_LARGE = 413;
+const HTTP_HEADERS_TOO_LARGE = 431;
 const HTTP_UNAVAILABLE = 503;
 /** Time until an instance that has just started knows the configuration. */
 const START_RETURN_MS = 500;
@@ -41,6 +42,13 @@
     if (call.body.length > configuration.limits.bodyBytes) {
         return { kind: "refused", status: HTTP_TOO_LARGE, reason: "the body is larger than the limit" };
     }
+    if (call.rawHeaders.reduce((sum, text) => sum + text.length, 0) > configuration.limits.headerBytes) {
+        return {
+            kind: "refused",
+            status: HTTP_HEADERS_TOO_LARGE,
+            reason: "the headers are larger than the limit",
+        };
+    }
     const service = drawService(route, context.options.runtime.random);
     if (service === undefined) {
         return { kind: "refused", status: HTTP_UNAVAILABLE, reason: "the route has no service" };
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -83,6 +83,8 @@
     readonly body: Buffer;
     /** Longest idle time of a kept connection that may be used, in milliseconds; 0 asks for a new one. */
     readonly maxIdleMs: number;
+    /** Most idle connections that are kept to the server. */
+    readonly maxKept: number;
 }
 
 /** Receives an answer. */
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -26,8 +26,6 @@
     readonly faultServer: string;
     /** Rank in a model server's queue, 0 to 9. */
     readonly queuePriority: string;
-    /** On requests: size of the prompt and most tokens of the answer, as `PROMPT,ANSWER`. */
-    readonly tokenCounts: string;
 }
 
 /** Ranks that a model server's queue knows. */
--- a/packages/direct/src/types/directSettings.ts
+++ b/packages/direct/src/types/directSettings.ts
@@ -18,12 +18,8 @@
     readonly coldOvershoot: number;
     /** Requests a second that a cold server takes beyond that. */
     readonly coldSlack: number;
-    /** Time for which a group waits for a missing rank, in milliseconds. */
-    readonly stallMs: number;
     /** Time between a signal to stop and the end of the process, in milliseconds. */
     readonly graceMs: number;
-    /** Longest delay of an event of a stream within the load balancer, in milliseconds. */
-    readonly passMs: number;
 }
 
 /** Settings of one process. */
--- a/packages/direct/src/types/fleetPicture.ts
+++ b/packages/direct/src/types/fleetPicture.ts
@@ -67,24 +67,8 @@
     readonly copyMs: number;
 }
 
-/** Step times of a model engine, as the operator publishes them. */
+/** The model engine of a service's servers. */
 export interface EngineSpec {
-    /** Requests that run at once. */
-    readonly slots: number;
-    /** Time of a token step without requests, in milliseconds. */
-    readonly stepMs: number;
-    /** Time that each running request adds to a step, in milliseconds. */
-    readonly perRequestMs: number;
-    /** Time that each 1,000 tokens of context add to a step, in milliseconds. */
-    readonly perThousandContextMs: number;
-    /** Prompt tokens that are read in a second. */
-    readonly promptTokensPerS: number;
-    /** Token steps of one pass; a pass produces one event. */
-    readonly stepsPerPass: number;
-    /** Mean number of tokens of a prompt. */
-    readonly usualPromptTokens: number;
-    /** Mean number of tokens of an answer. */
-    readonly usualAnswerTokens: number;
     /** Bounds of expert maps; undefined where the servers form no groups. */
     readonly experts: ExpertSpec | undefined;
 }
--- a/packages/lab/src/node/platformStandIns/backendStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/backendStandIn.ts
@@ -4,10 +4,9 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, sleep, splitAddress } from "@magnolialock/kernel";
-import { once } from "node:events";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type Clock, sleep } from "@magnolialock/kernel";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { LoopbackServer } from "./loopbackServer.ts";
 
 /** What the server does with its next requests. */
 export type BackendBehaviour =
@@ -64,46 +63,21 @@
 const DEFAULT_EVENT_GAP_MS = 10;
 
 /** A backend server on loopback. */
-export class BackendStandIn implements AsyncDisposable {
+export class BackendStandIn extends LoopbackServer {
     /** What it does with its next requests. */
     public behaviour: BackendBehaviour = "answer";
     /** Requests that it has run. */
     public readonly runs: RunRequest[] = [];
     /** Requests that ended because their connection was closed. */
     public abandoned = 0;
-    private readonly server: Server;
 
     /** @param options - identity and streams */
     public constructor(private readonly options: BackendStandInOptions) {
-        this.server = createServer((request, response) => void this.take(request, response));
+        super();
         this.server.keepAliveTimeout = 5_000;
     }
 
-    /** Where it listens. */
-    public get address(): Address {
-        const { address, port } = this.server.address() as AddressInfo;
-        return `${address}:${port}` as Address;
-    }
-
-    /**
-     * Listens.
-     *
-     * @param address - where; port 0 takes a free one
-     */
-    public async listen(address: Address): Promise<void> {
-        const { host, port } = splitAddress(address);
-        this.server.listen(port, host);
-        await once(this.server, "listening");
-    }
-
-    /** Stops listening. */
-    public async [Symbol.asyncDispose](): Promise<void> {
-        this.server.close();
-        this.server.closeAllConnections();
-        await once(this.server, "close");
-    }
-
-    private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    protected async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
--- a/packages/lab/src/node/platformStandIns/storeStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/storeStandIn.ts
@@ -4,10 +4,9 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, splitAddress } from "@magnolialock/kernel";
-import { once } from "node:events";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { Clock } from "@magnolialock/kernel";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { LoopbackServer } from "./loopbackServer.ts";
 
 /** How the store answers. */
 export type StoreMode =
@@ -39,7 +38,7 @@
 const HTTP_UNAVAILABLE = 503;
 
 /** A store on loopback. */
-export class StoreStandIn implements AsyncDisposable {
+export class StoreStandIn extends LoopbackServer {
     /** How it answers now. */
     public mode: StoreMode = "serving";
     /** Items of one page. */
@@ -50,31 +49,13 @@
     public calls = 0;
     private readonly items = new Map<string, StoredItem>();
     private readonly waiting = new Set<() => void>();
-    private readonly server: Server;
     private changes: StoredChange[] = [];
     private revision = 1;
     private oldestKnown = 1;
 
     /** @param clock - source of time */
     public constructor(private readonly clock: Clock) {
-        this.server = createServer((request, response) => void this.answer(request, response));
-    }
-
-    /** Where it listens. */
-    public get address(): Address {
-        const { address, port } = this.server.address() as AddressInfo;
-        return `${address}:${port}` as Address;
-    }
-
-    /**
-     * Listens.
-     *
-     * @param address - where; port 0 takes a free one
-     */
-    public async listen(address: Address): Promise<void> {
-        const { host, port } = splitAddress(address);
-        this.server.listen(port, host);
-        await once(this.server, "listening");
+        super();
     }
 
     /**
@@ -109,13 +90,6 @@
         this.server.closeAllConnections();
     }
 
-    /** Stops listening. */
-    public async [Symbol.asyncDispose](): Promise<void> {
-        this.server.close();
-        this.server.closeAllConnections();
-        await once(this.server, "close");
-    }
-
     private note(change: StoredChange): void {
         this.changes.push(change);
         const waiting = [...this.waiting];
@@ -123,7 +97,7 @@
         waiting.forEach(wake => wake());
     }
 
-    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    protected async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
         this.calls++;
         const url = new URL(request.url ?? "/", "http://store");
         switch (this.mode) {
--- a/packages/rank/src/shared/switchRound.ts
+++ b/packages/rank/src/shared/switchRound.ts
@@ -76,7 +76,11 @@
 
 type SendResult = RoundReply | { readonly kind: "silent"; };
 
-const send = async ({ events }: SwitchRoundOptions, peer: RankPeer, call: RoundCall): Promise<SendResult> => {
+const send = async (
+    { events }: Pick<SwitchRoundOptions, "events">,
+    peer: RankPeer,
+    call: RoundCall,
+): Promise<SendResult> => {
     try {
         return await peer.send(call);
     }
@@ -151,7 +155,7 @@
     const call: RoundCall = { kind: "disarm", ballot, epoch, pass };
     while (waiting.length > 0 && !isFaultSeeded("rank.release-before-all-confirm")) {
         const results = await Promise.all(
-            waiting.map(peer => send(options as SwitchRoundOptions, peer, call)),
+            waiting.map(peer => send(options, peer, call)),
         );
         waiting = waiting.filter((_, index) => results[index]?.kind !== "done");
         if (waiting.length > 0) {
