--- a/packages/rank/src/shared/movePolicy.ts
+++ b/packages/rank/src/shared/movePolicy.ts
@@ -9,8 +9,8 @@
 
 import type { PlacementPlan } from "./improvePlacement.ts";
 
-/** Pass time from which a group counts as busy, in milliseconds: twice as much makes the usual gap target late. */
-const BUSY_PASS_MS = 55;
+/** Pass time from which a group counts as busy, in milliseconds: at 120 ms streams are late, and a change takes half a second. */
+const BUSY_PASS_MS = 70;
 /** Skew that is left alone in a busy group; below it copies would follow chance. */
 const BUSY_SKEW = 1.25;
 /** Skew that is left alone in a quiet group; more would make the next burst late before a change is done. */
