--- a/packages/rank/src/shared/__tests__/rankMember.spec.ts
+++ b/packages/rank/src/shared/__tests__/rankMember.spec.ts
@@ -11,7 +11,8 @@
 } from "../../types/rankServer.ts";
 import { hashPlacement } from "../ballots.ts";
 import { RankMember } from "../rankMember.ts";
-import { SPEC, VirtualGroup, type VirtualRank } from "./virtualGroup.ts";
+import { VirtualGroup } from "./virtualGroup.ts";
+import { SPEC, type VirtualRank } from "./virtualRank.ts";
 
 const EPOCH = 1;
 const VERSION = branded<MapVersion>(1_024);
--- a/packages/rank/src/shared/__tests__/virtualGroup.ts
+++ b/packages/rank/src/shared/__tests__/virtualGroup.ts
@@ -2,12 +2,10 @@
  * A group of ranks on the virtual clock, with agents that lose orders, die, restart and stand still.
  */
 
-import type { ExpertSpec } from "@magnolialock/direct/src/types/fleetPicture.ts";
 import {
     branded,
     createRandomSource,
     EventLog,
-    type GroupName,
     type IncarnationId,
     type RandomSource,
     sleep,
@@ -17,19 +15,15 @@
     ExpertCounts,
     FencingToken,
     HeldExperts,
-    MapVersion,
     OrderResult,
     PassNumber,
     RankOrder,
-    RankReport,
     RankServer,
 } from "../../types/rankServer.ts";
-import { hashPlacement } from "../ballots.ts";
 import { GroupLeader } from "../groupLeader.ts";
 import { RankMember } from "../rankMember.ts";
 import type { RankPeer } from "../switchRound.ts";
-
-export const SPEC: ExpertSpec = { sets: 2, experts: 16, placesPerRank: 6, newPerPreparation: 3, copyMs: 30 };
+import { SPEC, VirtualRank } from "./virtualRank.ts";
 
 const PASS_MS = 60;
 const NEVER = new Promise<never>(() => {});
@@ -50,130 +44,6 @@
     readonly reformEveryMs?: number;
 }
 
-interface MapContent {
-    readonly version: MapVersion;
-    readonly hash: string;
-    readonly experts: readonly (readonly number[])[];
-}
-
-const initialContent = (rank: number, ranks: number): MapContent => {
-    const inTurn = Array.from({ length: SPEC.experts }, (_, expert) => expert).filter(expert =>
-        expert % ranks === rank
-    );
-    return {
-        version: branded<MapVersion>(0),
-        hash: "initial",
-        experts: Array.from({ length: SPEC.sets }, () => inTurn),
-    };
-};
-
-/** One rank's server, as all agents that ever stood beside it see it. */
-export class VirtualRank {
-    public inForce: MapContent;
-    public prepared: (MapContent & { readonly readyMs: number; }) | undefined;
-    public armed: { readonly content: MapContent; readonly pass: PassNumber; } | undefined;
-    public held: PassNumber | undefined;
-    public readonly chosen = new Array<number>(SPEC.sets * SPEC.experts).fill(0);
-    private fence = 0;
-    private highestVersion = 0;
-
-    public constructor(public readonly group: VirtualGroup, public readonly rank: number) {
-        this.inForce = initialContent(rank, group.size);
-    }
-
-    public reset(): void {
-        this.inForce = initialContent(this.rank, this.group.size);
-        this.prepared = undefined;
-        this.armed = undefined;
-        this.held = undefined;
-        this.fence = 0;
-        this.highestVersion = 0;
-    }
-
-    public report(): RankReport {
-        const { clock, epoch, pass, size } = this.group;
-        const { prepared } = this;
-        return {
-            group: { name: branded<GroupName>("g"), epoch, rank: this.rank, isOpen: true, size },
-            pass,
-            mapVersion: this.inForce.version,
-            preparedVersion: prepared && prepared.readyMs <= clock.nowMs() ? prepared.version : undefined,
-            armed: this.armed && { version: this.armed.content.version, pass: this.armed.pass },
-            heldPass: this.held,
-            runningRequests: 1,
-            slowness: 1,
-        };
-    }
-
-    public carryOut(order: RankOrder, epoch: number, token: number): OrderResult {
-        if (epoch !== this.group.epoch) {
-            return "conflict";
-        }
-        if (token < this.fence) {
-            return "fenced";
-        }
-        const result = this.change(order);
-        if (result === "accepted") {
-            this.fence = token;
-        }
-        return result;
-    }
-
-    private change(order: RankOrder): OrderResult {
-        const hasBegun = (pass: PassNumber): boolean => pass <= this.group.pass;
-        switch (order.kind) {
-            case "prepare":
-                if (this.armed || order.version <= this.highestVersion) {
-                    return "conflict";
-                }
-                this.highestVersion = order.version;
-                this.prepared = {
-                    version: order.version,
-                    hash: hashPlacement(order.placement),
-                    experts: order.placement.map(ranks => ranks[this.rank] ?? []),
-                    readyMs: this.group.clock.nowMs() + 3 * SPEC.copyMs,
-                };
-                return "accepted";
-            case "arm": {
-                const { prepared } = this;
-                const isReady = prepared && prepared.readyMs <= this.group.clock.nowMs();
-                if (!isReady || prepared.version !== order.version || hasBegun(order.pass)) {
-                    return "conflict";
-                }
-                this.armed = { content: prepared, pass: order.pass };
-                return "accepted";
-            }
-            case "disarm":
-                if (this.inForce.version === order.version) {
-                    return "conflict";
-                }
-                if (this.armed?.content.version === order.version) {
-                    this.armed = undefined;
-                }
-                return "accepted";
-            case "hold":
-                if (this.held !== undefined || hasBegun(order.pass)) {
-                    return "conflict";
-                }
-                this.held = order.pass;
-                return "accepted";
-            case "release":
-                if (this.held === order.pass) {
-                    this.held = undefined;
-                }
-                return "accepted";
-        }
-    }
-
-    public begin(pass: PassNumber): void {
-        if (this.armed?.pass === pass) {
-            this.inForce = this.armed.content;
-            this.armed = undefined;
-            this.prepared = undefined;
-        }
-    }
-}
-
 /** One life of an agent. */
 class AgentLife {
     public readonly member: RankMember;
