fix(direct): reset the connection of a request that was given up

Ruled out: a request that was sent after its caller had left; it was sent 2 s before. Change: a call that is given up resets its connection, which drops what has not been read.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -6,6 +6,7 @@
  */
 
 import { type Address, type Clock, errorMessage } from "@magnolialock/kernel";
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type {
     UpstreamCall,
@@ -33,6 +34,7 @@
     public isClosed = false;
     /** Whether the other side reset it: an answer without a length that ends so is not complete. */
     public wasReset = false;
+    private socket: Socket | undefined;
 
     public constructor(address: Address) {
         const connector = buildConnector({
@@ -44,6 +46,7 @@
             connect: (options, callback) => {
                 connector(options, (...result) => {
                     const [, socket] = result;
+                    this.socket = socket ?? undefined;
                     socket?.on("error", () => this.wasReset = true);
                     callback(...result);
                 });
@@ -58,6 +61,15 @@
         this.client.on("connectionError", () => this.close());
     }
 
+    /**
+     * Closes the connection so that what the server has not read yet is dropped: a plain close would still deliver a
+     * request that was given up, for instance to a server whose machine stood still.
+     */
+    public abort(reason: string): void {
+        this.socket?.resetAndDestroy();
+        this.close(reason);
+    }
+
     public close(reason?: string): void {
         if (!this.isClosed) {
             this.isClosed = true;
@@ -135,7 +147,7 @@
         });
         return {
             ended,
-            abort: reason => connection.close(reason),
+            abort: reason => connection.abort(reason),
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
         };
--- a/packages/lab/src/node/platformStandIns/backendStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/backendStandIn.ts
@@ -70,6 +70,8 @@
     public readonly runs: RunRequest[] = [];
     /** Requests that ended because their connection was closed. */
     public abandoned = 0;
+    /** Requests whose connection was reset. */
+    public resets = 0;
 
     /** @param options - identity and streams */
     public constructor(private readonly options: BackendStandInOptions) {
@@ -95,6 +97,9 @@
         }
         const { headers, url } = request;
         this.runs.push({ requestId, path: url ?? "", body: Buffer.concat(chunks).toString(), headers });
+        request.socket.on("error", (error: NodeJS.ErrnoException) => {
+            this.resets += error.code === "ECONNRESET" ? 1 : 0;
+        });
         response.on("close", () => {
             this.abandoned += response.writableFinished ? 0 : 1;
         });
