--- a/packages/rank/src/shared/__tests__/rankMember.spec.ts
+++ b/packages/rank/src/shared/__tests__/rankMember.spec.ts
@@ -107,7 +107,7 @@
 const loseAllArms = async (): Promise<MemberFixture> => {
     const fixture = new MemberFixture();
     await fixture.prepare();
-    fixture.lose("arm", 4);
+    fixture.lose("arm", 8);
     await fixture.arm();
     await fixture.disarm();
     await fixture.group.clock.advance(2 * LATE_MS);
--- a/packages/rank/src/shared/rankMember.ts
+++ b/packages/rank/src/shared/rankMember.ts
@@ -52,8 +52,8 @@
 const READ_TIMEOUT_MS = 400;
 /** Tries to raise the fence before the caller is told that the rank's state is unknown. */
 const MAX_FENCE_TRIES = 20;
-/** Tries of one order that got no answer. */
-const MAX_ORDER_TRIES = 4;
+/** Tries of one order that got no answer: with half of the orders lost, a round needs all ranks to succeed. */
+const MAX_ORDER_TRIES = 8;
 
 interface PreparedMap {
     readonly version: MapVersion;
