refactor(direct): say what a named fault means

Full servers name none. Change: the condition says so; names and pages follow. No change of behaviour.

--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -216,7 +216,8 @@
                     server.isMisplaced = true;
                     return this.sendAgain("another server has the address");
                 }
-                if (fault !== undefined && fault !== server.entry.id && this.admitted.spec?.engine) {
+                // A model server names a fault only when its group cannot run; a full one names none.
+                if (fault !== undefined && this.admitted.spec?.engine) {
                     this.state.group.noteDown(fault);
                     return { kind: "again" };
                 }
--- a/packages/direct/src/shared/groupHealth.ts
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -76,7 +76,7 @@
     /**
      * Notes that a server refused because another one is missing.
      *
-     * @param fault - the missing server, as far as it was named
+     * @param fault - address that the refusing server named
      */
     public noteDown(fault: string | undefined): void {
         const { clock, events, service } = this.options;
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -22,7 +22,7 @@
     readonly targetServer: string;
     /** On answers: the request has not run. */
     readonly notRun: string;
-    /** On answers: the backend server that others wait for. */
+    /** On answers: address of the backend server that refuses because its group cannot run. */
     readonly faultServer: string;
     /** Rank in a model server's queue, 0 to 9. */
     readonly queuePriority: string;
