feat(direct): serve the newest requests that can be in time in a burst

Pauses between events are not the cause (under 90 ms with all places taken).

Change: entries keep to their share of the places and to a part of the unused ones; the newest request that can be in time goes first, late ones and returns only while nobody in time is short of a place, few of them wait. Answers log the wait, the first byte and the longest pause.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -225,6 +225,7 @@
         upstreams,
         metrics,
         fleetSize,
+        aliveElsewhere: () => exchange.aliveDataCentres,
     });
     const exchange: PeerExchange = scope.use(
         new PeerExchange({
--- /dev/null
+++ b/packages/direct/src/shared/__tests__/crowded.spec.ts
@@ -0,0 +1,76 @@
+import test from "ava";
+import { configuration, DirectFixture, DRAFTS, NAMES, ORDERS, route, serverEntry } from "./directFixture.ts";
+
+/** One model server with one place; the second request is the one that waits. */
+const crowdedFixture = async () => {
+    const fixture = new DirectFixture();
+    fixture.publish("a", { kind: "server", server: serverEntry("a", DRAFTS, { slots: 1 }) });
+    const first = fixture.send("draft");
+    (await fixture.latest()).startStream().events(1, 1);
+    const second = fixture.send("draft");
+    await fixture.latest();
+    return { fixture, first, second };
+};
+
+test.serial("a request waits for a place at the model servers and reaches one as it becomes free", async t => {
+    const { first, fixture, second } = await crowdedFixture();
+    t.is(fixture.arrived.length, 1);
+    fixture.arrived[0]?.events(2, 2).complete();
+    await fixture.settle(first.done);
+    t.is(fixture.arrived.length, 2);
+    (await fixture.latest()).startStream().events(1, 2).complete();
+    await fixture.settle(second.done);
+    t.is(second.reply.state, "ended");
+});
+
+test.serial("waiting requests are refused at once when the group goes down", async t => {
+    const { fixture, second } = await crowdedFixture();
+    fixture.context.service(DRAFTS).group.noteDown("missing");
+    fixture.context.service(DRAFTS).queue.releaseAll();
+    await fixture.settle(second.done);
+    t.is(second.reply.status, 503);
+    t.is(fixture.clock.nowMs(), 0);
+    t.is(fixture.arrived.length, 1);
+});
+
+test.serial("a request that gets no place before its caller gives up is refused, and was not run", async t => {
+    const { fixture, second } = await crowdedFixture();
+    await fixture.settle(second.done);
+    t.is(second.reply.status, 503);
+    t.true(fixture.clock.nowMs() <= 2_000);
+    t.true(Number(second.reply.header("retry-after")) > 0);
+    t.is(fixture.arrived.length, 1);
+});
+
+test.serial("a caller that leaves while its request waits ends the wait", async t => {
+    const { fixture, second } = await crowdedFixture();
+    second.reply.leave();
+    await fixture.settle(second.done);
+    t.is(fixture.context.service(DRAFTS).queue.waiting, 0);
+    t.is(fixture.arrived.length, 1);
+});
+
+test.serial("a request that came back after a refusal waits behind new ones", async t => {
+    const { first, fixture, second: returned } = await crowdedFixture();
+    await fixture.clock.advance(10);
+    const back = fixture.send("draft", { [NAMES.timeLeftMs]: "5300" });
+    await fixture.latest();
+    fixture.arrived[0]?.complete();
+    await fixture.settle(first.done);
+    (await fixture.latest()).startStream().events(1, 1).complete();
+    await fixture.settle(returned.done);
+    t.is(returned.reply.state, "ended");
+    t.not(back.reply.state, "ended");
+    await fixture.settle(back.done);
+});
+
+test.serial("other services have no such limit: their servers are told apart by their answers", async t => {
+    const fixture = new DirectFixture(configuration({
+        routes: [route("status", { targets: [{ service: ORDERS, weight: 1 }] })],
+    }));
+    fixture.publish("b", { kind: "server", server: serverEntry("b", ORDERS, { slots: 1 }) });
+    fixture.send("status");
+    fixture.send("status");
+    await fixture.latest();
+    t.is(fixture.arrived.length, 2);
+});
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -274,6 +274,7 @@
     public readonly arrived: FakeUpstream[] = [];
     public sinceOutageMs = Number.POSITIVE_INFINITY;
     public fleetSize = 8;
+    public aliveElsewhere: readonly DataCentreId[] = [];
     private readonly contents = new Map<string, ItemContent>();
     private revision = 0;
     private nextRequest = 1;
@@ -299,6 +300,7 @@
             upstreams: this,
             metrics: noCallMetrics,
             fleetSize: () => this.fleetSize,
+            aliveElsewhere: () => this.aliveElsewhere,
         });
         if (start) {
             this.publish("config", { kind: "configuration", configuration: start });
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -9,6 +9,7 @@
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { AnswerHead, CallerReply, IncomingCall } from "../types/call.ts";
 import { callerHead } from "./callHeaders.ts";
+import type { QueuedCall } from "./callQueue.ts";
 import { sendRefusal } from "./callReplies.ts";
 import { chooseServer } from "./chooseServer.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
@@ -22,6 +23,7 @@
 } from "./directEvents.ts";
 import type { KnownServer } from "./knownServer.ts";
 import { type AttemptOutcome, runAttempt, type StreamCursor } from "./runAttempt.ts";
+import { streamPatienceMs } from "./streamPatience.ts";
 
 const HTTP_OK = 200;
 const HTTP_SERVER_ERROR = 500;
@@ -36,10 +38,6 @@
 const USUAL_IDLE_MS = 30_000;
 /** Share of the time left after which a status read that got no answer is tried elsewhere. */
 const FIRST_ATTEMPT_SHARE = 0.4;
-/** Least pause after which callers abandon a stream, in milliseconds; the published rule is the longest of three. */
-const STREAM_PATIENCE_MS = 2_000;
-const PATIENCE_PER_TARGET = 4;
-const PATIENCE_PER_GAP = 8;
 /** Time before the end of the caller's patience at which a stalled stream is broken off, in milliseconds. */
 const PATIENCE_MARGIN_MS = 150;
 /** Time between looks at a group that a stream waits for, in milliseconds. */
@@ -52,6 +50,9 @@
 /** A caller takes advice up to this share of the time that it has left. */
 const MAX_RETURN_SHARE = 1 / 3;
 
+/** Share of the time to the first event that a request may wait for a place; the rest is for the server's first passes. */
+const QUEUE_SHARE = 0.5;
+
 /** What to do after an attempt. */
 type NextStep =
     | { readonly kind: "done"; }
@@ -69,6 +70,9 @@
     private unsentAttempts = 0;
     private mayHaveRun = false;
     private isGroupDown = false;
+    private isCrowdedOut = false;
+    private queuedMs = 0;
+    private firstByteMs: number | undefined;
     private lastFailure: { readonly head: AnswerHead; readonly body: Buffer; } | undefined;
     private lastServer: KnownServer | undefined;
 
@@ -95,6 +99,8 @@
         this.cursor = {
             lastEventId: Number.isInteger(resumeId) ? resumeId : undefined,
             lastEventMs: call.receivedMs,
+            eventCount: 0,
+            longestGapMs: 0,
             isHeadSent: false,
         };
     }
@@ -136,6 +142,57 @@
             this.isGroupDown = true;
             return this.waitForGroup(signal);
         }
+        if (!this.admitted.spec?.engine) {
+            return this.tryServer(signal);
+        }
+        return this.tryInTurn(signal);
+    }
+
+    /** Sends the request to a model server once it has a place there. */
+    private async tryInTurn(signal: AbortSignal): Promise<NextStep> {
+        const { queue } = this.state;
+        if (this.cursor.isHeadSent) {
+            queue.enterNow();
+        }
+        else {
+            const queuedAtMs = this.nowMs;
+            const entry = await queue.enter(this.turn(), signal);
+            this.queuedMs += Math.round(this.nowMs - queuedAtMs);
+            if (entry === "released") {
+                return { kind: "again" };
+            }
+            if (entry === "refused") {
+                this.isCrowdedOut = true;
+                return { kind: "stop", reason: "no place at the model servers becomes free in time" };
+            }
+        }
+        const startMs = this.nowMs;
+        let isServed = false;
+        try {
+            const step = await this.tryServer(signal);
+            isServed = step.kind === "done";
+            return step;
+        }
+        finally {
+            queue.leave(isServed ? this.nowMs - startMs : undefined);
+        }
+    }
+
+    private turn(): QueuedCall {
+        const { account, route } = this.admitted;
+        const { receivedMs } = this.call;
+        const isReturn = this.state.returns.isReturn(route.name, this.callerEndMs - receivedMs);
+        return {
+            receivedMs,
+            // The time to the first event counts from the caller's first attempt, which is over.
+            inTimeUntilMs: receivedMs + (isReturn ? 0 : route.targetLatencyMs * QUEUE_SHARE),
+            latestStartMs: receivedMs + streamPatienceMs(route) - route.targetLatencyMs,
+            endMs: this.endMs,
+            priority: account?.priority ?? route.priority,
+        };
+    }
+
+    private async tryServer(signal: AbortSignal): Promise<NextStep> {
         const server = this.choose();
         if (!server) {
             return { kind: "stop", reason: "no backend server can take the request now" };
@@ -219,6 +276,7 @@
                 // A model server names a fault only when its group cannot run; a full one names none.
                 if (fault !== undefined && this.admitted.spec?.engine) {
                     this.state.group.noteDown(fault);
+                    this.state.queue.releaseAll();
                     return { kind: "again" };
                 }
                 return this.sendAgain("the backend server is full");
@@ -270,15 +328,11 @@
 
     /** A stream under way waits for its group as long as its caller does; other requests are refused. */
     private async waitForGroup(signal: AbortSignal): Promise<NextStep> {
-        const { maxAttempts, targetGapMs, targetLatencyMs } = this.admitted.route;
+        const { route } = this.admitted;
         const reason = "the group of model servers is down";
-        const patienceMs = Math.max(
-            STREAM_PATIENCE_MS,
-            PATIENCE_PER_TARGET * targetLatencyMs,
-            PATIENCE_PER_GAP * (targetGapMs ?? 0),
-        );
-        const latestMs = this.cursor.lastEventMs + patienceMs - PATIENCE_MARGIN_MS;
-        const mayResume = this.cursor.isHeadSent && this.isRepeatable && this.sentAttempts < maxAttempts;
+        const latestMs = this.cursor.lastEventMs + streamPatienceMs(route) - PATIENCE_MARGIN_MS;
+        const mayResume = this.cursor.isHeadSent && this.isRepeatable
+            && this.sentAttempts < route.maxAttempts;
         if (!mayResume || this.nowMs >= latestMs) {
             return { kind: "stop", reason };
         }
@@ -287,7 +341,7 @@
     }
 
     private fail(reason: string, unknownStatus: number): void {
-        const { events, random } = this.context.options.runtime;
+        const { events } = this.context.options.runtime;
         const leftMs = Math.max(0, this.callerEndMs - this.nowMs);
         if (this.cursor.isHeadSent) {
             this.reply.breakOff();
@@ -305,10 +359,7 @@
             this.count("failed", unknownStatus);
             return;
         }
-        const usualMs = this.tried.size === 0 ? EMPTY_RETURN_MS : FULL_RETURN_MS;
-        const retryAfterMs = this.isGroupDown
-            ? this.state.group.returnAfterMs(leftMs)
-            : Math.min(usualMs + random.nextFloat() * FULL_RETURN_SPREAD_MS, leftMs * MAX_RETURN_SHARE);
+        const retryAfterMs = this.returnAfterMs(leftMs);
         sendRefusal(this.reply, { status: HTTP_UNAVAILABLE, reason, retryAfterMs });
         events.emit(callRefused, {
             ...this.logFields(HTTP_UNAVAILABLE),
@@ -318,6 +369,18 @@
         this.count("refused", HTTP_UNAVAILABLE);
     }
 
+    private returnAfterMs(leftMs: number): number {
+        if (this.isGroupDown) {
+            return this.state.group.returnAfterMs(leftMs);
+        }
+        if (this.isCrowdedOut) {
+            return this.state.queue.returnAfterMs(leftMs);
+        }
+        const usualMs = this.tried.size === 0 ? EMPTY_RETURN_MS : FULL_RETURN_MS;
+        const spreadMs = this.context.options.runtime.random.nextFloat() * FULL_RETURN_SPREAD_MS;
+        return Math.min(usualMs + spreadMs, leftMs * MAX_RETURN_SHARE);
+    }
+
     private noteServed(status: number): void {
         if (status < HTTP_SERVER_ERROR) {
             this.state.budget.noteSuccess();
@@ -328,6 +391,7 @@
 
     private noteServing(): void {
         const { metrics } = this.context.options;
+        this.firstByteMs ??= Math.round(this.nowMs - this.call.receivedMs);
         metrics.observeFirstByte(this.admitted.service, this.nowMs - this.call.receivedMs);
         if (this.admitted.spec?.engine) {
             this.state.group.noteUp();
@@ -377,6 +441,9 @@
             server: this.lastServer?.entry.id,
             attempts: this.sentAttempts,
             mayHaveRun: this.mayHaveRun,
+            queuedMs: this.queuedMs,
+            firstByteMs: this.firstByteMs,
+            longestGapMs: Math.round(this.cursor.longestGapMs),
             durationMs: Math.round(this.nowMs - this.call.receivedMs),
             version,
         };
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -5,13 +5,17 @@
  */
 
 import { RetryBudget } from "@magnolialock/entry/src/shared/retryBudget.ts";
-import type { Runtime, ServiceName } from "@magnolialock/kernel";
+import type { DataCentreId, Runtime, ServiceName } from "@magnolialock/kernel";
 import type { Upstreams } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings, SafetyBounds } from "../types/directSettings.ts";
 import type { CallMetrics } from "./callMetrics.ts";
+import { CallQueue } from "./callQueue.ts";
+import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { GroupHealth } from "./groupHealth.ts";
+import type { KnownServer } from "./knownServer.ts";
 import type { PictureStore } from "./pictureStore.ts";
+import { ReturningCalls } from "./returningCalls.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 
 /** Surroundings of a direct entry; it makes no calls over connect. */
@@ -35,6 +39,8 @@
     readonly metrics: CallMetrics;
     /** Largest number of instances that may be alive. */
     readonly fleetSize: () => number;
+    /** Data centres of the other instances that were heard just now. */
+    readonly aliveElsewhere: () => readonly DataCentreId[];
 }
 
 /** What is known of one service. */
@@ -43,6 +49,10 @@
     readonly group: GroupHealth;
     /** Requests that may be sent once more. */
     readonly budget: RetryBudget;
+    /** Requests that wait for a place at its model servers. */
+    readonly queue: CallQueue;
+    /** Which requests came back after a refusal. */
+    readonly returns: ReturningCalls;
 }
 
 /** Share of a successful request that may be spent on retries, below the installation's ratio as that counts all instances. */
@@ -86,6 +96,8 @@
             const { retryRatio } = this.bounds;
             state = {
                 group: new GroupHealth({ clock, events, random, service }),
+                returns: new ReturningCalls(),
+                queue: new CallQueue({ clock, random, limit: () => this.concurrencyLimit(service) }),
                 budget: new RetryBudget({
                     clock,
                     retriesPerSuccess: retryRatio * RATIO_SHARE,
@@ -138,6 +150,19 @@
         return Math.min(MAX_KEPT_CONNECTIONS, Math.max(1, share));
     }
 
+    private concurrencyLimit(service: ServiceName): number {
+        const { aliveElsewhere, directory, settings } = this.options;
+        const servers = directory.candidates(service);
+        const sum = (value: (server: KnownServer) => number): number =>
+            servers.reduce((total, server) => total + value(server), 0);
+        return concurrencyLimit({
+            slots: sum(({ entry }) => entry.slots),
+            own: sum(({ health }) => health.running),
+            elsewhere: sum(({ peerRunning }) => peerRunning),
+            share: shareOfFleet(settings.dataCentre, aliveElsewhere()),
+        });
+    }
+
     private budgetShare(): { readonly retriesPerS: number; readonly capacity: number; } {
         const { retrySlack, retryWindowMs } = this.bounds;
         const share = retrySlack * SLACK_SHARE / this.options.fleetSize();
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -8,6 +8,7 @@
 import {
     type Address,
     branded,
+    type DataCentreId,
     type DatagramSocket,
     errorMessage,
     type IncarnationId,
@@ -104,9 +105,14 @@
         return Math.max(LEAST_FLEET_SIZE, count);
     }
 
+    /** Data centres of the instances that were heard just now, without this one. */
+    public get aliveDataCentres(): readonly DataCentreId[] {
+        return [...this.peers.values()].flatMap(({ isAlive, report }) => isAlive ? [report.dataCentre] : []);
+    }
+
     /** Instances that were heard just now, without this one. */
     public get aliveCount(): number {
-        return [...this.peers.values()].filter(({ isAlive }) => isAlive).length;
+        return this.aliveDataCentres.length;
     }
 
     /**
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -20,6 +20,10 @@
     lastEventId: number | undefined;
     /** When the last event was passed on, in milliseconds. */
     lastEventMs: number;
+    /** Events that were passed on. */
+    eventCount: number;
+    /** Longest pause between two of them, in milliseconds. */
+    longestGapMs: number;
     /** Whether the head was sent. */
     isHeadSent: boolean;
 }
@@ -151,7 +155,12 @@
                 reply.startStream(callerHead(this.head as AnswerHead));
             }
             cursor.lastEventId = id ?? cursor.lastEventId;
-            cursor.lastEventMs = context.options.runtime.clock.nowMs();
+            const nowMs = context.options.runtime.clock.nowMs();
+            if (cursor.eventCount > 0) {
+                cursor.longestGapMs = Math.max(cursor.longestGapMs, nowMs - cursor.lastEventMs);
+            }
+            cursor.eventCount++;
+            cursor.lastEventMs = nowMs;
             if (!reply.write(event.bytes)) {
                 this.upstream?.pause();
                 reply.onDrain(() => this.upstream?.resume());
