fix(rank): refuse a grant while a pass of an earlier round is held

Cause: an agent that had just started gave a leader the hold of its earlier life for a new round, although ranks may still be armed for that pass with an earlier map. Found as the guard "the next life finishes a found hold" was taken out and no test failed.

Change: only a repeated grant of the same round reuses a hold. Tests for guards that could be taken out unseen: most servers a request, unknown configuration, rising revisions, waiting at a planned stop, the next life of a holder, agents that must answer before a rank is armed, places kept after a shortage, waits that end when the group goes down.

The old check of unknown configuration tested nothing: `undefined` chose the fixture's default configuration. The fixture takes "none" now, and the check asks for the advice to return as well.

--- a/packages/direct/src/shared/__tests__/answers.spec.ts
+++ b/packages/direct/src/shared/__tests__/answers.spec.ts
@@ -104,3 +104,15 @@
     t.not(call.abortReason, undefined);
     t.is(fixture.clock.nowMs(), 0);
 });
+
+test.serial("a request is sent to no more servers than its route allows", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a", "bb", "ccc", "dddd");
+    const { done, reply } = fixture.send("status");
+    for (let attempt = 0; attempt < 4 && reply.state === "open"; attempt++) {
+        (await fixture.latest()).answer(500, "failed");
+    }
+    await fixture.settle(done);
+    t.is(reply.status, 500);
+    t.is(fixture.arrived.length, 2);
+});
--- a/packages/direct/src/shared/__tests__/callQueue.spec.ts
+++ b/packages/direct/src/shared/__tests__/callQueue.spec.ts
@@ -99,6 +99,28 @@
     t.true(new Set(advice.map(Math.round)).size > 30);
 });
 
+test.serial("a place that becomes free right after a shortage is kept for the next request in time", async t => {
+    const { clock, queue } = createQueue(() => 10);
+    for (let running = 0; running < 10; running++) {
+        await queue.enter(callAt(0), NEVER);
+    }
+    // The newest of two that wait gets the place; the other one is late then.
+    const older = queue.enter(callAt(0), NEVER);
+    await clock.advance(150);
+    const newer = queue.enter(callAt(150), NEVER);
+    queue.leave(150);
+    t.is(await clock.runUntilSettled(newer, 0), "admitted");
+    await clock.advance(100);
+    queue.leave(250);
+    await clock.advance(0);
+    t.is(queue.running, 9);
+    t.is(queue.waiting, 1);
+    t.is(await queue.enter(callAt(250), NEVER), "admitted");
+    await clock.advance(1_000);
+    queue.leave(1_250);
+    t.is(await clock.runUntilSettled(older, 0), "admitted");
+});
+
 /** Load of one instance: places, how long a stream takes one, and streams a second. */
 interface Burst {
     readonly places: number;
--- a/packages/direct/src/shared/__tests__/crowded.spec.ts
+++ b/packages/direct/src/shared/__tests__/crowded.spec.ts
@@ -23,14 +23,18 @@
     t.is(second.reply.state, "ended");
 });
 
-test.serial("waiting requests are refused at once when the group goes down", async t => {
-    const { fixture, second } = await crowdedFixture();
-    fixture.context.service(DRAFTS).group.noteDown("missing");
-    fixture.context.service(DRAFTS).queue.releaseAll();
+test.serial("waiting requests are refused at once when a server says that the group is down", async t => {
+    const { first, fixture, second } = await crowdedFixture();
+    const third = fixture.send("draft");
+    await fixture.latest();
+    fixture.arrived[0]?.breakUp();
+    // The place goes to one of the two that wait; its server refuses for the group.
+    (await fixture.latest()).refuse({ [NAMES.faultServer]: "missing" });
     await fixture.settle(second.done);
-    t.is(second.reply.status, 503);
-    t.is(fixture.clock.nowMs(), 0);
-    t.is(fixture.arrived.length, 1);
+    await fixture.settle(third.done);
+    t.deepEqual([second.reply.status, third.reply.status], [503, 503]);
+    t.true(fixture.clock.nowMs() < 100);
+    await fixture.settle(first.done);
 });
 
 test.serial("a request that gets no place before its caller gives up is refused, and was not run", async t => {
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -279,7 +279,7 @@
     private revision = 0;
     private nextRequest = 1;
 
-    public constructor(start: FleetConfiguration | undefined = configuration()) {
+    public constructor(start: FleetConfiguration | "none" = configuration()) {
         this.events = new EventLog({ clock: this.clock, instance: "entry-1" });
         const runtime = { clock: this.clock, events: this.events, random: createRandomSource(1) };
         this.store = new PictureStore({
@@ -302,7 +302,7 @@
             fleetSize: () => this.fleetSize,
             aliveElsewhere: () => this.aliveElsewhere,
         });
-        if (start) {
+        if (start !== "none") {
             this.publish("config", { kind: "configuration", configuration: start });
         }
     }
--- a/packages/direct/src/shared/__tests__/routing.spec.ts
+++ b/packages/direct/src/shared/__tests__/routing.spec.ts
@@ -1,4 +1,10 @@
-import { branded, type ClientAccountId, createRandomSource, seedFaults } from "@magnolialock/kernel";
+import {
+    branded,
+    type ClientAccountId,
+    createRandomSource,
+    type Revision,
+    seedFaults,
+} from "@magnolialock/kernel";
 import test from "ava";
 import { drawService, RouteTable } from "../routeTable.ts";
 import {
@@ -46,13 +52,6 @@
     t.true(drafts > 140 && drafts < 260);
 });
 
-test.serial("an instance that knows no configuration refuses, it never denies", async t => {
-    const fixture = new DirectFixture(undefined);
-    fixture.store.apply(branded(0), [], "platform");
-    const empty = new DirectFixture(undefined);
-    t.is(await statusOf(empty, "status"), 503);
-});
-
 test.serial("unknown routes and keys are denied", async t => {
     const fixture = new DirectFixture();
     t.is(await statusOf(fixture, "nowhere"), 404);
@@ -204,3 +203,25 @@
     using _fault = seedFaults(["direct.skip-retry-budget"]);
     t.true(await played() * 8 > 100);
 });
+
+test.serial("an instance that knows no configuration denies nothing, and says when to return", async t => {
+    const fixture = new DirectFixture("none");
+    const withoutKey = fixture.send("nowhere", { [NAMES.apiKey]: "" });
+    await fixture.settle(withoutKey.done);
+    t.is(withoutKey.reply.status, 503);
+    t.true(Number(withoutKey.reply.header("retry-after")) > 0);
+});
+
+test.serial("older news never takes the place of newer", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(ORDERS, "a", "bb");
+    const { store } = fixture;
+    const { revision } = store;
+    const older = branded<Revision>(revision - 1);
+    store.replace({ revision: older, items: [] }, "peer");
+    t.is(store.revision, revision);
+    t.is(store.servers().size, 2);
+    store.apply(older, [{ key: "a", text: undefined, revision: older }], "peer");
+    t.is(store.revision, revision);
+    t.is(store.servers().size, 2);
+});
--- a/packages/rank/src/shared/__tests__/mapSwitch.spec.ts
+++ b/packages/rank/src/shared/__tests__/mapSwitch.spec.ts
@@ -1,5 +1,6 @@
-import { seedFaults } from "@magnolialock/kernel";
+import { branded, seedFaults } from "@magnolialock/kernel";
 import test from "ava";
+import type { MapVersion, PassNumber } from "../../types/rankServer.ts";
 import { type GroupFaults, VirtualGroup } from "./virtualGroup.ts";
 
 const RANKS = 4;
@@ -62,12 +63,33 @@
     t.deepEqual(results.flatMap(({ isMoving }, index) => isMoving ? [] : [index + 1]), []);
 });
 
-test.serial("a leader that is suspended as it holds a pass does not stop its group", async t => {
-    const [result] = await playSeeds(1, { suspendGivers: true });
-    t.is(result?.mixedPasses, 0);
-    t.true(result?.isMoving);
-    // Callers abandon a stream after 2 s without an event; a quarter of that leaves room for the pass itself.
-    t.true((result?.longestStopMs ?? Infinity) <= 500);
+for (const faults of [{ suspendGivers: true }, { suspendOthers: true }]) {
+    const who = Object.keys(faults).join();
+    test.serial(`an agent that is suspended as a pass is held does not stop its group: ${who}`, async t => {
+        const [result] = await playSeeds(1, faults);
+        t.is(result?.mixedPasses, 0);
+        t.true(result?.isMoving);
+        // Callers abandon a stream after 2 s without an event; a quarter of that leaves room for the pass itself.
+        t.true((result?.longestStopMs ?? Infinity) <= 500);
+    });
+}
+
+test.serial("an agent that starts beside a held pass disarms all ranks and releases it", async t => {
+    const group = new VirtualGroup(RANKS, 1);
+    await group.clock.advance(100);
+    const holder = group.ranks[1];
+    const armed = group.ranks[2];
+    if (!holder || !armed) {
+        t.fail();
+        return;
+    }
+    const pass = branded<PassNumber>(group.pass + 3);
+    holder.held = pass;
+    armed.armed = { content: { ...armed.inForce, version: branded<MapVersion>(1_024), hash: "new" }, pass };
+    await group.clock.advance(2_000);
+    t.true(group.pass > pass);
+    t.is(group.mixedPasses, 0);
+    group.end();
 });
 
 test.serial("no pass runs on two maps while givers are suspended, orders are lost or late and agents die", async t => {
--- a/packages/rank/src/shared/__tests__/virtualGroup.ts
+++ b/packages/rank/src/shared/__tests__/virtualGroup.ts
@@ -29,7 +29,7 @@
 
 const PASS_MS = 60;
 const ORDER_TIMEOUT_MS = 60;
-const GIVER_SUSPENSION_MS = 4_000;
+const SUSPENSION_MS = 4_000;
 const NEVER = new Promise<never>(() => {});
 
 /** Chances of faults. */
@@ -48,6 +48,8 @@
     readonly reformEveryMs?: number;
     /** Whether an agent is suspended right after its order to hold a pass was carried out. */
     readonly suspendGivers?: boolean;
+    /** Whether another agent, neither the giver's nor the holder's, is suspended then. */
+    readonly suspendOthers?: boolean;
 }
 
 /** One life of an agent. */
@@ -267,8 +269,15 @@
     }
 
     public noteOrder(order: RankOrder, giver: number): void {
-        if (this.faults.suspendGivers && order.kind === "hold") {
-            this.agentOf(giver).frozenUntilMs = this.clock.nowMs() + GIVER_SUSPENSION_MS;
+        if (order.kind !== "hold") {
+            return;
+        }
+        const untilMs = this.clock.nowMs() + SUSPENSION_MS;
+        if (this.faults.suspendGivers) {
+            this.agentOf(giver).frozenUntilMs = untilMs;
+        }
+        if (this.faults.suspendOthers) {
+            this.agentOf((giver + 2) % this.size).frozenUntilMs = untilMs;
         }
     }
 
--- a/packages/rank/src/shared/passHolder.ts
+++ b/packages/rank/src/shared/passHolder.ts
@@ -145,7 +145,11 @@
         this.grant = grant;
         void this.expire(grant);
         const reservation = await member.reserve(ballot, epoch);
-        if (reservation) {
+        // What an earlier life of the agent holds may have armed ranks; it is for `recover` to end.
+        if (
+            reservation
+            && (isRepeated || reservation.heldPass === undefined || isFaultSeeded("rank.take-over-holds"))
+        ) {
             return { kind: "granted", ...reservation };
         }
         if (this.grant === grant && !isRepeated) {
