--- a/packages/cli/src/node/commands/timeline.ts
+++ b/packages/cli/src/node/commands/timeline.ts
@@ -14,10 +14,17 @@
     type TimelineEntry,
     waitForStopSignal,
 } from "@magnolialock/kernel";
+import type { ArgumentsCamelCase } from "yargs";
 import { commands } from "../command.ts";
 import { addPeerOption, readPeers } from "../peerOptions.ts";
 import { OrderedPrinter } from "../timeline/printInOrder.ts";
-import { readTimelines, type ReadTimelinesOptions } from "../timeline/readTimelines.ts";
+import { readLogs } from "../timeline/readLogs.ts";
+import {
+    passesFilter,
+    readTimelines,
+    type ReadTimelinesOptions,
+    type TimelineFilter,
+} from "../timeline/readTimelines.ts";
 
 type Reading = Omit<ReadTimelinesOptions, "follow" | "onEntry" | "signal">;
 
@@ -34,6 +41,31 @@
     return findings;
 };
 
+const readFromLogs = async (
+    paths: readonly string[],
+    filter: TimelineFilter,
+    print: (entry: TimelineEntry) => void,
+) => {
+    const entries: TimelineEntry[] = [];
+    const findings = await readLogs(paths, entry => {
+        if (passesFilter(filter, entry, undefined)) {
+            entries.push(entry);
+        }
+    });
+    entries.sort(compareTimelineEntries).forEach(print);
+    return findings;
+};
+
+const readFromPeers = async (
+    args: ArgumentsCamelCase,
+    filter: TimelineFilter,
+    print: (entry: TimelineEntry) => void,
+) => {
+    await using network = createTcpNetwork();
+    const reading: Reading = { network, peers: readPeers(args), filter };
+    return args["follow"] ? await followUntilStopped(reading, print) : await readOnce(reading, print);
+};
+
 const followUntilStopped = async (reading: Reading, print: (entry: TimelineEntry) => void) => {
     const stopping = new AbortController();
     void waitForStopSignal().then(() => stopping.abort());
@@ -49,6 +81,11 @@
     description: "Print the events of several processes in the order of causes",
     builder: yargs =>
         addPeerOption(yargs, "control addresses of entries and agents to read")
+            .option("log", {
+                type: "string",
+                array: true,
+                describe: "log files to read instead of processes; - is standard input",
+            })
             .option("request", { type: "string", describe: "only events of this request" })
             .option("server", {
                 type: "string",
@@ -60,25 +97,24 @@
                 describe: "only events of this revision of the configuration",
             })
             .option("follow", { type: "boolean", default: false, describe: "wait for new events" })
-            .option("json", { type: "boolean", default: false, describe: "print one JSON object an event" }),
+            .option("json", { type: "boolean", default: false, describe: "print one JSON object an event" })
+            .check(args =>
+                !(args["log"] && args["follow"]) || "--follow reads processes; leave it out with --log"
+            ),
     run: async args => {
-        await using network = createTcpNetwork();
         const text = (name: string): string | undefined =>
             args[name] === undefined ? undefined : String(args[name]);
-        const reading: Reading = {
-            network,
-            peers: readPeers(args),
-            filter: {
-                request: text("request"),
-                server: text("server"),
-                dataCentre: text("dataCentre"),
-                revision: text("revision"),
-            },
+        const filter: TimelineFilter = {
+            request: text("request"),
+            server: text("server"),
+            dataCentre: text("dataCentre"),
+            revision: text("revision"),
         };
         const print = printer(Boolean(args["json"]));
-        const findings = args["follow"]
-            ? await followUntilStopped(reading, print)
-            : await readOnce(reading, print);
+        const logs = args["log"] as string[] | undefined;
+        const findings = logs
+            ? await readFromLogs(logs, filter, print)
+            : await readFromPeers(args, filter, print);
         process.stderr.write(findings.map(finding => `${formatFinding(finding)}\n`).join(""));
         return findings.length > 0 ? ExitCode.Failure : ExitCode.Success;
     },
--- a/packages/lab/src/node/platformStandIns/backendStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/backendStandIn.ts
@@ -14,6 +14,8 @@
     | "answer"
     /** Refuses without running the request. */
     | "full"
+    /** Refuses without running the request, as a rank of a group that misses another one. */
+    | "groupDown"
     /** Runs the request and resets the connection. */
     | "loseAnswer"
     /** Sends half of the body and closes the connection. */
@@ -90,9 +92,13 @@
             response.writeHead(HTTP_MISDIRECTED, { "x-instance-id": this.options.id }).end();
             return;
         }
-        if (this.behaviour === "full") {
-            response.writeHead(HTTP_UNAVAILABLE, { "x-request-id": requestId, "x-request-not-executed": "1" })
-                .end();
+        if (this.behaviour === "full" || this.behaviour === "groupDown") {
+            const reason = this.behaviour === "full" ? {} : { "at-server": this.address };
+            response.writeHead(HTTP_UNAVAILABLE, {
+                "x-request-id": requestId,
+                "x-request-not-executed": "1",
+                ...reason,
+            }).end();
             return;
         }
         const { headers, url } = request;
@@ -157,6 +163,7 @@
                 return;
             case "answer":
             case "full":
+            case "groupDown":
                 response.writeHead(HTTP_OK, framed).end(body);
         }
     }
--- /dev/null
+++ b/packages/rank/src/shared/__tests__/passHolder.spec.ts
@@ -0,0 +1,73 @@
+import { branded, seedFaults } from "@magnolialock/kernel";
+import test from "ava";
+import type { Ballot, HoldCall, HoldReply } from "../../types/rankMessages.ts";
+import type { MapVersion, PassNumber } from "../../types/rankServer.ts";
+import { VirtualGroup } from "./virtualGroup.ts";
+
+const RANKS = 3;
+const HOLDER = 1;
+const BALLOT: Ballot = { number: 7, rank: 0 };
+const GRANT: HoldCall = { kind: "grant", ballot: BALLOT, epoch: 1 };
+
+/** A group that begins no pass and that nobody leads, and the agent beside one of its ranks. */
+const createHolder = async () => {
+    const group = new VirtualGroup(RANKS, 1);
+    group.end();
+    for (let rank = 0; rank < RANKS; rank++) {
+        void group.agentOf(rank).leader[Symbol.asyncDispose]();
+    }
+    await group.clock.advance(1_000);
+    const rank = group.ranks[HOLDER];
+    const take = (call: HoldCall): Promise<HoldReply> =>
+        group.clock.runUntilSettled(group.agentOf(HOLDER).holder.take(call), 5_000);
+    return { group, rank, take };
+};
+
+test.serial("a hold that an earlier life of the agent left is not used for a new round", async t => {
+    const { group, rank, take } = await createHolder();
+    if (rank) {
+        rank.held = branded<PassNumber>(group.pass + 3);
+    }
+    t.is((await take(GRANT)).kind, "refused");
+});
+
+test.serial("it is used without the look at it", async t => {
+    using _fault = seedFaults(["rank.take-over-holds"]);
+    const { group, rank, take } = await createHolder();
+    if (rank) {
+        rank.held = branded<PassNumber>(group.pass + 3);
+    }
+    t.is((await take(GRANT)).kind, "granted");
+});
+
+test.serial("one round is served at a time, and a repeated grant learns of the hold", async t => {
+    const { group, rank, take } = await createHolder();
+    const granted = await take(GRANT);
+    if (granted.kind !== "granted") {
+        t.fail();
+        return;
+    }
+    const pass = branded<PassNumber>(group.pass + 3);
+    t.is((await take({ ...GRANT, ballot: { number: 8, rank: 2 } })).kind, "refused");
+    rank?.carryOut({ kind: "hold", pass }, 1, granted.token);
+    const repeated = await take(GRANT);
+    t.is(repeated.kind === "granted" ? repeated.heldPass : undefined, pass);
+});
+
+test.serial("a leader that falls silent loses its hold, and cannot finish afterwards", async t => {
+    const { group, rank, take } = await createHolder();
+    const granted = await take(GRANT);
+    const pass = branded<PassNumber>(group.pass + 3);
+    rank?.carryOut({ kind: "hold", pass }, 1, granted.kind === "granted" ? granted.token : 0);
+    t.is(rank?.held, pass);
+    await group.clock.advance(400);
+    t.is(rank?.held, undefined);
+    const version = branded<MapVersion>(1_024);
+    const finish: HoldCall = { kind: "finish", ballot: BALLOT, epoch: 1, version, contentHash: "map", pass };
+    t.is((await take(finish)).kind, "refused");
+});
+
+test.serial("a grant for another life of the group is refused", async t => {
+    const { take } = await createHolder();
+    t.is((await take({ ...GRANT, epoch: 2 })).kind, "refused");
+});
