fix(direct): a late request gets a free place once the shortage is over

Cause: places were given only as requests came or ended, so a late request waited for its end although the places were free.

Change: a timer after each shortage. The test fails without it.

--- a/packages/direct/src/shared/__tests__/callQueue.spec.ts
+++ b/packages/direct/src/shared/__tests__/callQueue.spec.ts
@@ -121,6 +121,17 @@
     t.is(await clock.runUntilSettled(older, 0), "admitted");
 });
 
+test.serial("a late request gets a free place once the shortage is over, also if nothing else happens", async t => {
+    const { clock, queue } = createQueue(() => 1);
+    await queue.enter(callAt(0), NEVER);
+    const late = queue.enter(callAt(0), NEVER);
+    await clock.advance(TARGET_MS);
+    queue.leave(TARGET_MS);
+    await clock.advance(0);
+    t.is(queue.running, 0);
+    t.is(await clock.runUntilSettled(late, 700), "admitted");
+});
+
 /** Load of one instance: places, how long a stream takes one, and streams a second. */
 interface Burst {
     readonly places: number;
--- a/packages/direct/src/shared/callQueue.ts
+++ b/packages/direct/src/shared/callQueue.ts
@@ -152,6 +152,7 @@
             this.dispatch();
             if (this.waiters.has(waiter) && clock.nowMs() < call.inTimeUntilMs) {
                 this.shortageMs = clock.nowMs();
+                void this.dispatchAfterShortage();
             }
             void this.refuseLate(waiter, ending.signal);
         });
@@ -220,6 +221,12 @@
         }
     }
 
+    /** Without it a late request would wait for the end of another one although places are free. */
+    private async dispatchAfterShortage(): Promise<void> {
+        await sleep(this.options.clock, SHORTAGE_MS);
+        this.dispatch();
+    }
+
     /** Refuses a request that cannot be in time any more, at once if others wait already for places to spare. */
     private async refuseLate(waiter: Waiter, signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
--- a/packages/rank/src/shared/passHolder.ts
+++ b/packages/rank/src/shared/passHolder.ts
@@ -1,9 +1,9 @@
 /**
  * Holds a pass at this rank for a change of map that the agent of another rank leads.
  *
- * The leader gives the order that holds the pass from its own machine, which is the one that may be suspended with it.
- * This agent arms the ranks and releases the pass, so it knows at any time whether a rank can be armed: while none is,
- * it releases the pass as soon as the leader falls silent.
+ * A machine that is suspended takes its server along, and nobody else can release what is held there. So the leader holds
+ * the pass at another rank than its own. The agent beside that rank arms the ranks and releases the pass; it knows at any
+ * time whether a rank can be armed, and while none can, it releases the pass as soon as the leader falls silent.
  *
  * @packageDocumentation
  */
