--- a/packages/rank/src/shared/ownPeer.ts
+++ b/packages/rank/src/shared/ownPeer.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 
+import type { HoldCall, HoldReply } from "../types/rankMessages.ts";
 import type { GroupMembership } from "../types/rankServer.ts";
-import type { PassHolder } from "./passHolder.ts";
 import type { RankMember } from "./rankMember.ts";
 import type { RankPeer } from "./switchRound.ts";
 
@@ -17,7 +17,7 @@
     /** Orders to its server. */
     readonly member: RankMember;
     /** Passes that are held there. */
-    readonly holder: PassHolder;
+    readonly holder: { take(call: HoldCall): Promise<HoldReply>; };
 }
 
 /**
