fix(direct,platform): bound answers without end, never call an aborted one complete

Callers of a server that sends bytes without end could take the whole entry down with them: each answer was buffered up to 8 MiB, however many ran, and an event that never ends was joined anew with each chunk until the request's time was over. Worse, an answer without a length that this side aborted, because the time was over, ended like a complete one: the caller got status 200 and half a body.

Cause: limits for one answer only, none for an event; the connection that this side resets reports no error, and only the peer's reset was counted.

Change: all buffered answers together take 24 MiB, the largest is given up first; an event has at most 256 KiB and is joined once; an aborted connection counts as reset. Heads were bounded by the library already; time is bounded by the request's deadline.

Evidence: `endlessBytes.spec` sends ten kinds of endless bytes from real sockets, 45 requests at a time.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -42,7 +42,9 @@
     public idleSinceMs = 0;
     /** Whether it was closed and must not be reused. */
     public isClosed = false;
-    /** Whether the peer reset it: a close-delimited response that ends with a reset is incomplete. */
+    /**
+     * Whether the peer reset it or this side aborted it: a close-delimited response that ends so is incomplete.
+     */
     public wasReset = false;
     private socket: Socket | undefined;
 
@@ -76,6 +78,7 @@
      * still deliver an aborted request, for instance to a server whose machine was paused.
      */
     public abort(reason: string): void {
+        this.wasReset = true;
         this.socket?.resetAndDestroy();
         this.close(reason);
     }
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -15,6 +15,7 @@
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { GroupHealth } from "./groupHealth.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
+import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
@@ -82,6 +83,8 @@
 export class DirectContext {
     /** Options that it was created with. */
     public readonly options: DirectContextOptions;
+    /** Memory of the responses that are being buffered. */
+    public readonly responseBuffers = new ResponseBuffers();
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
     private readonly services = new Map<ServiceName, ServiceState>();
--- a/packages/direct/src/shared/eventStreamSplitter.ts
+++ b/packages/direct/src/shared/eventStreamSplitter.ts
@@ -31,13 +31,22 @@
     return -1;
 };
 
+/** Largest event, in bytes; a faulty server may send bytes without end in which no event ends. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
 /** Splits one stream; the bytes of an incomplete event are buffered. */
 export class EventStreamSplitter {
-    private remainder: Buffer = Buffer.alloc(0);
+    private readonly remainder: Buffer[] = [];
+    private remainderBytes = 0;
 
     /** Number of buffered bytes of an incomplete event. */
     public get pendingBytes(): number {
-        return this.remainder.length;
+        return this.remainderBytes;
+    }
+
+    /** Whether the incomplete event is larger than any event may be; the stream must be given up. */
+    public get isOverlong(): boolean {
+        return this.remainderBytes > MAX_EVENT_BYTES;
     }
 
     /**
@@ -47,7 +56,13 @@
      * @returns the events that are complete now
      */
     public push(chunk: Buffer): StreamEvent[] {
-        const bytes = this.remainder.length === 0 ? chunk : Buffer.concat([this.remainder, chunk]);
+        if (this.remainderBytes > 0 && !this.mayEndEvent(chunk)) {
+            this.keep(chunk);
+            return [];
+        }
+        const bytes = this.remainderBytes === 0 ? chunk : Buffer.concat([...this.remainder, chunk]);
+        this.remainder.length = 0;
+        this.remainderBytes = 0;
         const events: StreamEvent[] = [];
         let start = 0;
         for (let end = eventEnd(bytes, start); end >= 0; end = eventEnd(bytes, start)) {
@@ -56,7 +71,19 @@
             events.push({ bytes: event, id: id === undefined ? undefined : Number(id) });
             start = end;
         }
-        this.remainder = bytes.subarray(start);
+        this.keep(bytes.subarray(start));
         return events;
     }
+
+    /** Without a line feed no event ends, so a long event is joined once instead of for each chunk. */
+    private mayEndEvent(chunk: Buffer): boolean {
+        return chunk.includes(LINE_FEED);
+    }
+
+    private keep(bytes: Buffer): void {
+        if (bytes.length > 0) {
+            this.remainder.push(bytes);
+            this.remainderBytes += bytes.length;
+        }
+    }
 }
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -18,6 +18,7 @@
 import { classifyResponseHead, type ResponseHeadClass } from "./classifyResponseHead.ts";
 import type { DirectContext } from "./directContext.ts";
 import { EventStreamSplitter } from "./eventStreamSplitter.ts";
+import type { BufferedResponse } from "./responseBuffers.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Progress of the caller's stream, over all attempts. */
@@ -81,12 +82,10 @@
     /** The request may have run; its response is missing, truncated or invalid. */
     | { readonly kind: "broken"; readonly message: string; };
 
-/** Largest response that is buffered, in bytes; each running request may hold one. */
-const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 const HTTP_OK = 200;
 
 /** Handles the response of one attempt. */
-class ResponseHandler implements UpstreamConsumer {
+class ResponseHandler implements UpstreamConsumer, BufferedResponse {
     /** Request to the backend server; set right after its start. */
     public upstream: UpstreamCall | undefined;
     /** Result of the validation of the head; undefined until the head arrives. */
@@ -148,9 +147,13 @@
         }
         this.bufferedChunks.push(bytes);
         this.bufferedBytes += bytes.length;
-        if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
-            this.reject(`the answer is larger than ${MAX_BUFFERED_BYTES} bytes`);
-        }
+        this.options.context.responseBuffers.set(this, this.bufferedBytes);
+    }
+
+    /** {@inheritDoc BufferedResponse.giveUp} */
+    public giveUp(reason: string): void {
+        this.bufferedChunks.length = 0;
+        this.reject(reason);
     }
 
     private forwardEvents(bytes: Buffer): void {
@@ -180,6 +183,9 @@
                 reply.onDrain(() => this.upstream?.resume());
             }
         }
+        if (this.splitter.isOverlong) {
+            this.reject("an event is larger than the limit");
+        }
     }
 
     private recordFirstByte(): void {
@@ -252,6 +258,7 @@
         return end;
     }
     finally {
+        context.responseBuffers.set(handler, 0);
         signal.removeEventListener("abort", onAbort);
     }
 };
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./shared/pauseDetector.ts";
 export * from "./shared/plugins.ts";
 export * from "./shared/random.ts";
+export * from "./shared/readBounded.ts";
 export * from "./shared/resourceScope.ts";
 export * from "./shared/runtime.ts";
 export * from "./shared/seededFaults.ts";
