fix(direct): limits of the fleet hold for any number of instances

Cause: each instance took the bound divided by the number of instances, rounded up to one. The bound of 27.5 starts a second is exceeded from 28 instances that choose the same server, as they do when one returns with nothing running. The same shape was in idle connections and in the saved retries.

Change: `FleetAllotment` gives each instance an equal whole part and the remainder, one unit each, to the instances that rendezvous hashing puts first for the server. The parts add up to the limit in a fleet of any size, and somebody may always start. Silent instances keep their part for a minute. An instance that has just started takes the fleet's size from the reports of the others and a smaller part until it knows them. 0.6 of the bound is divided instead of 0.9, for views that differ.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -230,7 +230,6 @@
         configurationVersion: () => store.configuration?.configuration.version ?? 0,
         openedConnections: () => upstreams.opened,
     });
-    const fleetSize = (): number => exchange.fleetSize;
     const context = new DirectContext({
         runtime,
         settings,
@@ -239,7 +238,7 @@
         directory,
         upstreams,
         metrics,
-        fleetSize,
+        fleet: () => exchange.fleet,
         peerDataCentres: () => exchange.aliveDataCentres,
     });
     const exchange: PeerExchange = scope.use(
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -35,6 +35,7 @@
 } from "../../types/publishedState.ts";
 import { noCallMetrics } from "../callMetrics.ts";
 import { DirectContext } from "../directContext.ts";
+import type { FleetView } from "../fleetAllotment.ts";
 import { PublishedStateStore } from "../publishedStateStore.ts";
 import { serveCall } from "../serveCall.ts";
 import { ServerDirectory } from "../serverDirectory.ts";
@@ -133,6 +134,14 @@
     ...changes,
 });
 
+/**
+ * The fleet as one of its instances, `entry-1` to `entry-<size>`, knows it.
+ */
+export const fleetOf = (size: number, own = "entry-1"): FleetView => ({
+    others: Array.from({ length: size }, (_, index) => `entry-${index + 1}`).filter(name => name !== own),
+    size,
+});
+
 /** An attempt that arrived at a backend server. */
 export class FakeUpstream implements UpstreamCall {
     public readonly ended: Promise<UpstreamEnd>;
@@ -271,13 +280,13 @@
     /** Attempts that arrived at backend servers, oldest first. */
     public readonly attempts: FakeUpstream[] = [];
     public sinceOutageMs = Number.POSITIVE_INFINITY;
-    public fleetSize = 8;
+    public fleet: FleetView = fleetOf(8);
     public peerDataCentres: readonly DataCentreId[] = [];
     private readonly contents = new Map<string, ItemContent>();
     private revision = 0;
     private nextRequest = 1;
 
-    public constructor(start: FleetConfiguration | "none" = configuration()) {
+    public constructor(start: FleetConfiguration | "none" = configuration(), name = "entry-1") {
         this.events = new EventLog({ clock: this.clock, instance: "entry-1" });
         const runtime = { clock: this.clock, events: this.events, random: createRandomSource(1) };
         this.store = new PublishedStateStore({
@@ -291,13 +300,13 @@
         });
         this.context = new DirectContext({
             runtime,
-            settings: SETTINGS,
+            settings: { ...SETTINGS, instance: branded<InstanceId>(name) },
             headers: NAMES,
             store: this.store,
             directory: this.directory,
             upstreams: this,
             metrics: noCallMetrics,
-            fleetSize: () => this.fleetSize,
+            fleet: () => this.fleet,
             peerDataCentres: () => this.peerDataCentres,
         });
         if (start !== "none") {
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -10,7 +10,7 @@
 import type { DirectSettings } from "../../types/directSettings.ts";
 import type { PublishedState } from "../../types/publishedState.ts";
 import { PeerExchange } from "../peerExchange.ts";
-import { encodePeerReport } from "../peerReport.ts";
+import { encodePeerReport, reportKey } from "../peerReport.ts";
 import { DirectFixture, ORDERS } from "./directFixture.ts";
 
 const addressOf = (index: number): Address =>
@@ -53,7 +53,7 @@
         changes: {
             readonly revision?: number;
             readonly dataCentre?: string;
-            readonly running?: ReadonlyMap<string, number>;
+            readonly running?: ReadonlyMap<number, number>;
         } = {},
     ): void {
         this.exchange.receive(
@@ -66,6 +66,7 @@
                 running: changes.running ?? new Map(),
                 groupUpMs: new Map(),
                 members: [],
+                heardInstances: 1,
             }),
         );
     }
@@ -73,16 +74,16 @@
 
 test.serial("shares of limits are sized by the largest fleet that may be alive", async t => {
     const fixture = new ExchangeFixture();
-    t.is(fixture.exchange.fleetSize, 8);
+    t.is(fixture.exchange.fleet.size, 8);
     for (let index = 0; index < 20; index++) {
         fixture.receiveReport(index);
     }
-    t.is(fixture.exchange.fleetSize, 21);
+    t.is(fixture.exchange.fleet.size, 21);
     await fixture.direct.clock.advance(30_000);
     t.is(fixture.exchange.aliveCount, 0);
-    t.is(fixture.exchange.fleetSize, 21);
+    t.is(fixture.exchange.fleet.size, 21);
     await fixture.direct.clock.advance(40_000);
-    t.is(fixture.exchange.fleetSize, 8);
+    t.is(fixture.exchange.fleet.size, 8);
 });
 
 test.serial("reports are sent to seeds until they answer", async t => {
@@ -94,7 +95,7 @@
 test.serial("the load reported by another instance counts until that instance is lost", async t => {
     const fixture = new ExchangeFixture();
     fixture.direct.addServers(ORDERS, "a");
-    fixture.receiveReport(1, { running: new Map([["a", 3]]) });
+    fixture.receiveReport(1, { running: new Map([[reportKey("a"), 3]]) });
     await fixture.direct.clock.advance(300);
     const [server] = [...fixture.direct.directory.all()];
     t.is(server?.running, 3);
--- a/packages/direct/src/shared/__tests__/routing.spec.ts
+++ b/packages/direct/src/shared/__tests__/routing.spec.ts
@@ -11,6 +11,7 @@
     configuration,
     DirectFixture,
     DRAFTS,
+    fleetOf,
     NAMES,
     ORDERS,
     route,
@@ -67,8 +68,10 @@
 test("idle connections of all instances to a server stay within its limit", t => {
     const limited = configuration({ services: [serviceSpec(ORDERS, { connectionLimit: 49 })] });
     const fixture = new DirectFixture(limited);
-    t.true(fixture.context.maxIdleConnections(ORDERS) * 8 <= 49);
-    t.true(fixture.context.maxIdleConnections(ORDERS) >= 1);
+    fixture.addServers(ORDERS, "a");
+    const [server] = fixture.directory.candidates(ORDERS);
+    t.true(server !== undefined && fixture.context.maxIdleConnections(server) * 8 <= 49);
+    t.true(server !== undefined && fixture.context.maxIdleConnections(server) >= 1);
 });
 
 test.serial("the server gets the configured account, never the API key or the caller's header", async t => {
@@ -171,7 +174,7 @@
     const fixture = new DirectFixture(
         configuration({ services: [serviceSpec(ORDERS, { coldRequestsPerS: 38 })] }),
     );
-    fixture.fleetSize = 7;
+    fixture.fleet = fleetOf(7);
     fixture.addServers(ORDERS, "a");
     for (let request = 0; request < 30; request++) {
         fixture.send("status");
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -224,7 +224,7 @@
         const choice = {
             dataCentre: settings.dataCentre,
             random: runtime.random,
-            maxStartsPerS: this.context.maxStartsPerS(service),
+            maxStartsPerS: (server: TrackedServer) => this.context.maxStartsPerS(server),
             tried: this.tried,
         };
         return chooseServer(directory.candidates(service), choice, spec?.engine === undefined);
@@ -251,7 +251,7 @@
             cursor: this.cursor,
             remainingMs: this.callerDeadlineMs - this.nowMs,
             maxIdleMs: this.isRepeatable ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS,
-            maxIdleConnections: this.context.maxIdleConnections(service),
+            maxIdleConnections: this.context.maxIdleConnections(server),
             signal: timeout.signal,
             onFirstByte: () => this.recordFirstByte(),
         });
--- a/packages/direct/src/shared/chooseServer.ts
+++ b/packages/direct/src/shared/chooseServer.ts
@@ -13,8 +13,8 @@
     readonly dataCentre: DataCentreId;
     /** Source of random numbers, used to break ties. */
     readonly random: RandomSource;
-    /** Maximum number of requests that this instance may start at one server per second. */
-    readonly maxStartsPerS: number;
+    /** Returns how many requests this instance may start at a server per second. */
+    readonly maxStartsPerS: (server: TrackedServer) => number;
     /** Servers that earlier attempts of this request used. */
     readonly tried: ReadonlySet<TrackedServer>;
 }
@@ -49,7 +49,7 @@
     isSpeedCompared: boolean,
 ): TrackedServer | undefined => {
     const eligible = candidates.filter(server =>
-        !context.tried.has(server) && server.startRate.allows(context.maxStartsPerS)
+        !context.tried.has(server) && server.startRate.allows(context.maxStartsPerS(server))
     );
     const healthy = eligible.filter(server => !server.health.isEjected);
     let best: TrackedServer | undefined;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -13,6 +13,7 @@
 import { CallerRetryDetector } from "./callerRetryDetector.ts";
 import type { CallMetrics } from "./callMetrics.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
+import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
 import { GroupHealth } from "./groupHealth.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
@@ -38,8 +39,8 @@
     readonly upstreams: UpstreamClient;
     /** Request metrics. */
     readonly metrics: CallMetrics;
-    /** Returns the largest number of instances that may be alive, this one included. */
-    readonly fleetSize: () => number;
+    /** Returns the instances that may be alive. */
+    readonly fleet: () => FleetView;
     /** Returns the data centre of each other live instance. */
     readonly peerDataCentres: () => readonly DataCentreId[];
 }
@@ -69,8 +70,11 @@
 /** Share of the retry slack that is saved up for bursts; the rest accrues evenly over the window. */
 const BURST_SHARE = 0.5;
 const MS_PER_SECOND = 1_000;
-/** Share of the cold-start rate limit that is used: the instances' one-second windows are not aligned. */
-const COLD_RATE_SHARE = 0.9;
+/**
+ * Share of the cold-start rate limit that is used: instances that have just started, or that disagree about who
+ * is alive, may hold more than their part for a while.
+ */
+const COLD_RATE_SHARE = 0.6;
 
 /** Share of a server's connection limit for idle connections; the rest is for bursts. */
 const IDLE_CONNECTION_SHARE = 0.5;
@@ -88,11 +92,13 @@
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
     private readonly services = new Map<ServiceName, ServiceState>();
+    private readonly allotment: FleetAllotment;
 
     /** @param options - components of the direct entry */
     public constructor(options: DirectContextOptions) {
         this.options = options;
         this.bounds = options.settings.bounds;
+        this.allotment = new FleetAllotment(options.settings.instance, options.fleet);
     }
 
     /**
@@ -116,7 +122,7 @@
                 retryBudget: new RetryBudget({
                     clock,
                     retriesPerSuccess: retryRatio * RETRY_RATIO_SHARE,
-                    ...this.retryBudgetShare(),
+                    ...this.retryBudgetShare(service),
                 }),
             };
             this.services.set(service, state);
@@ -131,38 +137,38 @@
 
     /** Adapts this instance's share of the fleet's retry slack to the number of instances. */
     public resizeRetryBudgets(): void {
-        const share = this.retryBudgetShare();
-        for (const { retryBudget } of this.services.values()) {
-            retryBudget.resize(share);
+        for (const [service, { retryBudget }] of this.services) {
+            retryBudget.resize(this.retryBudgetShare(service));
         }
     }
 
     /**
-     * Returns how many requests this instance may start at one backend server of a service per second. The
-     * limit applies at all times, because a server may turn cold before any instance knows.
+     * Returns how many requests this instance may start at a backend server per second. The limit applies at
+     * all times, because a server may turn cold before any instance knows.
      *
-     * @param service - the service
+     * @param server - the server
+     * @returns the limit; 0 where other instances hold all of it, infinite for a service without a bound
      */
-    public maxStartsPerS(service: ServiceName): number {
+    public maxStartsPerS({ entry: { id, service } }: TrackedServer): number {
         const coldPerS = this.options.store.configuration?.services.get(service)?.coldRequestsPerS ?? 0;
         if (coldPerS <= 0) {
             return Number.POSITIVE_INFINITY;
         }
         const { coldOvershoot, coldSlack } = this.bounds;
-        const bound = (coldPerS * coldOvershoot + coldSlack) * COLD_RATE_SHARE;
-        return Math.max(1, Math.floor(bound / this.options.fleetSize()));
+        const bound = Math.floor((coldPerS * coldOvershoot + coldSlack) * COLD_RATE_SHARE);
+        return this.allotment.unitsOf(id, Math.max(1, bound));
     }
 
     /**
-     * Returns how many idle connections this instance keeps to one backend server of a service. A server
-     * limits the total number of connections from all instances and resets those beyond it.
+     * Returns how many idle connections this instance keeps to a backend server. A server limits the total
+     * number of connections from all instances and resets those beyond it.
      *
-     * @param service - the service
+     * @param server - the server
      */
-    public maxIdleConnections(service: ServiceName): number {
+    public maxIdleConnections({ entry: { id, service } }: TrackedServer): number {
         const limit = this.options.store.configuration?.services.get(service)?.connectionLimit ?? 0;
-        const share = Math.floor(limit * IDLE_CONNECTION_SHARE / this.options.fleetSize());
-        return Math.min(MAX_IDLE_CONNECTIONS, Math.max(1, share));
+        const total = Math.floor(limit * IDLE_CONNECTION_SHARE);
+        return Math.min(MAX_IDLE_CONNECTIONS, this.allotment.unitsOf(`${id} connections`, total));
     }
 
     private concurrencyLimit(service: ServiceName): number {
@@ -178,12 +184,15 @@
         });
     }
 
-    private retryBudgetShare(): { readonly retriesPerS: number; readonly capacity: number; } {
+    private retryBudgetShare(
+        service: ServiceName,
+    ): { readonly retriesPerS: number; readonly capacity: number; } {
         const { retrySlack, retryWindowMs } = this.bounds;
-        const share = retrySlack * RETRY_SLACK_SHARE / this.options.fleetSize();
+        const slack = retrySlack * RETRY_SLACK_SHARE;
         return {
-            capacity: Math.max(1, share * BURST_SHARE),
-            retriesPerS: share * (1 - BURST_SHARE) * MS_PER_SECOND / retryWindowMs,
+            capacity: this.allotment.unitsOf(service, Math.max(1, Math.floor(slack * BURST_SHARE))),
+            retriesPerS: slack * (1 - BURST_SHARE) / this.options.fleet().size * MS_PER_SECOND
+                / retryWindowMs,
         };
     }
 }
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -22,7 +22,8 @@
 import type { PublishedState } from "../types/publishedState.ts";
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
 import { peerFetchFailed, peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
-import { decodePeerReport, encodePeerReport, type PeerReport } from "./peerReport.ts";
+import type { FleetView } from "./fleetAllotment.ts";
+import { decodePeerReport, encodePeerReport, type PeerReport, reportKey } from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 
@@ -104,6 +105,7 @@
     private readonly incarnation: IncarnationId;
     private readonly peers = new Map<Address, Peer>();
     private readonly unconfirmed = new Set<Address>();
+    private currentFleet: FleetView | undefined;
     private readonly stopping = new AbortController();
     private behindSinceMs: number | undefined;
     private isFetching = false;
@@ -118,16 +120,20 @@
     }
 
     /**
-     * Largest number of instances that may be alive, this one included; it sizes shares of the fleet's
-     * limits.
+     * The instances that may be alive; it sizes shares of the fleet's limits. An instance that has just started
+     * takes the size from those it has heard, until it has heard from all.
      */
-    public get fleetSize(): number {
-        const sinceMs = this.options.runtime.clock.nowMs() - FLEET_MEMBER_LIFETIME_MS;
-        let count = 1;
-        for (const peer of this.peers.values()) {
-            count += peer.lastReportMs >= sinceMs ? 1 : 0;
+    public get fleet(): FleetView {
+        if (!this.currentFleet) {
+            const others: string[] = [];
+            let size = MIN_FLEET_SIZE;
+            for (const { isAlive, report } of this.peers.values()) {
+                others.push(report.instance);
+                size = Math.max(size, isAlive ? report.heardInstances : 0);
+            }
+            this.currentFleet = { others, size: Math.max(size, others.length + 1) };
         }
-        return Math.max(MIN_FLEET_SIZE, count);
+        return this.currentFleet;
     }
 
     /** Data centre of each live instance, without this one. */
@@ -171,12 +177,17 @@
             const { instance, incarnation, revision } = report;
             events.emit(peerFound, { peer: instance, incarnation, address: from, revision });
         }
+        if (!known?.isAlive || known.report.heardInstances !== report.heardInstances) {
+            this.currentFleet = undefined;
+        }
         this.peers.set(from, { report, lastReportMs: clock.nowMs(), isAlive: true });
         this.addSeeds(report.members);
         this.unconfirmed.delete(from);
-        const services = this.options.services();
+        const groupsByKey = new Map(
+            [...this.options.services()].map(([service, { group }]) => [reportKey(service), group]),
+        );
         for (const [service, sinceUpMs] of report.groupUpMs) {
-            services.get(service)?.group.applyPeerReport(sinceUpMs);
+            groupsByKey.get(service)?.applyPeerReport(sinceUpMs);
         }
     }
 
@@ -212,44 +223,45 @@
             const silentMs = clock.nowMs() - peer.lastReportMs;
             if (peer.isAlive && silentMs > timeoutMs) {
                 peer.isAlive = false;
+                this.currentFleet = undefined;
                 events.emit(peerLost, { peer: peer.report.instance, silentMs: Math.round(silentMs) });
             }
             if (silentMs > FLEET_MEMBER_LIFETIME_MS) {
                 this.peers.delete(address);
+                this.currentFleet = undefined;
             }
         }
     }
 
     private updatePeerLoad(): void {
-        for (const server of this.options.directory.all()) {
-            server.peerRunning = 0;
-        }
+        const runningByKey = new Map<number, number>();
         for (const { isAlive, report } of this.peers.values()) {
-            for (const [id, running] of isAlive ? report.running : []) {
-                const server = this.options.directory.find(branded(id));
-                if (server) {
-                    server.peerRunning += running;
-                }
+            for (const [key, running] of isAlive ? report.running : []) {
+                runningByKey.set(key, (runningByKey.get(key) ?? 0) + running);
             }
         }
+        for (const server of this.options.directory.all()) {
+            server.peerRunning = runningByKey.get(server.reportKey) ?? 0;
+        }
     }
 
     private sendReport(socket: DatagramSocket): void {
         const { random } = this.options.runtime;
         const { settings, directory, services, store } = this.options;
-        const running = new Map<string, number>();
-        for (const { entry, health } of directory.all()) {
+        const running = new Map<number, number>();
+        for (const { health, reportKey: key } of directory.all()) {
             if (health.running > 0) {
-                running.set(entry.id, health.running);
+                running.set(key, health.running);
             }
         }
-        const groupUpMs = new Map<string, number>();
+        const groupUpMs = new Map<number, number>();
         for (const [service, { group }] of services()) {
             if (Number.isFinite(group.sinceUpMs)) {
-                groupUpMs.set(service, Math.round(group.sinceUpMs));
+                groupUpMs.set(reportKey(service), Math.round(group.sinceUpMs));
             }
         }
-        const known = [...this.peers.keys()];
+        const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
+        const known = includesRemote ? [...this.peers.keys()] : [];
         const report: PeerReport = {
             instance: settings.instance,
             incarnation: this.incarnation,
@@ -258,12 +270,12 @@
             running,
             groupUpMs,
             members: shuffled(random, known).slice(0, MEMBERS_PER_REPORT),
+            heardInstances: this.peers.size + 1,
         };
         let bytes = encodePeerReport(report);
         if (bytes.length > MAX_DATAGRAM_BYTES) {
             bytes = encodePeerReport({ ...report, members: [], running: busiestServers(running) });
         }
-        const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
         const receivers = this.selectReceivers(includesRemote);
         for (const receiver of receivers) {
             socket.send(receiver, bytes);
@@ -332,7 +344,7 @@
 }
 
 /** Selects the servers with the most requests, as many as are certain to fit into one datagram. */
-const busiestServers = (running: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
-    const maxEntries = 20;
+const busiestServers = (running: ReadonlyMap<number, number>): ReadonlyMap<number, number> => {
+    const maxEntries = 100;
     return new Map([...running].sort(([, left], [, right]) => right - left).slice(0, maxEntries));
 };
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -5,15 +5,18 @@
  * @packageDocumentation
  */
 
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import {
     type Address,
     branded,
     type DataCentreId,
+    hash32,
     type IncarnationId,
     type InstanceId,
     isAddress,
     type Revision,
 } from "@magnolialock/kernel";
+import { type DirectReport, DirectReportSchema } from "@magnolialock/protocol";
 
 /** Report of one instance. */
 export interface PeerReport {
@@ -25,16 +28,29 @@
     readonly dataCentre: DataCentreId;
     /** Revision of the published state that it knows. */
     readonly revision: Revision;
-    /** Number of requests that it runs, by backend server; servers without any are omitted. */
-    readonly running: ReadonlyMap<string, number>;
-    /** Time since it last knew the group of a service to serve, in milliseconds, by service. */
-    readonly groupUpMs: ReadonlyMap<string, number>;
+    /**
+     * Number of requests that it runs, by the {@link reportKey} of the backend server; servers without any are
+     * omitted.
+     */
+    readonly running: ReadonlyMap<number, number>;
+    /**
+     * Time since it last knew the group of a service to serve, in milliseconds, by the {@link reportKey} of the
+     * service.
+     */
+    readonly groupUpMs: ReadonlyMap<number, number>;
     /** Addresses of some other instances that it knows. */
     readonly members: readonly Address[];
+    /** Number of instances that it has heard from, itself included. */
+    readonly heardInstances: number;
 }
 
-/** Version of the format; datagrams of other versions are rejected. */
-const FORMAT_VERSION = 1;
+/**
+ * Returns the key under which reports name a backend server or a service: short, since reports go to every
+ * instance of a large fleet.
+ *
+ * @param name - identifier of the server or name of the service
+ */
+export const reportKey = (name: string): number => hash32(name);
 
 /**
  * Encodes a report.
@@ -43,28 +59,24 @@
  * @returns the datagram
  */
 export const encodePeerReport = (report: PeerReport): Uint8Array =>
-    Buffer.from(JSON.stringify([
-        FORMAT_VERSION,
-        report.instance,
-        report.incarnation,
-        report.dataCentre,
-        report.revision,
-        Object.fromEntries(report.running),
-        Object.fromEntries(report.groupUpMs),
-        report.members,
-    ]));
+    toBinary(
+        DirectReportSchema,
+        create(DirectReportSchema, {
+            instance: report.instance,
+            incarnation: report.incarnation,
+            dataCentre: report.dataCentre,
+            revision: BigInt(report.revision),
+            serverHashes: [...report.running.keys()],
+            runningRequests: [...report.running.values()],
+            serviceHashes: [...report.groupUpMs.keys()],
+            sinceGroupUpMs: [...report.groupUpMs.values()],
+            members: [...report.members],
+            heardInstances: report.heardInstances,
+        }),
+    );
 
-const numericEntries = (value: unknown): ReadonlyMap<string, number> => {
-    const numbers = new Map<string, number>();
-    if (typeof value === "object" && value) {
-        for (const [name, number] of Object.entries(value)) {
-            if (typeof number === "number") {
-                numbers.set(name, number);
-            }
-        }
-    }
-    return numbers;
-};
+const zip = (keys: readonly number[], values: readonly number[]): ReadonlyMap<number, number> =>
+    new Map(keys.map((key, index) => [key, values[index] ?? 0]));
 
 /**
  * Decodes a report.
@@ -73,32 +85,25 @@
  * @returns the report; undefined if the datagram is not a valid report
  */
 export const decodePeerReport = (bytes: Uint8Array): PeerReport | undefined => {
-    let fields: unknown;
+    let report: DirectReport;
     try {
-        fields = JSON.parse(Buffer.from(bytes).toString());
+        report = fromBinary(DirectReportSchema, bytes);
     }
     catch {
         return undefined;
     }
-    if (!Array.isArray(fields) || fields[0] !== FORMAT_VERSION) {
-        return undefined;
-    }
-    const [, instance, incarnation, dataCentre, revision, running, groupUpMs, members] = fields as unknown[];
-    if (
-        typeof instance !== "string" || typeof incarnation !== "string" || typeof dataCentre !== "string"
-        || typeof revision !== "number"
-    ) {
+    const { dataCentre, heardInstances, incarnation, instance, members, revision } = report;
+    if (instance === "" || incarnation === "" || dataCentre === "") {
         return undefined;
     }
     return {
         instance: branded<InstanceId>(instance),
         incarnation: branded<IncarnationId>(incarnation),
         dataCentre: branded<DataCentreId>(dataCentre),
-        revision: branded<Revision>(revision),
-        running: numericEntries(running),
-        groupUpMs: numericEntries(groupUpMs),
-        members: Array.isArray(members)
-            ? members.filter((member): member is Address => typeof member === "string" && isAddress(member))
-            : [],
+        revision: branded<Revision>(Number(revision)),
+        running: zip(report.serverHashes, report.runningRequests),
+        groupUpMs: zip(report.serviceHashes, report.sinceGroupUpMs),
+        members: members.filter((member): member is Address => isAddress(member)),
+        heardInstances,
     };
 };
--- a/packages/direct/src/shared/trackedServer.ts
+++ b/packages/direct/src/shared/trackedServer.ts
@@ -8,6 +8,7 @@
 import { PeerHealth } from "@magnolialock/entry/src/shared/peerHealth.ts";
 import type { Runtime } from "@magnolialock/kernel";
 import type { PublishedServer } from "../types/publishedState.ts";
+import { reportKey } from "./peerReport.ts";
 import { StartRateLimit } from "./startRateLimit.ts";
 
 /**
@@ -28,6 +29,8 @@
     public isAddressReused = false;
     /** Requests that other instances run there, according to their latest reports. */
     public peerRunning = 0;
+    /** Key of the server in the reports between instances. */
+    public readonly reportKey: number;
     /** Failures of this instance's own requests, and the number that it runs. */
     public readonly health: PeerHealth;
     /** Limits the requests that this instance starts there per second. */
@@ -41,6 +44,7 @@
      */
     public constructor(runtime: Pick<Runtime, "clock">, entry: PublishedServer) {
         this.entry = entry;
+        this.reportKey = reportKey(entry.id);
         this.health = new PeerHealth(runtime.clock);
         this.startRate = new StartRateLimit(runtime.clock);
     }
