fix(rank): follow the demand in services of several groups

Cause, first: agents assumed that all servers of a service form one group. A leader read the whole status of the agents of other groups twice a second, 48 of them with 1,536 counts each, over a link of 5.6 Mbit/s. These reads took counts from the leaders they belong to, and a read from a lower rank of another group kept an agent from leading its own. Second: a plan for 16 sets and 24 ranks took 0.6 s of a full core, during which the agent answered nobody. Third: statuses and maps went uncompressed.

Change: agents of other groups are asked for their short report only, every 10 s; a status is refused to another group; agents that do not lead read no counts; bodies over 1 KB are compressed once the receiver has shown that it decodes them; a move is weighed by the ranks whose load it changes only.

--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -9,11 +9,12 @@
     type Address,
     branded,
     errorMessage,
+    type GroupName,
     type IncarnationId,
     ResourceScope,
     type Runtime,
 } from "@magnolialock/kernel";
-import { Hono } from "hono";
+import { type Context, Hono } from "hono";
 import { GroupLeader } from "../shared/groupLeader.ts";
 import { PassHolder } from "../shared/passHolder.ts";
 import { rankStarted, rankStopped } from "../shared/rankEvents.ts";
@@ -21,6 +22,7 @@
 import type { HoldCall, RoundCall } from "../types/rankMessages.ts";
 import type { RankServer } from "../types/rankServer.ts";
 import type { RankSettings } from "../types/rankSettings.ts";
+import { COMPRESSED_ENCODING, decodeJson, encodeJson } from "./compressedJson.ts";
 import { CALL_PATH, HOLD_PATH, RankPeers, REPORT_PATH, STATUS_PATH } from "./rankPeers.ts";
 
 /** Options of {@link startRankAgent}. */
@@ -39,23 +41,32 @@
     readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
+const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
+const acceptsCompression = (context: Context): boolean =>
+    context.req.header("accept-encoding")?.includes(COMPRESSED_ENCODING) ?? false;
+
 /** Creates the HTTP routes for the other agents of the group. */
 const createApp = (member: RankMember, holder: PassHolder, leader: GroupLeader): Hono => {
     const app = new Hono();
     app.get(STATUS_PATH, async context => {
         const readerRank = Number(context.req.query("rank"));
-        const status = await member.status(readerRank);
-        if (status.report.group && Number.isInteger(readerRank)) {
+        const status = await member.status(readerRank, branded<GroupName>(context.req.query("group") ?? ""));
+        if (status.report.group) {
             leader.noteStatusRequest(readerRank, status.report.group.rank);
         }
-        return context.json(status);
+        const { body, headers } = encodeJson(status, acceptsCompression(context));
+        return context.body(body as Uint8Array<ArrayBuffer>, HTTP_OK, headers);
     });
     app.get(REPORT_PATH, async context => context.json(await member.readReport()));
     app.post(
         CALL_PATH,
-        async context => context.json(await member.handleCall(await context.req.json<RoundCall>())),
+        async context => {
+            const encoding = context.req.header("content-encoding");
+            const call = decodeJson(Buffer.from(await context.req.arrayBuffer()), encoding) as RoundCall;
+            return context.json(await member.handleCall(call));
+        },
     );
     app.post(
         HOLD_PATH,
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -14,6 +14,7 @@
     errorMessage,
     type EventLog,
     ProtocolError,
+    readBounded,
     shuffled,
     sleep,
     splitAddress,
@@ -24,8 +25,9 @@
 import { rankListFailed } from "../shared/rankEvents.ts";
 import type { HoldOrder, RankPeer } from "../shared/switchRound.ts";
 import type { HoldCall, HoldReply, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
-import type { GroupMembership, OrderResult, RankServer } from "../types/rankServer.ts";
+import type { GroupMembership, OrderResult, RankReport, RankServer } from "../types/rankServer.ts";
 import type { RankSettings } from "../types/rankSettings.ts";
+import { COMPRESSED_ENCODING, decodeJson, type EncodedJson, encodeJson } from "./compressedJson.ts";
 
 /** Options of {@link RankPeers}. */
 export interface RankPeersOptions {
@@ -45,7 +47,7 @@
     readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
-/** Path of an agent's status; the query parameter `rank` is the rank of the requesting agent. */
+/** Path of an agent's status; its query parameters name the group and the rank of the requesting agent. */
 export const STATUS_PATH = "/rank/status";
 /** Path of the state of an agent's rank, without the other data of the status. */
 export const REPORT_PATH = "/rank/report";
@@ -53,6 +55,8 @@
 export const CALL_PATH = "/rank/call";
 /** Path of the calls about a held pass. */
 export const HOLD_PATH = "/rank/hold";
+/** Largest response of an agent or entry, in bytes: far above the map or server list of a large fleet. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 /** Time between reads of the server list, in milliseconds; a restarted server is found within this time. */
 const LIST_PERIOD_MS = 4_000;
 const LIST_TIMEOUT_MS = 1_000;
@@ -77,10 +81,15 @@
 /** Timeout of an order to hold a pass, in milliseconds; the order is then sent again. */
 const HOLD_ORDER_TIMEOUT_MS = 60;
 /**
- * Time between attempts to read the group of an agent that is not known to be in the own group, in
+ * Time between attempts to read the group of an agent whose group is unknown or has another epoch, in
  * milliseconds.
  */
 const GROUP_RETRY_MS = 500;
+/**
+ * Time between reads of the group of an agent that belongs to another group, in milliseconds. Servers hardly
+ * ever change their group, and there are many groups.
+ */
+const FOREIGN_GROUP_PERIOD_MS = 10_000;
 
 interface KnownAgent {
     readonly address: Address;
@@ -88,6 +97,17 @@
     lastReadMs: number;
 }
 
+/**
+ * Returns the time after which an agent's group is read again, in milliseconds: never for the current members
+ * of the own group, whose statuses tell when they leave it.
+ */
+const rereadAfterMs = (known: GroupMembership | undefined, own: GroupMembership): number => {
+    if (known && known.name !== own.name) {
+        return FOREIGN_GROUP_PERIOD_MS;
+    }
+    return known?.epoch === own.epoch ? Number.POSITIVE_INFINITY : GROUP_RETRY_MS;
+};
+
 /** Discovers the agents of the other ranks and creates the clients that call them. */
 export class RankPeers implements Disposable {
     private readonly options: RankPeersOptions;
@@ -95,6 +115,9 @@
     private readonly stopping = new AbortController();
     private current: ServiceServers | undefined;
     private lacksRanks = false;
+    private readonly compressedMessages = new WeakMap<RoundCall | HoldCall, EncodedJson>();
+    /** Agents that have sent a compressed body; agents of older releases do not decode one. */
+    private readonly compressingOrigins = new Set<string>();
 
     /** @param options - settings, clock, event log and access to other ranks' servers */
     public constructor(options: RankPeersOptions) {
@@ -155,21 +178,21 @@
         for (const address of this.agents.keys()) {
             if (!addresses.has(address)) {
                 this.agents.delete(address);
+                this.compressingOrigins.delete(`http://${address}`);
             }
         }
         const staleAgents: KnownAgent[] = [];
         for (const address of addresses) {
             const agent = this.agents.get(address) ?? { address, lastReadMs: Number.NEGATIVE_INFINITY };
             this.agents.set(address, agent);
-            const isCurrent = agent.group?.epoch === group.epoch && agent.group.name === group.name;
-            if (!isCurrent && clock.nowMs() - agent.lastReadMs >= GROUP_RETRY_MS) {
+            if (clock.nowMs() - agent.lastReadMs >= rereadAfterMs(agent.group, group)) {
                 staleAgents.push(agent);
             }
         }
-        await Promise.all(staleAgents.map(agent => this.readGroup(agent, group.rank)));
+        await Promise.all(staleAgents.map(agent => this.readGroup(agent)));
         const peers = [...this.agents.values()].flatMap(agent =>
             agent.group?.name === group.name && agent.group.epoch === group.epoch
-                ? [this.createPeer(agent, agent.group.rank, group.rank)]
+                ? [this.createPeer(agent, agent.group.rank, group)]
                 : []
         );
         this.lacksRanks = peers.length + 1 < group.size;
@@ -182,17 +205,17 @@
     }
 
     /** An agent that does not answer has no known group, so the leader sees that a rank is missing. */
-    private async readGroup(agent: KnownAgent, ownRank: number): Promise<void> {
+    private async readGroup(agent: KnownAgent): Promise<void> {
         agent.lastReadMs = this.options.clock.nowMs();
-        const [answer] = await Promise.allSettled([this.readStatus(agent.address, ownRank)]);
-        agent.group = answer.status === "fulfilled" ? answer.value.report.group : undefined;
+        const [answer] = await Promise.allSettled([this.readReport(agent.address)]);
+        agent.group = answer.status === "fulfilled" ? answer.value.group : undefined;
     }
 
-    private createPeer({ address }: KnownAgent, rank: number, ownRank: number): RankPeer {
+    private createPeer({ address }: KnownAgent, rank: number, ownGroup: GroupMembership): RankPeer {
         return {
             rank,
-            status: () => this.readStatus(address, ownRank),
-            report: () => this.call(`http://${address}${REPORT_PATH}`, undefined, STATUS_TIMEOUT_MS),
+            status: () => this.readStatus(address, ownGroup),
+            report: () => this.readReport(address),
             sendCall: call => this.sendCall(address, call),
             sendHoldCall: call =>
                 this.call<HoldReply>(`http://${address}${HOLD_PATH}`, call, HOLD_TIMEOUT_MS),
@@ -211,8 +234,13 @@
         return await server.order({ kind: "hold", pass }, epoch, token, timeout.signal);
     }
 
-    private readStatus(address: Address, ownRank: number): Promise<RankStatus> {
-        return this.call(`http://${address}${STATUS_PATH}?rank=${ownRank}`, undefined, STATUS_TIMEOUT_MS);
+    private readStatus(address: Address, { name, rank }: GroupMembership): Promise<RankStatus> {
+        const query = new URLSearchParams({ group: name, rank: String(rank) });
+        return this.call(`http://${address}${STATUS_PATH}?${query}`, undefined, STATUS_TIMEOUT_MS);
+    }
+
+    private readReport(address: Address): Promise<RankReport> {
+        return this.call(`http://${address}${REPORT_PATH}`, undefined, STATUS_TIMEOUT_MS);
     }
 
     private sendCall(address: Address, call: RoundCall): Promise<RoundReply> {
@@ -244,18 +272,35 @@
         timeoutMs: number,
     ): Promise<T> {
         using timeout = timeoutSignal(this.options.clock, timeoutMs);
+        const { origin } = new URL(url);
+        const encoded = message && this.encodeMessage(message, this.compressingOrigins.has(origin));
         const response = await request(url, {
             signal: timeout.signal,
-            ...message && {
-                method: "POST",
-                headers: { "content-type": "application/json" },
-                body: JSON.stringify(message),
-            },
+            method: encoded ? "POST" : "GET",
+            headers: { ...encoded?.headers, "accept-encoding": COMPRESSED_ENCODING },
+            ...encoded && { body: encoded.body },
         });
-        const body = await response.body.json();
+        const encoding = response.headers["content-encoding"]?.toString();
+        if (encoding === COMPRESSED_ENCODING) {
+            this.compressingOrigins.add(origin);
+        }
+        const body = decodeJson(await readBounded(response.body, MAX_RESPONSE_BYTES), encoding);
         if (response.statusCode !== 200) {
             throw new ProtocolError(`${url} answered with status ${response.statusCode}`);
         }
         return body as T;
     }
+
+    /** Encodes a message once for all agents that get it. */
+    private encodeMessage(message: RoundCall | HoldCall, isCompressionAccepted: boolean): EncodedJson {
+        if (!isCompressionAccepted) {
+            return encodeJson(message, false);
+        }
+        let encoded = this.compressedMessages.get(message);
+        if (!encoded) {
+            encoded = encodeJson(message, true);
+            this.compressedMessages.set(message, encoded);
+        }
+        return encoded;
+    }
 }
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -133,9 +133,9 @@
     }
 
     private async runCycle(): Promise<void> {
-        const { clock, events, holder, peersOf, spec } = this.options;
-        const own = await this.readOwnStatus();
-        const { group, heldPass } = own.report;
+        const { clock, events, holder, member, peersOf, spec } = this.options;
+        const report = await member.readReport();
+        const { group, heldPass } = report;
         if (!group?.isOpen) {
             return;
         }
@@ -144,7 +144,7 @@
             this.demand = undefined;
             events.emit(groupFormed, { group: group.name, epoch: group.epoch, rank: group.rank });
         }
-        this.passMeter.add(own.report.pass, own.report.runningRequests, clock.nowMs());
+        this.passMeter.add(report.pass, report.runningRequests, clock.nowMs());
         if (holder.isBusy) {
             return;
         }
@@ -157,16 +157,10 @@
             return;
         }
         const peers = await peersOf(group);
-        const statuses = await this.collectStatuses(own, peers);
+        const statuses = await this.collectStatuses(peers);
         this.demand ??= new ExpertDemand(limits, group.size);
         this.demand.add(statuses, clock.nowMs());
-        await this.planAndSwitch(own, [createLocalPeer(this.options, group), ...peers], statuses, limits);
-    }
-
-    private async readOwnStatus(): Promise<RankStatus> {
-        // The rank's number is unknown until the first answer, so a pseudo-rank identifies the reader; it
-        // serves only to return the counts since the reader's previous read.
-        return await this.options.member.status(OWN_RANK);
+        await this.planAndSwitch(group, [createLocalPeer(this.options, group), ...peers], statuses, limits);
     }
 
     private mayLead(rank: number): boolean {
@@ -182,21 +176,24 @@
         return mayLead;
     }
 
-    private async collectStatuses(own: RankStatus, peers: readonly RankPeer[]): Promise<RankStatus[]> {
-        const answers = await Promise.allSettled(peers.map(peer => peer.status()));
+    private async collectStatuses(peers: readonly RankPeer[]): Promise<RankStatus[]> {
+        const { member } = this.options;
+        const [own, answers] = await Promise.all([
+            member.status(OWN_RANK),
+            Promise.allSettled(peers.map(peer => peer.status())),
+        ]);
         return [own, ...answers.flatMap(answer => answer.status === "fulfilled" ? [answer.value] : [])];
     }
 
     private async planAndSwitch(
-        own: RankStatus,
+        group: GroupMembership,
         peers: readonly RankPeer[],
         statuses: readonly RankStatus[],
         limits: ExpertSpec,
     ): Promise<void> {
         const { clock, events } = this.options;
-        const { group } = own.report;
         const current = currentPlacement(statuses, limits);
-        if (!group || !current || peers.length !== group.size || !this.demand?.hasEnoughSamples) {
+        if (!current || peers.length !== group.size || !this.demand?.hasEnoughSamples) {
             return;
         }
         const shares = this.demand.shares();
--- a/packages/rank/src/shared/improvePlacement.ts
+++ b/packages/rank/src/shared/improvePlacement.ts
@@ -41,10 +41,10 @@
 }
 
 /**
- * Exponent of the load in the objective: high enough that the most loaded ranks dominate, low enough that the
- * next ones still count.
+ * Times that the load is squared in the objective, which sums its 8th powers: high enough that the most loaded
+ * ranks dominate, low enough that the next ones still count.
  */
-const LOAD_EXPONENT = 8;
+const LOAD_SQUARINGS = 3;
 /** Experts of a hot rank that are considered; the others carry too little load to matter. */
 const HOT_EXPERTS = 5;
 /** Most loaded ranks that are considered for each move. */
@@ -57,16 +57,24 @@
     readonly from: number | undefined;
     readonly to: number | undefined;
     readonly evicted: number | undefined;
-    readonly objective: number;
 }
 
-/** Plans the placement of one expert set. */
+/**
+ * Plans the placement of one expert set. A plan weighs thousands of moves while the ranks wait for it, so a
+ * move is weighed by the ranks whose load it changes only, without allocations.
+ */
 class LayerSetPlanner {
     public readonly expertsByRank: Set<number>[];
     public readonly loads: Float64Array;
     private readonly original: readonly ReadonlySet<number>[];
-    private readonly ranksByExpert: Set<number>[];
+    private readonly ranksByExpert: number[][];
+    private readonly newCopies: Int32Array;
     private readonly meanLoad: number;
+    /** Terms of the objective by rank; always those of {@link LayerSetPlanner.loads}. */
+    private readonly terms: Float64Array;
+    private readonly loadChanges: Float64Array;
+    private readonly isChanged: Uint8Array;
+    private readonly changedRanks: number[] = [];
 
     public constructor(
         placement: readonly (readonly number[])[],
@@ -78,13 +86,20 @@
     ) {
         this.expertsByRank = placement.map(experts => new Set(experts));
         this.original = placement.map(experts => new Set(experts));
-        this.ranksByExpert = Array.from({ length: limits.experts }, () => new Set<number>());
+        this.ranksByExpert = Array.from({ length: limits.experts }, () => []);
         this.expertsByRank.forEach((experts, rank) =>
-            experts.forEach(expert => this.ranksByExpert[expert]?.add(rank))
+            experts.forEach(expert => this.ranksByExpert[expert]?.push(rank))
         );
+        this.newCopies = new Int32Array(placement.length);
+        this.loadChanges = new Float64Array(placement.length);
+        this.isChanged = new Uint8Array(placement.length);
         this.loads = new Float64Array(placement.length);
-        this.ranksByExpert.forEach((ranks, expert) => this.addLoad(this.loads, ranks, this.shareOf(expert)));
+        this.terms = new Float64Array(placement.length);
         this.meanLoad = shares.reduce((sum, share) => sum + share, 0) / placement.length;
+        this.ranksByExpert.forEach((ranks, expert) => {
+            ranks.forEach(rank => this.changeLoad(rank, this.shareOf(expert) / ranks.length));
+        });
+        this.applyLoadChanges();
     }
 
     public get peak(): number {
@@ -97,81 +112,136 @@
 
     /** Applies the best move repeatedly until the load is within the tolerance or no move gains enough. */
     public applyMoves(tolerance: number): void {
-        let objective = this.objectiveOf(this.loads);
         while (this.peak > this.meanLoad * (1 + tolerance)) {
-            const move = this.findMove();
-            if (!move || move.objective > objective * (1 - MIN_GAIN_PER_COPY)) {
+            const objective = this.terms.reduce((sum, term) => sum + term, 0);
+            const best = this.findMove();
+            if (!best || best.objectiveChange > -objective * MIN_GAIN_PER_COPY) {
                 return;
             }
-            this.applyMove(move);
-            objective = move.objective;
+            this.applyMove(best.move);
         }
     }
 
-    /** Number of new copies that a rank gets in this set. */
-    public newCopiesOn(rank: number): number {
-        return [...this.expertsByRank[rank] as Set<number>].filter(expert =>
-            !this.original[rank]?.has(expert)
-        )
-            .length;
-    }
-
     private shareOf(expert: number): number {
         return this.shares[expert] ?? 0;
     }
 
-    private addLoad(loads: Float64Array, ranks: ReadonlySet<number>, load: number): void {
-        for (const rank of ranks) {
-            loads[rank] = (loads[rank] as number) + load / ranks.size * (this.slowness[rank] ?? 1);
+    private ranksOf(expert: number): readonly number[] {
+        return this.ranksByExpert[expert] as number[];
+    }
+
+    private termOf(load: number): number {
+        let power = load / this.meanLoad;
+        for (let squaring = 0; squaring < LOAD_SQUARINGS; squaring++) {
+            power *= power;
+        }
+        return power;
+    }
+
+    /** Notes a change of a rank's load; the slowness of the rank is applied here. */
+    private changeLoad(rank: number, load: number): void {
+        if (this.isChanged[rank] === 0) {
+            this.isChanged[rank] = 1;
+            this.changedRanks.push(rank);
+        }
+        this.loadChanges[rank] = (this.loadChanges[rank] as number) + load * (this.slowness[rank] ?? 1);
+    }
+
+    private applyLoadChanges(): void {
+        for (const rank of this.changedRanks) {
+            this.loads[rank] = (this.loads[rank] as number) + (this.loadChanges[rank] as number);
+            this.terms[rank] = this.termOf(this.loads[rank] as number);
+        }
+        this.discardLoadChanges();
+    }
+
+    private discardLoadChanges(): void {
+        for (const rank of this.changedRanks) {
+            this.loadChanges[rank] = 0;
+            this.isChanged[rank] = 0;
         }
+        this.changedRanks.length = 0;
     }
 
-    private objectiveOf(loads: Float64Array): number {
-        let sum = 0;
-        for (const load of loads) {
-            sum += (load / this.meanLoad) ** LOAD_EXPONENT;
+    /** Notes the changes of load when copies of an expert are removed from and added to ranks. */
+    private changeCopies(expert: number, from: number | undefined, to: number | undefined): void {
+        const ranks = this.ranksOf(expert);
+        const share = this.shareOf(expert);
+        const loadBefore = share / ranks.length;
+        const loadAfter = share / (ranks.length + (to === undefined ? 0 : 1) - (from === undefined ? 0 : 1));
+        if (loadAfter !== loadBefore) {
+            for (const rank of ranks) {
+                this.changeLoad(rank, loadAfter - loadBefore);
+            }
+        }
+        if (from !== undefined) {
+            this.changeLoad(from, -loadAfter);
+        }
+        if (to !== undefined) {
+            this.changeLoad(to, loadAfter);
         }
-        return sum;
     }
 
-    private findMove(): Move | undefined {
+    private noteMove({ evicted, expert, from, to }: Move): void {
+        if (evicted !== undefined) {
+            this.changeCopies(evicted, to, undefined);
+        }
+        this.changeCopies(expert, from, to);
+    }
+
+    private objectiveChangeOf(move: Move): number {
+        this.noteMove(move);
+        let change = 0;
+        for (const rank of this.changedRanks) {
+            const load = (this.loads[rank] as number) + (this.loadChanges[rank] as number);
+            change += this.termOf(load) - (this.terms[rank] as number);
+        }
+        this.discardLoadChanges();
+        return change;
+    }
+
+    private findMove(): { readonly move: Move; readonly objectiveChange: number; } | undefined {
         const order = Array.from(this.loads.keys())
             .sort((left, right) => (this.loads[right] as number) - (this.loads[left] as number));
+        const evictions = this.expertsByRank.map((_, rank) => this.cheapestToEvict(rank));
         let best: Move | undefined;
-        const consider = (move: Omit<Move, "objective">): void => {
-            const objective = this.objectiveAfter(move);
-            if (!best || objective < best.objective) {
-                best = { ...move, objective };
+        let bestChange = Number.POSITIVE_INFINITY;
+        const consider = (move: Move): void => {
+            const change = this.objectiveChangeOf(move);
+            if (change < bestChange) {
+                best = move;
+                bestChange = change;
             }
         };
         for (const hotRank of order.slice(0, HOT_RANKS)) {
             for (const expert of this.hottestExperts(hotRank)) {
-                const isRedundant = (this.ranksByExpert[expert] as Set<number>).size > 1;
-                if (isRedundant) {
+                if (this.ranksOf(expert).length > 1) {
                     consider({ expert, from: hotRank, to: undefined, evicted: undefined });
                 }
                 for (const to of order) {
-                    this.considerTarget(expert, hotRank, to, consider);
+                    this.considerTarget(expert, hotRank, to, evictions[to], consider);
                 }
             }
         }
-        return best;
+        return best && { move: best, objectiveChange: bestChange };
     }
 
     private considerTarget(
         expert: number,
         hotRank: number,
         to: number,
-        consider: (move: Omit<Move, "objective">) => void,
+        eviction: number | undefined,
+        consider: (move: Move) => void,
     ): void {
         const held = this.expertsByRank[to] as Set<number>;
         if (held.has(expert) || !this.canAdd(expert, to)) {
             return;
         }
-        const evicted = held.size < this.limits.placesPerRank ? undefined : this.cheapestToEvict(to);
-        if (held.size >= this.limits.placesPerRank && evicted === undefined) {
+        const isFull = held.size >= this.limits.placesPerRank;
+        if (isFull && eviction === undefined) {
             return;
         }
+        const evicted = isFull ? eviction : undefined;
         consider({ expert, from: undefined, to, evicted });
         consider({ expert, from: hotRank, to, evicted });
     }
@@ -180,13 +250,12 @@
         if (this.original[rank]?.has(expert)) {
             return true;
         }
-        return this.newCopiesOn(rank) < this.limits.newPerPreparation
+        return (this.newCopies[rank] as number) < this.limits.newPerPreparation
             && (this.newCopiesByRank[rank] as number) < this.maxCopiesPerRank;
     }
 
     private hottestExperts(rank: number): number[] {
-        const loadPerCopy = (expert: number): number =>
-            this.shareOf(expert) / (this.ranksByExpert[expert] as Set<number>).size;
+        const loadPerCopy = (expert: number): number => this.shareOf(expert) / this.ranksOf(expert).length;
         return [...this.expertsByRank[rank] as Set<number>]
             .sort((left, right) => loadPerCopy(right) - loadPerCopy(left))
             .slice(0, HOT_EXPERTS);
@@ -197,9 +266,9 @@
         let least: number | undefined;
         let leastLoad = Number.POSITIVE_INFINITY;
         for (const expert of this.expertsByRank[rank] as Set<number>) {
-            const { size } = this.ranksByExpert[expert] as Set<number>;
-            const load = this.shareOf(expert) / size;
-            if (size > 1 && load < leastLoad) {
+            const { length } = this.ranksOf(expert);
+            const load = this.shareOf(expert) / length;
+            if (length > 1 && load < leastLoad) {
                 least = expert;
                 leastLoad = load;
             }
@@ -207,59 +276,37 @@
         return least;
     }
 
-    private ranksAfter({ expert, from, to }: Pick<Move, "expert" | "from" | "to">): Set<number> {
-        const ranks = new Set(this.ranksByExpert[expert]);
-        if (to !== undefined) {
-            ranks.add(to);
+    private applyMove(move: Move): void {
+        const { evicted, expert, from, to } = move;
+        this.noteMove(move);
+        this.applyLoadChanges();
+        if (evicted !== undefined && to !== undefined) {
+            this.removeCopy(to, evicted);
         }
         if (from !== undefined) {
-            ranks.delete(from);
+            this.removeCopy(from, expert);
+        }
+        if (to !== undefined) {
+            this.addCopy(to, expert);
         }
-        return ranks;
-    }
-
-    private moveLoad(loads: Float64Array, expert: number, after: ReadonlySet<number>): void {
-        this.addLoad(loads, this.ranksByExpert[expert] as Set<number>, -this.shareOf(expert));
-        this.addLoad(loads, after, this.shareOf(expert));
     }
 
-    private objectiveAfter(move: Omit<Move, "objective">): number {
-        const loads = this.loads.slice();
-        this.moveLoad(loads, move.expert, this.ranksAfter(move));
-        if (move.evicted !== undefined) {
-            const evicted = { expert: move.evicted, from: move.to, to: undefined };
-            this.moveLoad(loads, move.evicted, this.ranksAfter(evicted));
-        }
-        return this.objectiveOf(loads);
+    private addCopy(rank: number, expert: number): void {
+        this.expertsByRank[rank]?.add(expert);
+        this.ranksByExpert[expert]?.push(rank);
+        this.countNewCopy(rank, expert, 1);
     }
 
-    private applyMove(move: Move): void {
-        const steps = move.evicted === undefined
-            ? [move]
-            : [{ expert: move.evicted, from: move.to, to: undefined }, move];
-        for (const step of steps) {
-            const after = this.ranksAfter(step);
-            this.moveLoad(this.loads, step.expert, after);
-            this.ranksByExpert[step.expert] = after;
-            if (step.from !== undefined) {
-                this.changeCopy(step.from, step.expert, "remove");
-            }
-            if (step.to !== undefined) {
-                this.changeCopy(step.to, step.expert, "add");
-            }
-        }
+    private removeCopy(rank: number, expert: number): void {
+        this.expertsByRank[rank]?.delete(expert);
+        this.ranksByExpert[expert] = this.ranksOf(expert).filter(other => other !== rank);
+        this.countNewCopy(rank, expert, -1);
     }
 
-    private changeCopy(rank: number, expert: number, change: "add" | "remove"): void {
-        const isNew = !this.original[rank]?.has(expert);
-        if (change === "add") {
-            this.expertsByRank[rank]?.add(expert);
-        }
-        else {
-            this.expertsByRank[rank]?.delete(expert);
-        }
-        if (isNew) {
-            this.newCopiesByRank[rank] = (this.newCopiesByRank[rank] as number) + (change === "add" ? 1 : -1);
+    private countNewCopy(rank: number, expert: number, change: 1 | -1): void {
+        if (!this.original[rank]?.has(expert)) {
+            this.newCopies[rank] = (this.newCopies[rank] as number) + change;
+            this.newCopiesByRank[rank] = (this.newCopiesByRank[rank] as number) + change;
         }
     }
 }
--- a/packages/rank/src/shared/rankMember.ts
+++ b/packages/rank/src/shared/rankMember.ts
@@ -10,6 +10,7 @@
     type BackendServerId,
     type Clock,
     type EventLog,
+    type GroupName,
     type IncarnationId,
     isFaultSeeded,
     MagnolialockError,
@@ -109,10 +110,16 @@
      * Reads all data that a leader plans with.
      *
      * @param readerRank - rank of the leader, which gets the counts since its previous read
+     * @param readerGroup - group of the leader; undefined for the agent itself
+     * @throws RankStateError when the rank belongs to another group: the same rank of another group must not
+     * take the counts that this group's leader has not read yet
      */
-    public status(readerRank: number): Promise<RankStatus> {
+    public status(readerRank: number, readerGroup?: GroupName): Promise<RankStatus> {
         return this.executor.run(async () => {
             const report = await this.report();
+            if (readerGroup !== undefined && report.group?.name !== readerGroup) {
+                throw new RankStateError("the rank belongs to another group");
+            }
             const epoch = report.group?.epoch;
             if (
                 !this.heldExperts || this.heldExperts.mapVersion !== report.mapVersion
