perf(rank,direct): fewer reads by agents, longer watches in large fleets

Cause: each agent read its rank's state every 150 ms on top of the reads that its leader asks for, and the leader read all ranks as often whatever their number. Each entry ended its watch of the platform after 1.5 to 6 s, so calls grow with the fleet although one instance that notices a silent connection is enough.

--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -17,6 +17,8 @@
     readonly source: PublishedSource;
     /** Store that is kept up to date. */
     readonly store: PublishedStateStore;
+    /** Returns the number of instances that watch the platform, this one included. */
+    readonly fleetSize: () => number;
 }
 
 /**
@@ -25,7 +27,10 @@
  * with silent connections one notices early and the others learn from its reports.
  */
 const MIN_WATCH_MS = 1_500;
-const MAX_WATCH_MS = 6_000;
+/** Longest watch for each instance of the fleet, in milliseconds: the more there are, the sooner one notices. */
+const MAX_WATCH_PER_INSTANCE_MS = 750;
+/** Longest watch, in milliseconds; the platform accepts 30 s. */
+const MAX_WATCH_MS = 25_000;
 /**
  * Time after the end of a watch within which its response must arrive, in milliseconds; less would treat slow
  * responses as lost.
@@ -123,7 +128,10 @@
             this.hasFullState = true;
             return;
         }
-        const waitMs = runtime.random.nextInt(MIN_WATCH_MS, MAX_WATCH_MS);
+        const waitMs = runtime.random.nextInt(
+            MIN_WATCH_MS,
+            Math.min(MAX_WATCH_MS, this.options.fleetSize() * MAX_WATCH_PER_INSTANCE_MS),
+        );
         using timeout = timeoutSignal(runtime.clock, waitMs + WATCH_RESPONSE_MARGIN_MS, signal);
         const result = await source.watch(store.revision, waitMs, timeout.signal);
         if (result.kind === "historyLost") {
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -101,6 +101,9 @@
 /** Path prefix at which an entry serves a {@link ServiceServers}; the name of the service follows it. */
 export const SERVICE_SERVERS_PATH = "/services/";
 
+/** Path at which a rank agent tells entries the group of its server. */
+export const SERVER_GROUP_PATH = "/rank/group";
+
 /** The account that an API key belongs to. */
 export interface AccountSpec {
     /** The client account. */
--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { SERVER_GROUP_PATH } from "@magnolialock/direct/src/types/publishedState.ts";
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
 import {
     type Address,
@@ -41,6 +42,8 @@
     readonly openServer: (address: Address) => RankServer & AsyncDisposable;
 }
 
+/** Age up to which the state of the rank is told to entries, in milliseconds; there are many entries. */
+const GROUP_MAX_AGE_MS = 200;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
@@ -59,6 +62,10 @@
         const { body, headers } = encodeJson(status, acceptsCompression(context));
         return context.body(body as Uint8Array<ArrayBuffer>, HTTP_OK, headers);
     });
+    app.get(SERVER_GROUP_PATH, async context => {
+        const { group } = await member.readReport(GROUP_MAX_AGE_MS);
+        return context.json({ name: group?.name, isOpen: group?.isOpen ?? false });
+    });
     app.get(REPORT_PATH, async context => context.json(await member.readReport()));
     app.post(
         CALL_PATH,
--- a/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
+++ b/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
@@ -99,3 +99,26 @@
         t.true(skewOf(current, shares, slowness) < 1.6, `seed ${seed}: ${skewOf(current, shares, slowness)}`);
     }
 });
+
+test("one plan balances many sets over the ranks of a large group, with one spare place a rank", t => {
+    const spec: ExpertSpec = { sets: 16, experts: 96, placesPerRank: 5, newPerPreparation: 2, copyMs: 27 };
+    const ranks = 24;
+    const current = Array.from(
+        { length: spec.sets },
+        () =>
+            Array.from(
+                { length: ranks },
+                (_, rank) =>
+                    Array.from({ length: spec.experts / ranks }, (_unused, index) => index * ranks + rank),
+            ),
+    );
+    const [shares = []] = drawShares(1);
+    const demand = Array.from(
+        { length: spec.sets },
+        (_, set) => [...shares.slice(set), ...shares.slice(0, set)],
+    );
+    const plan = improvePlacement(current, demand, { limits: spec, maxCopiesPerRank: 15, tolerance: 0.15 });
+    t.true(plan.skewBefore > 3);
+    t.true(plan.skewAfter < 1.6, `${plan.skewAfter}`);
+    t.true(plan.copiesOfFullestRank <= 15);
+});
--- a/packages/rank/src/shared/__tests__/rankMember.spec.ts
+++ b/packages/rank/src/shared/__tests__/rankMember.spec.ts
@@ -1,4 +1,4 @@
-import { branded, EventLog, type IncarnationId, seedFaults } from "@magnolialock/kernel";
+import { branded, EventLog, type GroupName, type IncarnationId, seedFaults } from "@magnolialock/kernel";
 import test from "ava";
 import type { Ballot, RoundCall } from "../../types/rankMessages.ts";
 import type {
@@ -252,3 +252,18 @@
     await fixture.disarm(BALLOT, EARLIER_VERSION);
     t.is(fixture.rank.armed, undefined);
 });
+
+test("the leader of another group does not take the counts of this group's leader", async t => {
+    const group = new VirtualGroup(2, 1);
+    const { member } = group.agentOf(1);
+    // A rank that the running leader of the virtual group does not have.
+    const reader = 9;
+    const read = (name: string) =>
+        group.clock.runUntilSettled(member.status(reader, branded<GroupName>(name)), 10_000);
+    await read("g");
+    const rank = group.ranks[1] as VirtualRank;
+    rank.selectionCounts[3] = (rank.selectionCounts[3] as number) + 1_000;
+    await t.throwsAsync(read("other"), { message: /another group/ });
+    t.true(((await read("g")).newCounts[3] ?? 0) >= 1_000);
+    group.end();
+});
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -48,8 +48,10 @@
     readonly spec: () => ExpertSpec | undefined;
 }
 
-/** Time between two cycles, in milliseconds; popularity shifts within a second. */
-const CYCLE_MS = 150;
+/** Shortest time between two cycles, in milliseconds; popularity shifts within a second. */
+const MIN_CYCLE_MS = 150;
+/** Time between two cycles for each rank of the group, in milliseconds: a cycle of the leader reads all ranks. */
+const CYCLE_PER_RANK_MS = 10;
 /**
  * Time between two cycles until the demand is known, in milliseconds: a newly formed group is at its slowest.
  */
@@ -75,6 +77,7 @@
     private lowerRankSeenMs: number;
     private isServerUnreachable = false;
     private isLeading = false;
+    private cycleMs = MIN_CYCLE_MS;
     private epoch: number | undefined;
     private demand: ExpertDemand | undefined;
     private readonly passMeter = new PassDurationMeter();
@@ -126,15 +129,15 @@
                 }
             }
             const isWarmingUp = this.demand?.hasEnoughSamples === false;
-            await sleep(clock, isWarmingUp ? WARM_UP_CYCLE_MS : CYCLE_MS, this.stopping.signal).catch(
-                () => {},
-            );
+            const cycleMs = isWarmingUp ? WARM_UP_CYCLE_MS : this.cycleMs;
+            await sleep(clock, cycleMs, this.stopping.signal).catch(() => {});
         }
     }
 
     private async runCycle(): Promise<void> {
         const { clock, events, holder, member, peersOf, spec } = this.options;
-        const report = await member.readReport();
+        // The leader's requests read the state of the other ranks about as often as these need it.
+        const report = await member.readReport(this.isLeading ? 0 : this.cycleMs);
         const { group, heldPass } = report;
         if (!group?.isOpen) {
             return;
@@ -144,7 +147,10 @@
             this.demand = undefined;
             events.emit(groupFormed, { group: group.name, epoch: group.epoch, rank: group.rank });
         }
-        this.passMeter.add(report.pass, report.runningRequests, clock.nowMs());
+        this.cycleMs = Math.max(MIN_CYCLE_MS, group.size * CYCLE_PER_RANK_MS);
+        if (this.isLeading) {
+            this.passMeter.add(report.pass, report.runningRequests, clock.nowMs());
+        }
         if (holder.isBusy) {
             return;
         }
--- a/packages/rank/src/shared/rankMember.ts
+++ b/packages/rank/src/shared/rankMember.ts
@@ -87,6 +87,7 @@
     private armedBallot: Ballot | undefined;
     private heldExperts: HeldExperts | undefined;
     private readonly lastCountsByReader = new Map<number, readonly number[]>();
+    private latestReport: { readonly report: RankReport; readonly readMs: number; } | undefined;
     private isFenced = false;
     private wasOvertaken = false;
 
@@ -101,9 +102,18 @@
         return this.promised;
     }
 
-    /** Reads the state of the rank. */
-    public readReport(): Promise<RankReport> {
-        return this.executor.run(() => this.report());
+    /**
+     * Reads the state of the rank.
+     *
+     * @param maxAgeMs - age up to which the state of the latest read is returned instead, in milliseconds; 0,
+     * the default, always reads
+     */
+    public readReport(maxAgeMs = 0): Promise<RankReport> {
+        return this.executor.run(async () => {
+            const { latestReport } = this;
+            const isFresh = latestReport && this.options.clock.nowMs() - latestReport.readMs < maxAgeMs;
+            return isFresh ? latestReport.report : this.report();
+        });
     }
 
     /**
@@ -430,8 +440,14 @@
         return result;
     }
 
-    private report(): Promise<RankReport> {
-        return this.withTimeout(READ_TIMEOUT_MS, signal => this.options.server.report(signal));
+    private async report(): Promise<RankReport> {
+        const readMs = this.options.clock.nowMs();
+        const report = await this.withTimeout(
+            READ_TIMEOUT_MS,
+            signal => this.options.server.report(signal),
+        );
+        this.latestReport = { report, readMs };
+        return report;
     }
 
     private async withTimeout<T>(timeoutMs: number, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
