fix(direct): health of each group of model servers instead of each service

Callers got refusals from all groups of a service while one of them lacked a rank, and requests went on into a group that had stalled until it refused, 1.5 s later.

Cause: the same assumption as in the agents, one group for each service. One refusal marked the service as down at every entry.

Change: an entry asks the rank agent beside each server once for its group (`GroupDirectory`) and keeps the health of each group apart (`ServiceGroups`). While a group is down its slots do not count, and requests and broken streams go to the others within the retry budget; its agents are asked when it runs again, so no caller's request is spent on that while other groups serve. A group that runs requests and has sent no byte for 350 ms is avoided. Only when all groups are down are requests refused at once, as before. Servers whose group is unknown count as one group, so services of one group behave as before.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -12,9 +12,12 @@
     errorMessage,
     openDatagramSocket,
     PauseDetector,
+    ProtocolError,
+    readBounded,
     ResourceScope,
     type ServiceName,
     sleep,
+    splitAddress,
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { request } from "undici";
@@ -26,16 +29,19 @@
     directStopping,
     directUnexpected,
 } from "../shared/directEvents.ts";
+import { GroupDirectory, type ReadServerGroup, type ServerGroup } from "../shared/groupDirectory.ts";
 import { PeerExchange } from "../shared/peerExchange.ts";
 import { PlatformWatcher } from "../shared/platformWatcher.ts";
 import { PublishedStateStore } from "../shared/publishedStateStore.ts";
 import { serveCall } from "../shared/serveCall.ts";
 import { ServerDirectory } from "../shared/serverDirectory.ts";
+import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings } from "../types/directSettings.ts";
 import {
     type PublishedSource,
     type PublishedState,
+    SERVER_GROUP_PATH,
     SERVICE_SERVERS_PATH,
     type ServiceServers,
 } from "../types/publishedState.ts";
@@ -78,6 +84,8 @@
 /** Path at which other instances fetch the published state. */
 const STATE_PATH = "/state";
 const METRICS_PATH = "/metrics";
+/** Largest answer about the group of a server, in bytes. */
+const MAX_GROUP_BYTES = 4_096;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 /** Time between adaptations of the retry budgets to the size of the fleet, in milliseconds. */
@@ -99,14 +107,32 @@
     return await response.body.json() as PublishedState;
 };
 
+/** Creates the reader of groups: rank agents listen on the port that is the entries' for their peers. */
+const readServerGroup = ({ peers }: DirectSettings): ReadServerGroup => {
+    const { port } = splitAddress(peers);
+    return async ({ address }, signal) => {
+        const { host } = splitAddress(address);
+        const response = await request(`http://${host}:${port}${SERVER_GROUP_PATH}`, { signal });
+        const body = await readBounded(response.body, MAX_GROUP_BYTES);
+        if (response.statusCode !== HTTP_OK) {
+            throw new ProtocolError(`the rank agent answered with status ${response.statusCode}`);
+        }
+        return JSON.parse(body.toString()) as ServerGroup;
+    };
+};
+
 /** Creates the components that hold the published state and reach the backend servers. */
-const createComponents = (options: DirectEntryOptions, scope: ResourceScope) => {
+const createComponents = (
+    options: DirectEntryOptions,
+    fleetSize: () => number,
+    scope: ResourceScope,
+) => {
     const { runtime, settings, source } = options;
     const store = new PublishedStateStore({
         events: runtime.events,
         decode: (key, text) => source.decode(key, text),
     });
-    const watcher = scope.use(new PlatformWatcher({ runtime, source, store }));
+    const watcher = scope.use(new PlatformWatcher({ runtime, source, store, fleetSize }));
     const directory = new ServerDirectory({ runtime, store, sinceOutageMs: () => watcher.sinceOutageMs });
     const upstreams = scope.use(new ServerConnections(runtime.clock));
     return { store, watcher, directory, upstreams, settings };
@@ -189,6 +215,19 @@
     }
 };
 
+/** Serves one request; an unexpected error breaks off the response and is logged. */
+const serveSafely = async (context: DirectContext, call: IncomingCall, reply: CallerReply): Promise<void> => {
+    try {
+        await serveCall(context, call, reply);
+    }
+    catch (error) {
+        const { headers, runtime } = context.options;
+        const requestId = call.headers[headers.requestId];
+        runtime.events.emit(directUnexpected, { requestId, error: errorMessage(error) });
+        reply.abort();
+    }
+};
+
 /** Keeps serving until the balancer has removed this instance, then waits for the running requests. */
 const stopEntry = async (
     context: DirectContext,
@@ -220,7 +259,11 @@
     const { headers, runtime, settings } = options;
     const { clock, events } = runtime;
     const scope = new ResourceScope();
-    const { directory, watcher, store, upstreams } = createComponents(options, scope);
+    const { directory, watcher, store, upstreams } = createComponents(
+        options,
+        () => exchange.fleet.size,
+        scope,
+    );
     let isStopping = false;
     const isReady = (): boolean => !isStopping && store.configuration !== undefined;
     const metrics = createPromMetrics({
@@ -248,23 +291,19 @@
             store,
             directory,
             services: () => context.serviceStates(),
-            fetchState,
+            fetchState: async (peer, signal) => {
+                const state = await fetchState(peer, signal);
+                // The platform has not told this instance: its connection may have gone silent.
+                watcher.restartCall();
+                return state;
+            },
         }),
     );
     const listener = scope.use(
         await openCallerListener({
             clock,
             address: settings.callers,
-            serve: async (call, reply) => {
-                try {
-                    await serveCall(context, call, reply);
-                }
-                catch (error) {
-                    const requestId = call.headers[headers.requestId];
-                    events.emit(directUnexpected, { requestId, error: errorMessage(error) });
-                    reply.abort();
-                }
-            },
+            serve: (call, reply) => serveSafely(context, call, reply),
         }),
     );
     await openOperatorEndpoints({ ...options, isReady, store, metrics }, scope);
@@ -272,6 +311,7 @@
         await openDatagramSocket(settings.peers, (from, bytes) => exchange.receive(from, bytes)),
     );
     void exchange.run(socket);
+    void scope.use(new GroupDirectory(context, readServerGroup(settings))).run();
     startBackgroundTasks(context, watcher, listener, scope);
     events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
 
--- a/packages/direct/src/shared/__tests__/groupDown.spec.ts
+++ b/packages/direct/src/shared/__tests__/groupDown.spec.ts
@@ -74,10 +74,10 @@
 test.serial("a stream whose group stays down is aborted before its caller gives up", async t => {
     const fixture = await downFixture();
     const { context } = fixture;
-    context.service(DRAFTS).group.markUp();
+    context.service(DRAFTS).groups.named(undefined).markUp();
     const { done, reply } = fixture.send("draft");
     (await fixture.latestAttempt()).startStream().sendEvents(1, 3);
-    context.service(DRAFTS).group.markDown("missing");
+    context.service(DRAFTS).groups.named(undefined).markDown("missing");
     fixture.attempts.at(-1)?.breakConnection();
     const attempts = fixture.attempts.length;
     for (let step = 0; step < 50 && reply.state === "open"; step++) {
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -8,6 +8,7 @@
 import { match } from "ts-pattern";
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { CallerReply, IncomingCall, ResponseHead } from "../types/call.ts";
+import type { NextStep } from "../types/nextStep.ts";
 import type { QueuedCall } from "./admissionQueue.ts";
 import { toCallerHead } from "./callHeaders.ts";
 import { chooseServer } from "./chooseServer.ts";
@@ -20,8 +21,11 @@
     callRefused,
     serverEjected,
 } from "./directEvents.ts";
+import type { GroupHealth } from "./groupHealth.ts";
 import { sendLocalReply } from "./localReply.ts";
-import { type AttemptOutcome, runAttempt, type StreamCursor } from "./runAttempt.ts";
+import { toQueuedCall } from "./queuedCall.ts";
+import { serverRetryAfterMs } from "./retryDelay.ts";
+import { type AttemptOutcome, createStreamCursor, runAttempt, type StreamCursor } from "./runAttempt.ts";
 import { streamStallLimitMs } from "./streamStallLimit.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
@@ -51,28 +55,6 @@
 const STALL_MARGIN_MS = 150;
 /** Polling interval of a stream that waits for its group to recover, in milliseconds. */
 const GROUP_POLL_MS = 50;
-/**
- * Retry delay for callers whose request met full servers, in milliseconds: the usual duration of a request.
- */
-const FULL_RETRY_AFTER_MS = 250;
-const RETRY_AFTER_JITTER_MS = 500;
-/** Retry delay for callers whose request found no server at all, in milliseconds. */
-const NO_SERVER_RETRY_AFTER_MS = 1_000;
-/** Callers honour `Retry-After` only up to this share of their remaining time. */
-const MAX_RETRY_AFTER_SHARE = 1 / 3;
-
-/**
- * Share of the target time to the first event that a request may spend in the admission queue; the rest is
- * for the server's first passes.
- */
-const MAX_QUEUE_TIME_SHARE = 0.5;
-
-/** Next action after an attempt. */
-type NextStep =
-    | { readonly kind: "done"; }
-    | { readonly kind: "again"; }
-    | { readonly kind: "stop"; readonly reason: string; };
-
 /** Runs one admitted request. */
 export class CallTask {
     private readonly state: ServiceState;
@@ -111,14 +93,7 @@
             : route.timeoutMs;
         this.callerDeadlineMs = call.receivedMs + callerTimeoutMs;
         this.deadlineMs = call.receivedMs + Math.min(callerTimeoutMs, route.timeoutMs);
-        const resumeId = Number(call.headers[headers.lastEventId] ?? Number.NaN);
-        this.cursor = {
-            lastEventId: Number.isInteger(resumeId) ? resumeId : undefined,
-            lastEventMs: call.receivedMs,
-            eventCount: 0,
-            longestGapMs: 0,
-            isHeadSent: false,
-        };
+        this.cursor = createStreamCursor(call, headers.lastEventId);
     }
 
     private get nowMs(): number {
@@ -154,25 +129,38 @@
     }
 
     private async runStep(signal: AbortSignal): Promise<NextStep> {
-        if (!this.state.group.allowRequest()) {
-            this.isGroupDown = true;
-            return this.waitForGroup(signal);
-        }
+        const { groups } = this.state;
+        const candidates = this.candidates();
         if (!this.admitted.spec?.engine) {
-            return this.attemptOnServer(signal);
+            return this.attemptOnServer(candidates, signal);
+        }
+        if (candidates.length === 0 || groups.usable(candidates).length > 0) {
+            return this.attemptWithSlot(undefined, signal);
         }
-        return this.attemptWithSlot(signal);
+        const probed = groups.takeProbe(candidates);
+        this.isGroupDown ||= !probed;
+        return probed ? this.attemptWithSlot(probed, signal) : this.waitForGroup(signal);
     }
 
-    /** Sends the request to a model server once the admission queue has granted it a slot. */
-    private async attemptWithSlot(signal: AbortSignal): Promise<NextStep> {
+    private candidates(): TrackedServer[] {
+        return this.context.options.directory.candidates(this.admitted.service);
+    }
+
+    /**
+     * Sends the request to a model server once the admission queue has granted it a slot: to one of the probed
+     * group, if given, else to any whose group is up then.
+     */
+    private async attemptWithSlot(
+        probed: readonly TrackedServer[] | undefined,
+        signal: AbortSignal,
+    ): Promise<NextStep> {
         const { admissionQueue } = this.state;
         if (this.cursor.isHeadSent) {
             admissionQueue.acquireAtOnce();
         }
         else {
             const queuedAtMs = this.nowMs;
-            const admission = await admissionQueue.acquire(this.toQueuedCall(), signal);
+            const admission = await admissionQueue.acquire(this.queuedCall(), signal);
             this.queuedMs += Math.round(this.nowMs - queuedAtMs);
             if (admission === "released") {
                 return { kind: "again" };
@@ -185,7 +173,12 @@
         const startMs = this.nowMs;
         let isServed = false;
         try {
-            const step = await this.attemptOnServer(signal);
+            const candidates = this.candidates();
+            const servers = probed ?? this.state.groups.preferred(candidates);
+            if (servers.length === 0 && candidates.length > 0) {
+                return { kind: "again" };
+            }
+            const step = await this.attemptOnServer(servers, signal);
             isServed = step.kind === "done";
             return step;
         }
@@ -194,23 +187,18 @@
         }
     }
 
-    private toQueuedCall(): QueuedCall {
-        const { account, route } = this.admitted;
-        const { receivedMs } = this.call;
-        const isRetry = this.state.callerRetries.isRetry(route.name, this.callerDeadlineMs - receivedMs);
-        return {
-            receivedMs,
-            // The target time to the first event counts from the caller's first try, so a retry has missed it
-            // already.
-            targetStartMs: receivedMs + (isRetry ? 0 : route.targetLatencyMs * MAX_QUEUE_TIME_SHARE),
-            latestStartMs: receivedMs + streamStallLimitMs(route) - route.targetLatencyMs,
-            deadlineMs: this.deadlineMs,
-            priority: account?.priority ?? route.priority,
-        };
+    private queuedCall(): QueuedCall {
+        const { route } = this.admitted;
+        const remainingMs = this.callerDeadlineMs - this.call.receivedMs;
+        const isRetry = this.state.callerRetries.isRetry(route.name, remainingMs);
+        return toQueuedCall(this.call, this.admitted, { isRetry, deadlineMs: this.deadlineMs });
     }
 
-    private async attemptOnServer(signal: AbortSignal): Promise<NextStep> {
-        const server = this.selectServer();
+    private async attemptOnServer(
+        servers: readonly TrackedServer[],
+        signal: AbortSignal,
+    ): Promise<NextStep> {
+        const server = this.selectServer(servers);
         if (!server) {
             return { kind: "stop", reason: "no backend server can take the request now" };
         }
@@ -218,16 +206,15 @@
         return this.handleOutcome(server, outcome);
     }
 
-    private selectServer(): TrackedServer | undefined {
-        const { directory, runtime, settings } = this.context.options;
-        const { service, spec } = this.admitted;
+    private selectServer(servers: readonly TrackedServer[]): TrackedServer | undefined {
+        const { runtime, settings } = this.context.options;
         const choice = {
             dataCentre: settings.dataCentre,
             random: runtime.random,
             maxStartsPerS: (server: TrackedServer) => this.context.maxStartsPerS(server),
             tried: this.tried,
         };
-        return chooseServer(directory.candidates(service), choice, spec?.engine === undefined);
+        return chooseServer(servers, choice, this.admitted.spec?.engine === undefined);
     }
 
     private async sendAttempt(server: TrackedServer, signal: AbortSignal): Promise<AttemptOutcome> {
@@ -241,6 +228,8 @@
             && this.sentAttempts + 1 < route.maxAttempts;
         const attemptMs = (this.deadlineMs - this.nowMs) * (mayRetry ? FIRST_ATTEMPT_TIME_SHARE : 1);
         using timeout = timeoutSignal(clock, attemptMs, signal);
+        const group = this.state.groups.named(server.groupName);
+        group.begin();
         const outcome = await runAttempt({
             context: this.context,
             call: this.call,
@@ -253,8 +242,10 @@
             maxIdleMs: this.isRepeatable ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS,
             maxIdleConnections: this.context.maxIdleConnections(server),
             signal: timeout.signal,
-            onFirstByte: () => this.recordFirstByte(),
+            onFirstByte: () => this.recordFirstByte(group),
+            onBytes: () => group.recordBytes(),
         });
+        group.end();
         const isServerError = outcome.kind === "whole" && outcome.head.status >= HTTP_SERVER_ERROR;
         const isFailure = outcome.kind === "broken" || outcome.kind === "notSent" || isServerError;
         tracked.end(isFailure && !signal.aborted ? "failed" : "ended");
@@ -293,9 +284,7 @@
                 // A model server names its address in a refusal only if its group cannot run; a full server
                 // names none.
                 if (refusingServer !== undefined && this.admitted.spec?.engine) {
-                    this.state.group.markDown(refusingServer);
-                    this.state.admissionQueue.cancelWaiters();
-                    return { kind: "again" };
+                    return this.handleGroupDown(server, refusingServer);
                 }
                 return this.retryOrStop("the backend server is full");
             })
@@ -310,6 +299,17 @@
             .exhaustive();
     }
 
+    /** Tries a server of another group; without one, the request waits or is refused as the others are. */
+    private handleGroupDown(server: TrackedServer, refusingServer: string): NextStep {
+        const { admissionQueue, groups } = this.state;
+        groups.named(server.groupName).markDown(refusingServer);
+        if (groups.usable(this.candidates()).length > 0) {
+            return this.retryOrStop("the group of the model server is down");
+        }
+        admissionQueue.cancelWaiters();
+        return { kind: "again" };
+    }
+
     private handleWholeResponse(head: ResponseHead, body: Buffer): NextStep {
         this.sentAttempts++;
         if (head.status >= HTTP_SERVER_ERROR && this.isRepeatable && !this.cursor.isHeadSent) {
@@ -374,8 +374,7 @@
             return;
         }
         if (this.lastFailure) {
-            this.sendResponse(this.lastFailure.head, this.lastFailure.body);
-            return;
+            return this.sendResponse(this.lastFailure.head, this.lastFailure.body);
         }
         if (this.mayHaveRun) {
             sendLocalReply(this.reply, { status: unknownOutcomeStatus, reason });
@@ -394,15 +393,11 @@
     }
 
     private retryAfterMs(remainingMs: number): number {
-        if (this.isGroupDown) {
-            return this.state.group.retryAfterMs(remainingMs);
-        }
-        if (this.isRefusedByQueue) {
-            return this.state.admissionQueue.retryAfterMs(remainingMs);
+        const { admissionQueue, groups } = this.state;
+        if (this.isGroupDown || this.isRefusedByQueue) {
+            return (this.isGroupDown ? groups : admissionQueue).retryAfterMs(remainingMs);
         }
-        const baseDelayMs = this.tried.size === 0 ? NO_SERVER_RETRY_AFTER_MS : FULL_RETRY_AFTER_MS;
-        const jitterMs = this.context.options.runtime.random.nextFloat() * RETRY_AFTER_JITTER_MS;
-        return Math.min(baseDelayMs + jitterMs, remainingMs * MAX_RETRY_AFTER_SHARE);
+        return serverRetryAfterMs(this.context.options.runtime.random, this.tried.size > 0, remainingMs);
     }
 
     private recordAnswered(status: number): void {
@@ -413,12 +408,12 @@
         this.count("answered", status);
     }
 
-    private recordFirstByte(): void {
+    private recordFirstByte(group: GroupHealth): void {
         const { metrics } = this.context.options;
         this.firstByteMs ??= Math.round(this.nowMs - this.call.receivedMs);
         metrics.observeFirstByte(this.admitted.service, this.nowMs - this.call.receivedMs);
         if (this.admitted.spec?.engine) {
-            this.state.group.markUp();
+            group.markUp();
         }
     }
 
--- a/packages/direct/src/shared/chooseServer.ts
+++ b/packages/direct/src/shared/chooseServer.ts
@@ -52,10 +52,16 @@
         !context.tried.has(server) && server.startRate.allows(context.maxStartsPerS(server))
     );
     const healthy = eligible.filter(server => !server.health.isEjected);
+    // A rank that is missing stalls its whole group, so another attempt goes to another group if there is one.
+    const triedGroups = new Set([...context.tried].map(({ groupName }) => groupName));
+    const elsewhere = healthy.filter(({ groupName }) =>
+        groupName !== undefined && !triedGroups.has(groupName)
+    );
+    const preferred = elsewhere.length > 0 ? elsewhere : healthy;
     let best: TrackedServer | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     let ties = 0;
-    for (const server of healthy.length > 0 ? healthy : eligible) {
+    for (const server of preferred.length > 0 ? preferred : eligible) {
         const cost = costOf(server, context, isSpeedCompared);
         if (cost > bestCost) {
             continue;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -14,10 +14,10 @@
 import type { CallMetrics } from "./callMetrics.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
-import { GroupHealth } from "./groupHealth.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
+import { ServiceGroups } from "./serviceGroups.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Runtime of a direct entry: without the transport, because it makes no calls over Connect. */
@@ -47,8 +47,8 @@
 
 /** State of one service. */
 export interface ServiceState {
-    /** Health of its group of model servers. */
-    readonly group: GroupHealth;
+    /** Health of its groups of model servers. */
+    readonly groups: ServiceGroups;
     /** Budget for retries. */
     readonly retryBudget: RetryBudget;
     /** Requests that wait for a slot at its model servers. */
@@ -112,7 +112,7 @@
             const { clock, events, random } = this.options.runtime;
             const { retryRatio } = this.bounds;
             state = {
-                group: new GroupHealth({ clock, events, random, service }),
+                groups: new ServiceGroups({ clock, events, random, service }),
                 callerRetries: new CallerRetryDetector(),
                 admissionQueue: new AdmissionQueue({
                     clock,
@@ -173,7 +173,9 @@
 
     private concurrencyLimit(service: ServiceName): number {
         const { peerDataCentres, directory, settings } = this.options;
-        const servers = directory.candidates(service);
+        const candidates = directory.candidates(service);
+        const usable = this.service(service).groups.usable(candidates);
+        const servers = usable.length > 0 ? usable : candidates;
         const sum = (value: (server: TrackedServer) => number): number =>
             servers.reduce((total, server) => total + value(server), 0);
         return concurrencyLimit({
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -142,7 +142,15 @@
     number: 8024,
     name: "direct.group.down",
     level: "warning",
-    summary: "The group of a service's model servers lacks a rank; requests are refused until one is served.",
+    summary: "A group of model servers lacks a rank; it gets no requests until it serves again.",
+});
+
+/** The group of a server cannot be read. */
+export const groupUnreadable = defineEvent({
+    number: 8026,
+    name: "direct.group.unreadable",
+    level: "debug",
+    summary: "The rank agent beside a model server did not tell the server's group.",
 });
 
 /** A service's group is up. */
--- a/packages/direct/src/shared/groupHealth.ts
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -19,6 +19,8 @@
     readonly random: RandomSource;
     /** The service. */
     readonly service: ServiceName;
+    /** Name of the group; empty if it is not known. */
+    readonly group: string;
 }
 
 /**
@@ -45,12 +47,21 @@
  */
 const MAX_REPORT_AGE_MS = 1_500;
 
+/**
+ * Time without any byte from a group that runs requests of this instance, after which other groups are
+ * preferred, in milliseconds. A rank that is missing stalls its group for longer than that before it refuses;
+ * a pass, or a switch of maps, takes less.
+ */
+const SILENCE_MS = 350;
+
 /** Health of one group of model servers. */
 export class GroupHealth {
     private readonly options: GroupHealthOptions;
     private downSinceMs: number | undefined;
     private lastUpMs = Number.NEGATIVE_INFINITY;
     private nextProbeMs = 0;
+    private running = 0;
+    private lastBytesMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - clock, log and service */
     public constructor(options: GroupHealthOptions) {
@@ -62,6 +73,29 @@
         return this.downSinceMs !== undefined;
     }
 
+    /** Whether the group runs requests of this instance and has sent nothing for a while: it may have stalled. */
+    public get isSilent(): boolean {
+        return this.running > 0 && this.options.clock.nowMs() - this.lastBytesMs > SILENCE_MS;
+    }
+
+    /** Records that a request was sent to the group. */
+    public begin(): void {
+        if (this.running === 0) {
+            this.recordBytes();
+        }
+        this.running++;
+    }
+
+    /** Records that a request has ended. */
+    public end(): void {
+        this.running--;
+    }
+
+    /** Records that bytes of a response arrived from the group. */
+    public recordBytes(): void {
+        this.lastBytesMs = this.options.clock.nowMs();
+    }
+
     /**
      * Time since this instance last knew the group to serve, in milliseconds; infinite before the first time.
      */
@@ -93,20 +127,20 @@
      * @param refusingServer - address of that server, for the log; undefined if it is unknown
      */
     public markDown(refusingServer: string | undefined): void {
-        const { clock, events, service } = this.options;
+        const { clock, events, group, service } = this.options;
         if (this.downSinceMs === undefined) {
             this.downSinceMs = clock.nowMs();
             this.nextProbeMs = clock.nowMs() + PROBE_INTERVAL_MS;
-            events.emit(groupDown, { service, fault: refusingServer });
+            events.emit(groupDown, { service, group, fault: refusingServer });
         }
     }
 
     /** Marks the group as up: a server has begun a response. */
     public markUp(): void {
-        const { clock, events, service } = this.options;
+        const { clock, events, group, service } = this.options;
         this.lastUpMs = clock.nowMs();
         if (this.downSinceMs !== undefined) {
-            events.emit(groupUp, { service, downMs: Math.round(clock.nowMs() - this.downSinceMs) });
+            events.emit(groupUp, { service, group, downMs: Math.round(clock.nowMs() - this.downSinceMs) });
             this.downSinceMs = undefined;
         }
     }
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -23,6 +23,7 @@
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
 import { peerFetchFailed, peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
 import type { FleetView } from "./fleetAllotment.ts";
+import type { GroupHealth } from "./groupHealth.ts";
 import { decodePeerReport, encodePeerReport, type PeerReport, reportKey } from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
@@ -183,11 +184,9 @@
         this.peers.set(from, { report, lastReportMs: clock.nowMs(), isAlive: true });
         this.addSeeds(report.members);
         this.unconfirmed.delete(from);
-        const groupsByKey = new Map(
-            [...this.options.services()].map(([service, { group }]) => [reportKey(service), group]),
-        );
-        for (const [service, sinceUpMs] of report.groupUpMs) {
-            groupsByKey.get(service)?.applyPeerReport(sinceUpMs);
+        const groups = groupsByReportKey(this.options.services());
+        for (const [key, sinceUpMs] of report.groupUpMs) {
+            groups.get(key)?.applyPeerReport(sinceUpMs);
         }
     }
 
@@ -255,9 +254,9 @@
             }
         }
         const groupUpMs = new Map<number, number>();
-        for (const [service, { group }] of services()) {
-            if (Number.isFinite(group.sinceUpMs)) {
-                groupUpMs.set(reportKey(service), Math.round(group.sinceUpMs));
+        for (const [key, health] of groupsByReportKey(services())) {
+            if (Number.isFinite(health.sinceUpMs)) {
+                groupUpMs.set(key, Math.round(health.sinceUpMs));
             }
         }
         const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
@@ -343,6 +342,19 @@
     }
 }
 
+/** Returns the groups of all services by their key in the reports. */
+const groupsByReportKey = (
+    services: ReadonlyMap<string, ServiceState>,
+): ReadonlyMap<number, GroupHealth> => {
+    const groups = new Map<number, GroupHealth>();
+    for (const [service, state] of services) {
+        for (const [name, health] of state.groups.all()) {
+            groups.set(reportKey(`${service}/${name}`), health);
+        }
+    }
+    return groups;
+};
+
 /** Selects the servers with the most requests, as many as are certain to fit into one datagram. */
 const busiestServers = (running: ReadonlyMap<number, number>): ReadonlyMap<number, number> => {
     const maxEntries = 100;
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -34,8 +34,8 @@
      */
     readonly running: ReadonlyMap<number, number>;
     /**
-     * Time since it last knew the group of a service to serve, in milliseconds, by the {@link reportKey} of the
-     * service.
+     * Time since it last knew a group of model servers to serve, in milliseconds, by the {@link reportKey} of
+     * `<service>/<group>`.
      */
     readonly groupUpMs: ReadonlyMap<number, number>;
     /** Addresses of some other instances that it knows. */
@@ -45,10 +45,10 @@
 }
 
 /**
- * Returns the key under which reports name a backend server or a service: short, since reports go to every
+ * Returns the key under which reports name a backend server or a group: short, since reports go to every
  * instance of a large fleet.
  *
- * @param name - identifier of the server or name of the service
+ * @param name - identifier of the server or name of the group
  */
 export const reportKey = (name: string): number => hash32(name);
 
@@ -68,7 +68,7 @@
             revision: BigInt(report.revision),
             serverHashes: [...report.running.keys()],
             runningRequests: [...report.running.values()],
-            serviceHashes: [...report.groupUpMs.keys()],
+            groupHashes: [...report.groupUpMs.keys()],
             sinceGroupUpMs: [...report.groupUpMs.values()],
             members: [...report.members],
             heardInstances: report.heardInstances,
@@ -102,7 +102,7 @@
         dataCentre: branded<DataCentreId>(dataCentre),
         revision: branded<Revision>(Number(revision)),
         running: zip(report.serverHashes, report.runningRequests),
-        groupUpMs: zip(report.serviceHashes, report.sinceGroupUpMs),
+        groupUpMs: zip(report.groupHashes, report.sinceGroupUpMs),
         members: members.filter((member): member is Address => isAddress(member)),
         heardInstances,
     };
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -35,6 +35,23 @@
     isHeadSent: boolean;
 }
 
+/**
+ * Starts the progress of a caller's stream.
+ *
+ * @param call - the request
+ * @param lastEventIdHeader - name of the header with the last event that the caller already has
+ */
+export const createStreamCursor = (call: IncomingCall, lastEventIdHeader: string): StreamCursor => {
+    const resumeId = Number(call.headers[lastEventIdHeader] ?? Number.NaN);
+    return {
+        lastEventId: Number.isInteger(resumeId) ? resumeId : undefined,
+        lastEventMs: call.receivedMs,
+        eventCount: 0,
+        longestGapMs: 0,
+        isHeadSent: false,
+    };
+};
+
 /** Options of {@link runAttempt}. */
 export interface AttemptOptions {
     /** State of the direct entry. */
@@ -61,6 +78,8 @@
     readonly signal: AbortSignal;
     /** Called at the first byte of a valid response; for a stream, at its first complete event. */
     readonly onFirstByte: () => void;
+    /** Called whenever bytes of the response arrive. */
+    readonly onBytes: () => void;
 }
 
 /** How an attempt ended. */
@@ -138,6 +157,7 @@
     }
 
     public onData(bytes: Buffer): void {
+        this.options.onBytes();
         if (this.rejectReason !== undefined) {
             return;
         }
--- a/packages/direct/src/shared/trackedServer.ts
+++ b/packages/direct/src/shared/trackedServer.ts
@@ -29,6 +29,8 @@
     public isAddressReused = false;
     /** Requests that other instances run there, according to their latest reports. */
     public peerRunning = 0;
+    /** Group that the server belongs to; undefined while it is not known, or if there is none. */
+    public groupName: string | undefined;
     /** Key of the server in the reports between instances. */
     public readonly reportKey: number;
     /** Failures of this instance's own requests, and the number that it runs. */
