fix(direct,rank): believe a group that says it is open only once it has re-formed

Change: agents are asked only while another group serves, and believed when the group has a new epoch, or has been down for 2.5 s; a server of an unknown group counts as down while any group is.

Tests: `severalGroups.spec`, two new cases.

--- a/packages/direct/src/shared/__tests__/severalGroups.spec.ts
+++ b/packages/direct/src/shared/__tests__/severalGroups.spec.ts
@@ -79,11 +79,12 @@
 
 test.serial("the agents beside the servers tell the groups, and when one runs again", async t => {
     const fixture = createFixture();
-    let isOpen = false;
+    let epoch = 1;
+    let isOpen = true;
     let reads = 0;
     using directory = new GroupDirectory(fixture.context, async ({ id }) => {
         reads++;
-        return { name: GROUPS[id], isOpen };
+        return { name: GROUPS[id], isOpen, epoch };
     });
     void directory.run();
     await fixture.clock.advance(1_000);
@@ -93,14 +94,48 @@
     t.is(reads, 4);
     const left = fixture.context.service(DRAFTS).groups.named("left");
     left.markDown("missing");
-    await fixture.clock.advance(2_000);
+    // The servers have not noticed yet that a rank is missing; then they wait for it.
+    await fixture.clock.advance(600);
+    isOpen = false;
+    await fixture.clock.advance(1_400);
     t.true(left.isDown);
     t.true(reads <= 4 + 5);
     isOpen = true;
+    epoch = 2;
+    await fixture.clock.advance(600);
+    t.false(left.isDown);
+});
+
+test.serial("servers that say their group is open although it refuses are believed after a while", async t => {
+    const fixture = createFixture();
+    using directory = new GroupDirectory(fixture.context, async ({ id }) => ({
+        name: GROUPS[id],
+        isOpen: true,
+        epoch: 1,
+    }));
+    void directory.run();
     await fixture.clock.advance(1_000);
+    const left = fixture.context.service(DRAFTS).groups.named("left");
+    left.markDown("missing");
+    await fixture.clock.advance(2_000);
+    t.true(left.isDown);
+    await fixture.clock.advance(1_500);
     t.false(left.isDown);
 });
 
+test.serial("a server of an unknown group gets no requests while a group waits for a rank", async t => {
+    const fixture = createFixture();
+    nameGroups(fixture);
+    const { groups } = fixture.context.service(DRAFTS);
+    groups.named("left").markDown("missing");
+    groups.named("right").markDown("missing");
+    fixture.addServers(DRAFTS, "eeeee");
+    const { done, reply } = fixture.send("draft");
+    await fixture.runUntilSettled(done);
+    t.is(reply.status, 503);
+    t.is(fixture.attempts.length, 0);
+});
+
 test.serial("an agent that does not answer leaves the group unknown until a later read", async t => {
     const fixture = createFixture();
     let isReachable = false;
@@ -108,7 +143,7 @@
         if (!isReachable) {
             throw new Error("unreachable");
         }
-        return { name: GROUPS[id], isOpen: true };
+        return { name: GROUPS[id], isOpen: true, epoch: 1 };
     });
     void directory.run();
     await fixture.clock.advance(1_000);
--- a/packages/direct/src/shared/groupDirectory.ts
+++ b/packages/direct/src/shared/groupDirectory.ts
@@ -9,14 +9,17 @@
 import type { PublishedServer } from "../types/publishedState.ts";
 import type { DirectContext } from "./directContext.ts";
 import { groupUnreadable } from "./directEvents.ts";
+import type { GroupHealth } from "./groupHealth.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** What a rank agent tells about the group of its server. */
 export interface ServerGroup {
     /** Name of the group; undefined if the server belongs to none. */
     readonly name: string | undefined;
-    /** Whether the group runs passes. */
+    /** Whether the group runs passes, as far as the server knows. */
     readonly isOpen: boolean;
+    /** Epoch of the group; one that lacked a rank re-forms in a new one. Undefined if there is no group. */
+    readonly epoch: number | undefined;
 }
 
 /**
@@ -46,12 +49,19 @@
  * the group serve tells the others.
  */
 const DOWN_POLL_PER_INSTANCE_MS = 15;
+/**
+ * Time since a group is down after which its servers are believed that it is open, in milliseconds, although
+ * nothing shows that it has re-formed; before, they may not have noticed yet that a rank is missing.
+ */
+const OPEN_BELIEVED_AFTER_MS = 2_500;
 
 /** Keeps the groups of the model servers up to date. */
 export class GroupDirectory implements Disposable {
     private readonly stopping = new AbortController();
     private readonly nextReadMs = new WeakMap<TrackedServer, number>();
     private nextDownPollMs = 0;
+    /** Groups that are down, as the first read since then found them. */
+    private readonly firstReads = new Map<GroupHealth, ServerGroup>();
 
     /**
      * @param context - state of the entry
@@ -92,7 +102,10 @@
         }));
     }
 
-    /** Reads one server of each group that is down. */
+    /**
+     * Reads one server of each group that is down while another group serves. While none does, requests test
+     * the groups.
+     */
     private async pollDown(): Promise<void> {
         const { directory, fleet, runtime } = this.context.options;
         const nowMs = runtime.clock.nowMs();
@@ -103,23 +116,33 @@
             + Math.max(MIN_DOWN_POLL_MS, fleet().size * DOWN_POLL_PER_INSTANCE_MS);
         const polls: Promise<void>[] = [];
         for (const [service, { groups }] of this.context.serviceStates()) {
+            const candidates = directory.candidates(service);
             for (const [name, health] of groups.all()) {
-                const members = directory.candidates(service).filter(({ groupName }) => groupName === name);
+                const members = candidates.filter(({ groupName }) => groupName === name);
                 const [server] = shuffled(runtime.random, members);
-                if (health.isDown && server) {
-                    polls.push(
-                        this.read(server).then(group => {
-                            if (group?.isOpen) {
-                                health.markUp();
-                            }
-                        }),
-                    );
+                if (!health.isDown) {
+                    this.firstReads.delete(health);
+                }
+                else if (server && groups.usable(candidates).length > 0) {
+                    polls.push(this.read(server).then(group => this.applyRead(health, group)));
                 }
             }
         }
         await Promise.all(polls);
     }
 
+    private applyRead(health: GroupHealth, group: ServerGroup | undefined): void {
+        if (!group || !health.isDown) {
+            return;
+        }
+        const first = this.firstReads.get(health);
+        this.firstReads.set(health, first ?? group);
+        const hasReformed = first !== undefined && first.epoch !== group.epoch;
+        if (group.isOpen && (hasReformed || health.downForMs >= OPEN_BELIEVED_AFTER_MS)) {
+            health.markUp();
+        }
+    }
+
     private formsGroups({ entry }: TrackedServer): boolean {
         const { configuration } = this.context.options.store;
         return configuration?.services.get(entry.service)?.engine?.experts !== undefined;
--- a/packages/direct/src/shared/groupHealth.ts
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -73,6 +73,11 @@
         return this.downSinceMs !== undefined;
     }
 
+    /** Time since the group is down, in milliseconds; 0 while it is up. */
+    public get downForMs(): number {
+        return this.downSinceMs === undefined ? 0 : this.options.clock.nowMs() - this.downSinceMs;
+    }
+
     /** Whether the group runs requests of this instance and has sent nothing for a while: it may have stalled. */
     public get isSilent(): boolean {
         return this.running > 0 && this.options.clock.nowMs() - this.lastBytesMs > SILENCE_MS;
--- a/packages/direct/src/shared/serviceGroups.ts
+++ b/packages/direct/src/shared/serviceGroups.ts
@@ -39,12 +39,16 @@
     }
 
     /**
-     * Selects the servers whose groups are up.
+     * Selects the servers whose groups are up. A server whose group is not known may be the one that a group
+     * that is down waits for, so it counts as down while any group is.
      *
      * @param servers - servers of the service
      */
     public usable(servers: readonly TrackedServer[]): TrackedServer[] {
-        return servers.filter(server => !this.named(server.groupName).isDown);
+        const isAnyDown = servers.some(({ groupName }) => this.named(groupName).isDown);
+        return servers.filter(({ groupName }) =>
+            groupName === undefined ? !isAnyDown : !this.named(groupName).isDown
+        );
     }
 
     /**
@@ -67,7 +71,8 @@
      */
     public takeProbe(servers: readonly TrackedServer[]): TrackedServer[] | undefined {
         for (const name of new Set(servers.map(({ groupName }) => groupName))) {
-            if (this.named(name).allowRequest()) {
+            const health = this.named(name);
+            if (health.isDown && health.allowRequest()) {
                 return servers.filter(({ groupName }) => groupName === name);
             }
         }
--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -64,7 +64,7 @@
     });
     app.get(SERVER_GROUP_PATH, async context => {
         const { group } = await member.readReport(GROUP_MAX_AGE_MS);
-        return context.json({ name: group?.name, isOpen: group?.isOpen ?? false });
+        return context.json({ name: group?.name, isOpen: group?.isOpen ?? false, epoch: group?.epoch });
     });
     app.get(REPORT_PATH, async context => context.json(await member.readReport()));
     app.post(
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -66,8 +66,9 @@
  * Longest time that one rank copies for one plan, in milliseconds: the plan must still fit when the copies
  * are done.
  */
-const COPY_BUDGET_MS = 430;
-const MIN_COPIES_PER_RANK = 1;
+const COPY_BUDGET_MS = 280;
+/** Copies that a rank may load for one plan even if they take longer; with fewer, plans hardly reduce the skew. */
+const MIN_COPIES_PER_RANK = 3;
 
 /** Monitors one rank and leads the group's map switches while its agent is the leader. */
 export class GroupLeader implements AsyncDisposable {
