--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -55,7 +55,9 @@
     const app = new Hono();
     app.get(STATUS_PATH, async context => {
         const readerRank = Number(context.req.query("rank"));
-        const status = await member.status(readerRank, branded<GroupName>(context.req.query("group") ?? ""));
+        // Agents of earlier releases do not name their group.
+        const readerGroup = context.req.query("group");
+        const status = await member.status(readerRank, readerGroup as GroupName | undefined);
         if (status.report.group) {
             leader.noteStatusRequest(readerRank, status.report.group.rank);
         }
