feat(direct): log the prompt's shared parts with a failed attempt

The event direct.attempt.failed now names the shared parts of the prompt and how many events the caller had. The name of the header is the platform's and stays in its adapter.

--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -50,6 +50,7 @@
     targetServer: "x-server",
     notRun: "x-not-run",
     refusingServer: "x-fault",
+    promptParts: "x-parts",
     queuePriority: "x-rank",
 };
 
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -11,16 +11,10 @@
 import type { NextStep } from "../types/nextStep.ts";
 import type { QueuedCall } from "./admissionQueue.ts";
 import { toCallerHead } from "./callHeaders.ts";
+import { CallLog, type CallProgress } from "./callLog.ts";
 import { chooseServer } from "./chooseServer.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
-import {
-    attemptFailed,
-    callAnswered,
-    callFailed,
-    callLeft,
-    callRefused,
-    serverEjected,
-} from "./directEvents.ts";
+import { serverEjected } from "./directEvents.ts";
 import type { GroupHealth } from "./groupHealth.ts";
 import { sendLocalReply } from "./localReply.ts";
 import { toQueuedCall } from "./queuedCall.ts";
@@ -58,19 +52,15 @@
 /** Runs one admitted request. */
 export class CallTask {
     private readonly state: ServiceState;
-    private readonly cursor: StreamCursor;
+    private readonly progress: CallProgress;
+    private readonly log: CallLog;
     private readonly tried = new Set<TrackedServer>();
     private readonly deadlineMs: number;
     private readonly callerDeadlineMs: number;
-    private sentAttempts = 0;
     private unsentAttempts = 0;
-    private mayHaveRun = false;
     private isGroupDown = false;
     private isRefusedByQueue = false;
-    private queuedMs = 0;
-    private firstByteMs: number | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer; } | undefined;
-    private lastServer: TrackedServer | undefined;
 
     /**
      * @param context - state of the direct entry
@@ -93,7 +83,19 @@
             : route.timeoutMs;
         this.callerDeadlineMs = call.receivedMs + callerTimeoutMs;
         this.deadlineMs = call.receivedMs + Math.min(callerTimeoutMs, route.timeoutMs);
-        this.cursor = createStreamCursor(call, headers.lastEventId);
+        this.progress = {
+            sentAttempts: 0,
+            mayHaveRun: false,
+            queuedMs: 0,
+            firstByteMs: undefined,
+            lastServer: undefined,
+            cursor: createStreamCursor(call, headers.lastEventId),
+        };
+        this.log = new CallLog(context, call, admitted, this.progress);
+    }
+
+    private get cursor(): StreamCursor {
+        return this.progress.cursor;
     }
 
     private get nowMs(): number {
@@ -114,7 +116,7 @@
                 return;
             }
             if (this.reply.disconnected.aborted) {
-                this.recordDisconnect();
+                this.log.left();
                 return;
             }
             if (timeout.signal.aborted) {
@@ -161,7 +163,7 @@
         else {
             const queuedAtMs = this.nowMs;
             const admission = await admissionQueue.acquire(this.queuedCall(), signal);
-            this.queuedMs += Math.round(this.nowMs - queuedAtMs);
+            this.progress.queuedMs += Math.round(this.nowMs - queuedAtMs);
             if (admission === "released") {
                 return { kind: "again" };
             }
@@ -223,9 +225,9 @@
         const wasEjected = server.health.isEjected;
         const tracked = server.health.begin();
         server.startRate.recordStart();
-        this.lastServer = server;
+        this.progress.lastServer = server;
         const mayRetry = this.isRepeatable && route.answer === "whole"
-            && this.sentAttempts + 1 < route.maxAttempts;
+            && this.progress.sentAttempts + 1 < route.maxAttempts;
         const attemptMs = (this.deadlineMs - this.nowMs) * (mayRetry ? FIRST_ATTEMPT_TIME_SHARE : 1);
         using timeout = timeoutSignal(clock, attemptMs, signal);
         const group = this.state.groups.named(server.groupName);
@@ -259,8 +261,9 @@
 
     private handleOutcome(server: TrackedServer, outcome: AttemptOutcome): NextStep {
         this.tried.add(server);
-        if (outcome.kind !== "streamed" && outcome.kind !== "whole") {
-            this.logFailedAttempt(server, outcome);
+        const hasFailed = outcome.kind !== "streamed" && outcome.kind !== "whole";
+        if (hasFailed && !this.reply.disconnected.aborted) {
+            this.log.attemptFailed(server, outcome);
         }
         return match<AttemptOutcome, NextStep>(outcome)
             .with({ kind: "streamed" }, () => {
@@ -276,7 +279,7 @@
                     : { kind: "stop", reason: message };
             })
             .with({ kind: "notRun" }, ({ isMisdirected, refusingServer }) => {
-                this.sentAttempts++;
+                this.progress.sentAttempts++;
                 if (isMisdirected) {
                     server.isAddressReused = true;
                     return this.retryOrStop("another server has the address");
@@ -289,8 +292,8 @@
                 return this.retryOrStop("the backend server is full");
             })
             .with({ kind: "broken" }, ({ message }) => {
-                this.sentAttempts++;
-                this.mayHaveRun = true;
+                this.progress.sentAttempts++;
+                this.progress.mayHaveRun = true;
                 if (this.isRepeatable || isFaultSeeded("direct.repeat-once")) {
                     return this.retryOrStop(message);
                 }
@@ -311,10 +314,10 @@
     }
 
     private handleWholeResponse(head: ResponseHead, body: Buffer): NextStep {
-        this.sentAttempts++;
+        this.progress.sentAttempts++;
         if (head.status >= HTTP_SERVER_ERROR && this.isRepeatable && !this.cursor.isHeadSent) {
             this.lastFailure = { head, body };
-            this.mayHaveRun = true;
+            this.progress.mayHaveRun = true;
             const next = this.retryOrStop("the backend server failed");
             if (next.kind === "again") {
                 return next;
@@ -339,7 +342,7 @@
     private retryOrStop(reason: string): NextStep {
         const { maxAttempts } = this.admitted.route;
         const mostAttempts = isFaultSeeded("direct.repeat-once") ? maxAttempts + 1 : maxAttempts;
-        if (this.sentAttempts >= mostAttempts || this.reply.disconnected.aborted) {
+        if (this.progress.sentAttempts >= mostAttempts || this.reply.disconnected.aborted) {
             return { kind: "stop", reason };
         }
         return this.state.retryBudget.tryAcquire() || isFaultSeeded("direct.skip-retry-budget")
@@ -356,7 +359,7 @@
         const reason = "the group of model servers is down";
         const waitLimitMs = this.cursor.lastEventMs + streamStallLimitMs(route) - STALL_MARGIN_MS;
         const mayResume = this.cursor.isHeadSent && this.isRepeatable
-            && this.sentAttempts < route.maxAttempts;
+            && this.progress.sentAttempts < route.maxAttempts;
         if (!mayResume || this.nowMs >= waitLimitMs) {
             return { kind: "stop", reason };
         }
@@ -365,31 +368,22 @@
     }
 
     private fail(reason: string, unknownOutcomeStatus: number): void {
-        const { events } = this.context.options.runtime;
-        const remainingMs = Math.max(0, this.callerDeadlineMs - this.nowMs);
         if (this.cursor.isHeadSent) {
             this.reply.abort();
-            events.emit(callFailed, { ...this.logFields(0), reason, lastEventId: this.cursor.lastEventId });
-            this.count("failed", 0);
+            this.log.failed(0, reason);
             return;
         }
         if (this.lastFailure) {
             return this.sendResponse(this.lastFailure.head, this.lastFailure.body);
         }
-        if (this.mayHaveRun) {
+        if (this.progress.mayHaveRun) {
             sendLocalReply(this.reply, { status: unknownOutcomeStatus, reason });
-            events.emit(callFailed, { ...this.logFields(unknownOutcomeStatus), reason });
-            this.count("failed", unknownOutcomeStatus);
+            this.log.failed(unknownOutcomeStatus, reason);
             return;
         }
-        const retryAfterMs = this.retryAfterMs(remainingMs);
+        const retryAfterMs = this.retryAfterMs(Math.max(0, this.callerDeadlineMs - this.nowMs));
         sendLocalReply(this.reply, { status: HTTP_UNAVAILABLE, reason, retryAfterMs });
-        events.emit(callRefused, {
-            ...this.logFields(HTTP_UNAVAILABLE),
-            reason,
-            retryAfterMs: Math.round(retryAfterMs),
-        });
-        this.count("refused", HTTP_UNAVAILABLE);
+        this.log.refused(HTTP_UNAVAILABLE, reason, retryAfterMs);
     }
 
     private retryAfterMs(remainingMs: number): number {
@@ -404,67 +398,16 @@
         if (status < HTTP_SERVER_ERROR) {
             this.state.retryBudget.recordSuccess();
         }
-        this.context.options.runtime.events.emit(callAnswered, this.logFields(status));
-        this.count("answered", status);
+        this.log.answered(status);
     }
 
     private recordFirstByte(group: GroupHealth): void {
         const { metrics } = this.context.options;
-        this.firstByteMs ??= Math.round(this.nowMs - this.call.receivedMs);
-        metrics.observeFirstByte(this.admitted.service, this.nowMs - this.call.receivedMs);
+        const latencyMs = this.nowMs - this.call.receivedMs;
+        this.progress.firstByteMs ??= Math.round(latencyMs);
+        metrics.observeFirstByte(this.admitted.service, latencyMs);
         if (this.admitted.spec?.engine) {
             group.markUp();
         }
     }
-
-    private recordDisconnect(): void {
-        this.context.options.runtime.events.emit(callLeft, this.logFields(0));
-        this.count("left", 0);
-    }
-
-    private logFailedAttempt(
-        server: TrackedServer,
-        outcome: Exclude<AttemptOutcome, { readonly kind: "streamed" | "whole"; }>,
-    ): void {
-        if (this.reply.disconnected.aborted) {
-            return;
-        }
-        const { store } = this.context.options;
-        this.context.options.runtime.events.emit(attemptFailed, {
-            requestId: this.requestId,
-            server: server.entry.id,
-            outcome: outcome.kind,
-            detail: outcome.kind === "notRun" ? outcome.refusingServer : outcome.message,
-            running: server.running,
-            revision: store.revision,
-        });
-    }
-
-    private get requestId(): string | undefined {
-        return this.call.headers[this.context.options.headers.requestId];
-    }
-
-    private count(result: "answered" | "refused" | "failed" | "left", status: number): void {
-        const durationMs = this.nowMs - this.call.receivedMs;
-        this.context.options.metrics.countCall(result, this.admitted.service, status, durationMs);
-    }
-
-    private logFields(status: number): Record<string, string | number | boolean | undefined> {
-        const { account, route, service, version } = this.admitted;
-        return {
-            requestId: this.requestId,
-            route: route.name,
-            service,
-            account: account?.account,
-            status,
-            server: this.lastServer?.entry.id,
-            attempts: this.sentAttempts,
-            mayHaveRun: this.mayHaveRun,
-            queuedMs: this.queuedMs,
-            firstByteMs: this.firstByteMs,
-            longestGapMs: Math.round(this.cursor.longestGapMs),
-            durationMs: Math.round(this.nowMs - this.call.receivedMs),
-            version,
-        };
-    }
 }
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -24,6 +24,8 @@
     readonly notRun: string;
     /** On responses: address of the backend server that refuses because its group cannot run. */
     readonly refusingServer: string;
+    /** Parts of the request's prompt, in order: a list of `<identifier>:<tokens>`. */
+    readonly promptParts: string;
     /** Priority in a model server's queue, 0 to {@link MAX_QUEUE_PRIORITY}; 0 is the most urgent. */
     readonly queuePriority: string;
 }
