--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -273,7 +273,7 @@
 
 /** One direct entry under test; it records the attempts at its backend servers. */
 export class DirectFixture implements UpstreamClient {
-    public readonly clock = new VirtualClock();
+    public readonly clock: VirtualClock;
     public readonly events: EventLog;
     public readonly store: PublishedStateStore;
     public readonly directory: ServerDirectory;
@@ -287,9 +287,18 @@
     private revision = 0;
     private nextRequest = 1;
 
-    public constructor(start: FleetConfiguration | "none" = configuration(), name = "entry-1") {
+    public constructor(
+        start: FleetConfiguration | "none" = configuration(),
+        name = "entry-1",
+        clock = new VirtualClock(),
+    ) {
+        this.clock = clock;
         this.events = new EventLog({ clock: this.clock, instance: "entry-1" });
-        const runtime = { clock: this.clock, events: this.events, random: createRandomSource(1) };
+        const runtime = {
+            clock: this.clock,
+            events: this.events,
+            random: createRandomSource(Number(name.split("-")[1])),
+        };
         this.store = new PublishedStateStore({
             events: this.events,
             decode: (key, text) => this.contents.get(`${key} ${text}`) ?? { kind: "ignored" },
--- /dev/null
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -0,0 +1,413 @@
+/**
+ * Several direct entries on one virtual clock that exchange reports, in front of model servers that crash.
+ */
+
+import {
+    type Address,
+    branded,
+    createRandomSource,
+    type DataCentreId,
+    type RandomSource,
+} from "@magnolialock/kernel";
+import { VirtualClock } from "@magnolialock/test-support";
+import type { UpstreamCall, UpstreamConsumer, UpstreamRequest } from "../../types/call.ts";
+import type { ServiceSpec } from "../../types/publishedState.ts";
+import { PeerExchange } from "../peerExchange.ts";
+import {
+    configuration,
+    DirectFixture,
+    DRAFTS,
+    type FakeReply,
+    NAMES,
+    serverEntry,
+    serviceSpec,
+} from "./directFixture.ts";
+
+/** Time from the arrival of a request to the first event of its answer, in milliseconds. */
+const FIRST_EVENT_MS = 60;
+const EVENT_GAP_MS = 15;
+const EVENTS = 8;
+/** Time from a crash to the return of the server, in milliseconds. */
+const RESTART_MS = 3_000;
+/** Time that the store takes to tell all entries, in milliseconds. */
+const STORE_LAG_MS = 100;
+/** Time for which the other ranks of a group wait for a missing one before they refuse, in milliseconds. */
+const STALL_MS = 1_500;
+/** Time that a group takes to form once all its ranks are back, in milliseconds. */
+const FORM_MS = 600;
+const DATAGRAM_DELAY_MS = 1;
+
+interface FleetGroup {
+    crashedMs: number;
+    openMs: number;
+}
+
+/** A model server; it loses everything when it crashes and returns with another identifier. */
+export class FleetServer {
+    public id: string;
+    public isUp = true;
+    public readonly running = new Set<FleetAttempt>();
+    private life = 1;
+
+    public constructor(
+        private readonly fleet: DirectFleet,
+        public readonly name: string,
+        public readonly address: Address,
+        public readonly group: FleetGroup | undefined,
+    ) {
+        this.id = `${name}-1`;
+    }
+
+    /** Ends the process of the server; it is back after some seconds. */
+    public crash(): void {
+        if (!this.isUp) {
+            return;
+        }
+        const { clock } = this.fleet;
+        this.isUp = false;
+        if (this.group) {
+            this.group.crashedMs = clock.nowMs();
+            this.group.openMs = clock.nowMs() + RESTART_MS + FORM_MS;
+        }
+        for (const attempt of [...this.running]) {
+            attempt.end("broken");
+        }
+        clock.setTimer(RESTART_MS, () => {
+            this.isUp = true;
+            const oldId = this.id;
+            this.id = this.fleet.options.keepsServerIds ? oldId : `${this.name}-${++this.life}`;
+            clock.setTimer(STORE_LAG_MS, () => this.fleet.publishServer(this, oldId));
+        });
+    }
+}
+
+/** One attempt at a server. */
+export class FleetAttempt implements UpstreamCall {
+    public readonly ended: UpstreamCall["ended"];
+    /** Whether the answer has begun. */
+    public hasBegun = false;
+    private readonly resolveEnd: (end: Awaited<UpstreamCall["ended"]>) => void;
+
+    public constructor(
+        private readonly fleet: DirectFleet,
+        public readonly server: FleetServer | undefined,
+        private readonly request: UpstreamRequest,
+        private readonly consumer: UpstreamConsumer,
+    ) {
+        let resolveEnd: (end: Awaited<UpstreamCall["ended"]>) => void = () => {};
+        this.ended = new Promise(resolve => resolveEnd = resolve);
+        this.resolveEnd = resolveEnd;
+        void this.run();
+    }
+
+    public header(name: string): string | undefined {
+        const { headers } = this.request;
+        const index = headers.findIndex((text, position) =>
+            position % 2 === 0 && text.toLowerCase() === name
+        );
+        return index < 0 ? undefined : headers[index + 1];
+    }
+
+    /** Identifiers of the prompt's parts. */
+    public get parts(): readonly string[] {
+        return this.header(NAMES.promptParts)?.split(",").map(part => part.split(":")[0] as string) ?? [];
+    }
+
+    public end(kind: "broken" | "notSent" | "complete"): void {
+        this.server?.running.delete(this);
+        this.resolveEnd(kind === "complete" ? { kind } : { kind, message: "reset" });
+    }
+
+    public abort(): void {
+        this.end("broken");
+    }
+
+    public pause(): void {}
+
+    public resume(): void {}
+
+    private async run(): Promise<void> {
+        const { fleet, server } = this;
+        if (!server?.isUp) {
+            await fleet.pause(DATAGRAM_DELAY_MS);
+            this.end("notSent");
+            return;
+        }
+        server.running.add(this);
+        fleet.arrivals.push({ atMs: fleet.clock.nowMs(), parts: this.parts, server: server.name });
+        await fleet.pause(FIRST_EVENT_MS);
+        if (await this.isRefusedByGroup()) {
+            return;
+        }
+        if (!server.running.has(this)) {
+            return;
+        }
+        if (this.parts.some(part => fleet.badParts.has(part))) {
+            fleet.crashes.push({ atMs: fleet.clock.nowMs(), server: server.name });
+            server.crash();
+            return;
+        }
+        await this.answer(server);
+    }
+
+    private async isRefusedByGroup(): Promise<boolean> {
+        const { fleet, server } = this;
+        const group = server?.group;
+        if (!group || fleet.clock.nowMs() >= group.openMs) {
+            return false;
+        }
+        await fleet.pause(Math.max(0, group.crashedMs + STALL_MS - fleet.clock.nowMs()));
+        if (server?.running.has(this)) {
+            this.sendHead(503, { [NAMES.notRun]: "1", [NAMES.refusingServer]: server.address });
+            this.end("complete");
+        }
+        return true;
+    }
+
+    private async answer(server: FleetServer): Promise<void> {
+        const { fleet } = this;
+        this.hasBegun = true;
+        this.sendHead(200, { [NAMES.signature]: "signed", "content-type": "text/event-stream" });
+        const first = Number(this.header(NAMES.lastEventId) ?? 0) + 1;
+        for (let event = first; event <= EVENTS && server.running.has(this); event++) {
+            this.consumer.onData(Buffer.from(`id: ${event}\ndata: x\n\n`));
+            await fleet.pause(EVENT_GAP_MS);
+            const { group } = server;
+            if (group && fleet.clock.nowMs() < group.openMs) {
+                await fleet.pause(Math.max(0, group.crashedMs + STALL_MS - fleet.clock.nowMs()));
+                this.end("broken");
+                return;
+            }
+        }
+        if (server.running.has(this)) {
+            this.end("complete");
+        }
+    }
+
+    private sendHead(status: number, headers: Record<string, string>): void {
+        this.consumer.onHead({
+            status,
+            headers: { ...headers, [NAMES.requestId]: this.header(NAMES.requestId) },
+        });
+    }
+}
+
+/** One entry of the fleet. */
+export class FleetEntry extends DirectFixture {
+    public readonly exchange: PeerExchange;
+    /** Bytes that its exchange has sent. */
+    public sentBytes = 0;
+
+    public constructor(
+        private readonly owner: DirectFleet,
+        public readonly index: number,
+        spec: ServiceSpec,
+    ) {
+        super(configuration({ services: [spec] }), `entry-${index + 1}`, owner.clock);
+        const { context, directory, events, store } = this;
+        const address = owner.addressOf(index);
+        this.exchange = new PeerExchange({
+            runtime: {
+                clock: owner.clock,
+                events,
+                random: owner.random.fork(`entry ${index} ${owner.clock.nowMs()}`),
+            },
+            settings: {
+                ...context.options.settings,
+                peers: address,
+                dataCentre: owner.dataCentreOf(index),
+                seeds: [owner.addressOf(0), owner.addressOf(1)],
+            },
+            store,
+            directory,
+            services: () => context.serviceStates(),
+            fetchState: async () => store.export(),
+        });
+        void this.exchange.run({
+            send: (to, bytes) => {
+                this.sentBytes += bytes.length;
+                owner.deliver(address, to, bytes);
+            },
+            [Symbol.asyncDispose]: async () => {},
+        });
+    }
+
+    public override start(
+        _server: string,
+        address: Address,
+        request: UpstreamRequest,
+        consumer: UpstreamConsumer,
+    ): UpstreamCall {
+        return new FleetAttempt(this.owner, this.owner.serverAt(address), request, consumer);
+    }
+
+    /** Tells whether a connection to an address is accepted. */
+    public async probe(address: Address): Promise<"accepted" | "refused" | "silent"> {
+        await this.owner.pause(DATAGRAM_DELAY_MS);
+        return this.owner.serverAt(address)?.isUp ? "accepted" : "refused";
+    }
+}
+
+/** Options of a {@link DirectFleet}. */
+export interface DirectFleetOptions {
+    readonly instances: number;
+    readonly servers: number;
+    /** Number of groups of model servers; 0 if they form none. */
+    readonly groups?: number;
+    /** Whether a server that restarts keeps its identifier. */
+    readonly keepsServerIds?: boolean;
+    readonly dataCentres?: number;
+    readonly seed?: number;
+}
+
+/** A request with its reply. */
+export interface FleetRequest {
+    readonly sentMs: number;
+    readonly parts: readonly string[];
+    readonly reply: FakeReply;
+}
+
+/** Entries and model servers. */
+export class DirectFleet implements Disposable {
+    public readonly clock = new VirtualClock();
+    public readonly random: RandomSource;
+    public readonly entries: FleetEntry[] = [];
+    public readonly servers: FleetServer[] = [];
+    /** Requests that reached a server. */
+    public readonly arrivals: {
+        readonly atMs: number;
+        readonly parts: readonly string[];
+        readonly server: string;
+    }[] = [];
+    /** Servers that crashed because of a part. */
+    public readonly crashes: { readonly atMs: number; readonly server: string; }[] = [];
+    /** Parts that crash each server that begins an answer on them. */
+    public readonly badParts = new Set<string>();
+    public readonly requests: FleetRequest[] = [];
+    /** Returns whether a datagram between two entries is lost. */
+    public isLost: (from: number, to: number) => boolean = () => false;
+    private nextRequest = 1;
+    private readonly spec: ServiceSpec;
+
+    public constructor(public readonly options: DirectFleetOptions) {
+        this.random = createRandomSource(options.seed ?? 1);
+        const groupCount = options.groups ?? 0;
+        const groups = Array.from({ length: groupCount }, () => ({ crashedMs: 0, openMs: 0 }));
+        for (let index = 0; index < options.servers; index++) {
+            const address = branded<Address>(`10.2.${Math.floor(index / 200)}.${index % 200 + 1}:80`);
+            this.servers.push(
+                new FleetServer(this, `server-${index}`, address, groups[index % (groupCount || 1)]),
+            );
+        }
+        this.spec = serviceSpec(DRAFTS, { engine: { experts: undefined } });
+        for (let index = 0; index < options.instances; index++) {
+            this.startEntry(index);
+        }
+    }
+
+    /** Replaces an entry by a new process that knows nothing yet. */
+    public startEntry(index: number): void {
+        this.entries[index]?.exchange[Symbol.dispose]();
+        const entry = new FleetEntry(this, index, this.spec);
+        this.entries[index] = entry;
+        for (const server of this.servers) {
+            entry.publish(server.name, { kind: "server", server: this.publishedEntry(server) });
+        }
+        this.nameGroups(entry);
+    }
+
+    public publishServer(server: FleetServer, _oldId: string): void {
+        for (const entry of this.entries) {
+            entry.remove(server.name);
+            entry.publish(server.name, { kind: "server", server: this.publishedEntry(server) });
+            this.nameGroups(entry);
+        }
+    }
+
+    /** Sends a request to an entry; the last part is added, as each request has its own. */
+    public send(entry: number, ...parts: readonly string[]): FleetRequest {
+        const own = `f${this.nextRequest++}`;
+        const header = [...parts, own].map(part => `${part}:40`).join(",");
+        const { reply } = (this.entries[entry] as FleetEntry).send("draft", {
+            [NAMES.promptParts]: header,
+            [NAMES.requestId]: `call-${own}`,
+        });
+        const request = { sentMs: this.clock.nowMs(), parts, reply };
+        this.requests.push(request);
+        return request;
+    }
+
+    /**
+     * Sends requests at random entries.
+     *
+     * @param durationMs - virtual time
+     * @param perS - requests a second over the fleet
+     * @param draw - draws the shared parts of one request
+     */
+    public async sendFor(durationMs: number, perS: number, draw: () => readonly string[]): Promise<void> {
+        const endMs = this.clock.nowMs() + durationMs;
+        while (this.clock.nowMs() < endMs) {
+            this.send(this.random.nextInt(0, this.entries.length - 1), ...draw());
+            await this.clock.advance(1_000 / perS * (0.5 + this.random.nextFloat()));
+        }
+    }
+
+    /** Number of requests with a part that reached servers after a time. */
+    public arrivalsAfter(part: string, afterMs: number): number {
+        return this.arrivals.filter(({ atMs, parts }) => atMs > afterMs && parts.includes(part)).length;
+    }
+
+    /** Share of the requests of a time span, without the bad ones, whose answer began. */
+    public begunShare(fromMs: number, toMs: number): number {
+        const sound = this.requests.filter(({ parts, sentMs }) =>
+            sentMs >= fromMs && sentMs < toMs && !parts.some(part => this.badParts.has(part))
+        );
+        return sound.filter(({ reply }) => reply.text !== "" && reply.status === 200).length
+            / Math.max(1, sound.length);
+    }
+
+    public pause(durationMs: number): Promise<void> {
+        return new Promise(resolve => this.clock.setTimer(durationMs, resolve));
+    }
+
+    public addressOf(index: number): Address {
+        return branded<Address>(`10.9.${Math.floor(index / 200)}.${index % 200 + 1}:7340`);
+    }
+
+    public dataCentreOf(index: number): DataCentreId {
+        return branded<DataCentreId>(`centre-${index % (this.options.dataCentres ?? 1)}`);
+    }
+
+    public serverAt(address: Address): FleetServer | undefined {
+        return this.servers.find(server => server.address === address);
+    }
+
+    public deliver(from: Address, to: Address, bytes: Uint8Array): void {
+        const receiver = this.entries.findIndex((_, index) => this.addressOf(index) === to);
+        const sender = this.entries.findIndex((_, index) => this.addressOf(index) === from);
+        if (receiver >= 0 && !this.isLost(sender, receiver)) {
+            this.clock.setTimer(
+                DATAGRAM_DELAY_MS,
+                () => this.entries[receiver]?.exchange.receive(from, bytes),
+            );
+        }
+    }
+
+    public [Symbol.dispose](): void {
+        for (const { exchange } of this.entries) {
+            exchange[Symbol.dispose]();
+        }
+    }
+
+    private publishedEntry(server: FleetServer): ReturnType<typeof serverEntry> {
+        return serverEntry(server.id, DRAFTS, { address: server.address });
+    }
+
+    private nameGroups(entry: FleetEntry): void {
+        const groups = [...new Set(this.servers.map(({ group }) => group))];
+        for (const tracked of entry.directory.all()) {
+            const group = this.serverAt(tracked.entry.address)?.group;
+            tracked.groupName = group && `group-${groups.indexOf(group)}`;
+        }
+    }
+}
