fix(direct): quarantine parts of prompts that crash the servers that answer them

What callers saw: requests that share one part of their prompts crashed model servers one after the other; a group of twelve re-formed every 4.5 s and refused half of all streams in between.

Cause: nothing remembered what had ended with a server. Each request with the part was sent, and sent again 2 ms after its server had crashed. Class: a request that kills what serves it, passed on by a fleet in which each instance sees too few of them.

Change: - An attempt that ends before its answer is under way makes the entry open one connection to the server. If it is refused, the prompt's shared parts become evidence, and the request is sent on only if all its parts have been sound before. - PromptQuarantine judges from the evidence of all instances: independent crashes accuse a part, an answer under way clears it, and its share among the remaining suspects is its blame. Two crashes suffice; parts that are always together are refused only together, and parts that most requests hold are never refused. One trial after 10 minutes, later after each further crash. - NewsSpreader tells fresh evidence to twelve instances at random, each of which passes it on; reports repeat samples of it. - The caller gets 503 with the true time to return: nothing has run, and a status that callers take for final would be wrong for a part that was accused by chance.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -272,8 +272,9 @@
         revision: () => store.revision,
         configurationVersion: () => store.configuration?.configuration.version ?? 0,
         openedConnections: () => upstreams.opened,
+        quarantinedParts: () => context.quarantine.parts.length,
     });
-    const context = new DirectContext({
+    const context: DirectContext = new DirectContext({
         runtime,
         settings,
         headers,
@@ -291,6 +292,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
+            news: context.quarantine,
             fetchState: async (peer, signal) => {
                 const state = await fetchState(peer, signal);
                 // The platform has not told this instance: its connection may have gone silent.
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -19,6 +19,8 @@
     readonly configurationVersion: () => number;
     /** Number of connections to backend servers opened so far. */
     readonly openedConnections: () => number;
+    /** Number of prompt parts in quarantine. */
+    readonly quarantinedParts: () => number;
 }
 
 /**
@@ -70,6 +72,17 @@
         labelNames: ["service", "result"],
         registers,
     });
+    const crashReports = new Counter({
+        name: "magnolialock_crash_reports_total",
+        help:
+            "Requests of this instance that ended with their backend server before their answer was under way",
+        registers,
+    });
+    const quarantined = new Counter({
+        name: "magnolialock_quarantined_calls_total",
+        help: "Requests refused because a part of their prompt is in quarantine",
+        registers,
+    });
     const gauge = (name: string, help: string, read: () => number): void => {
         new Gauge({
             name,
@@ -93,6 +106,7 @@
         "Connections opened to backend servers",
         readers.openedConnections,
     );
+    gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
     return {
         countCall: (result, service, status, durationMs) => {
             calls.inc({ result, service, status });
@@ -100,6 +114,8 @@
         },
         observeFirstByte: (service, latencyMs) => firstBytes.observe({ service }, latencyMs / MS_PER_SECOND),
         countAttempt: (service, result) => attempts.inc({ service, result }),
+        countCrashReport: () => crashReports.inc(),
+        countQuarantined: () => quarantined.inc(),
         text: () => registry.metrics(),
         contentType: registry.contentType,
     };
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -6,10 +6,11 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, errorMessage } from "@magnolialock/kernel";
-import type { Socket } from "node:net";
+import { type Address, type Clock, errorMessage, sleep, splitAddress } from "@magnolialock/kernel";
+import { connect, type Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type {
+    ProbeResult,
     UpstreamCall,
     UpstreamClient,
     UpstreamConsumer,
@@ -96,6 +97,7 @@
 /** Connection pool for all backend servers. */
 export class ServerConnections implements UpstreamClient, Disposable {
     private readonly idle = new Map<string, ServerConnection[]>();
+    private readonly probes = new Map<Address, Promise<ProbeResult>>();
     private openedCount = 0;
 
     /** @param clock - source of time */
@@ -167,6 +169,17 @@
         };
     }
 
+    /** {@inheritDoc UpstreamClient.probe} */
+    public async probe(address: Address): Promise<ProbeResult> {
+        let probe = this.probes.get(address);
+        if (!probe) {
+            probe = this.connectOnce(address);
+            this.probes.set(address, probe);
+            void probe.then(() => this.probes.delete(address));
+        }
+        return probe;
+    }
+
     /** {@inheritDoc UpstreamClient.closeIdle} */
     public closeIdle(server: string): void {
         this.idle.get(server)?.forEach(connection => connection.close());
@@ -180,6 +193,27 @@
         }
     }
 
+    private async connectOnce(address: Address): Promise<ProbeResult> {
+        const { host, port } = splitAddress(address);
+        const socket = connect({ host, port });
+        const ended = new AbortController();
+        const connected = new Promise<ProbeResult>(resolve => {
+            socket.once("connect", () => resolve("accepted"));
+            // A connection that the server resets at once was accepted; other errors leave it open.
+            socket.once(
+                "error",
+                (error: NodeJS.ErrnoException) =>
+                    resolve(error.code === "ECONNREFUSED" ? "refused" : "silent"),
+            );
+        });
+        const timeout = sleep(this.clock, CONNECT_TIMEOUT_MS, ended.signal)
+            .then((): ProbeResult => "silent", (): ProbeResult => "silent");
+        const result = await Promise.race([connected, timeout]);
+        ended.abort();
+        socket.destroy();
+        return result;
+    }
+
     private acquire(server: string, address: Address, maxIdleMs: number): ServerConnection {
         const idle = this.idle.get(server) ?? [];
         const minIdleSinceMs = this.clock.nowMs() - maxIdleMs;
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -17,6 +17,7 @@
     CallerReply,
     FlatHeaders,
     IncomingCall,
+    ProbeResult,
     ResponseHead,
     UpstreamCall,
     UpstreamClient,
@@ -353,6 +354,10 @@
         return call;
     }
 
+    public async probe(_address: Address): Promise<ProbeResult> {
+        return "accepted";
+    }
+
     public closeIdle(): void {}
 
     /** Sends a request; `done` settles once the entry has finished it. */
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -10,7 +10,7 @@
     type RandomSource,
 } from "@magnolialock/kernel";
 import { VirtualClock } from "@magnolialock/test-support";
-import type { UpstreamCall, UpstreamConsumer, UpstreamRequest } from "../../types/call.ts";
+import type { ProbeResult, UpstreamCall, UpstreamConsumer, UpstreamRequest } from "../../types/call.ts";
 import type { ServiceSpec } from "../../types/publishedState.ts";
 import { PeerExchange } from "../peerExchange.ts";
 import {
@@ -36,6 +36,7 @@
 /** Time that a group takes to form once all its ranks are back, in milliseconds. */
 const FORM_MS = 600;
 const DATAGRAM_DELAY_MS = 1;
+const EXPERTS = { sets: 1, experts: 4, placesPerRank: 2, newPerPreparation: 1, copyMs: 10 };
 
 interface FleetGroup {
     crashedMs: number;
@@ -221,6 +222,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
+            news: context.quarantine,
             fetchState: async () => store.export(),
         });
         void this.exchange.run({
@@ -242,7 +244,7 @@
     }
 
     /** Tells whether a connection to an address is accepted. */
-    public async probe(address: Address): Promise<"accepted" | "refused" | "silent"> {
+    public override async probe(address: Address): Promise<ProbeResult> {
         await this.owner.pause(DATAGRAM_DELAY_MS);
         return this.owner.serverAt(address)?.isUp ? "accepted" : "refused";
     }
@@ -286,6 +288,7 @@
     public readonly requests: FleetRequest[] = [];
     /** Returns whether a datagram between two entries is lost. */
     public isLost: (from: number, to: number) => boolean = () => false;
+    private readonly indexes = new Map<Address, number>();
     private nextRequest = 1;
     private readonly spec: ServiceSpec;
 
@@ -299,15 +302,21 @@
                 new FleetServer(this, `server-${index}`, address, groups[index % (groupCount || 1)]),
             );
         }
-        this.spec = serviceSpec(DRAFTS, { engine: { experts: undefined } });
+        this.spec = serviceSpec(DRAFTS, { engine: { experts: groupCount > 0 ? EXPERTS : undefined } });
         for (let index = 0; index < options.instances; index++) {
             this.startEntry(index);
         }
+        // A fleet of that size has been running for long.
+        const addresses = this.entries.map((_, index) => this.addressOf(index));
+        for (const { exchange } of this.entries) {
+            exchange.addSeeds(addresses);
+        }
     }
 
     /** Replaces an entry by a new process that knows nothing yet. */
     public startEntry(index: number): void {
         this.entries[index]?.exchange[Symbol.dispose]();
+        this.indexes.set(this.addressOf(index), index);
         const entry = new FleetEntry(this, index, this.spec);
         this.entries[index] = entry;
         for (const server of this.servers) {
@@ -383,9 +392,9 @@
     }
 
     public deliver(from: Address, to: Address, bytes: Uint8Array): void {
-        const receiver = this.entries.findIndex((_, index) => this.addressOf(index) === to);
-        const sender = this.entries.findIndex((_, index) => this.addressOf(index) === from);
-        if (receiver >= 0 && !this.isLost(sender, receiver)) {
+        const receiver = this.indexes.get(to);
+        const sender = this.indexes.get(from);
+        if (receiver !== undefined && sender !== undefined && !this.isLost(sender, receiver)) {
             this.clock.setTimer(
                 DATAGRAM_DELAY_MS,
                 () => this.entries[receiver]?.exchange.receive(from, bytes),
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -34,6 +34,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
+            news: context.quarantine,
             fetchState: async () => {
                 this.fetches++;
                 return this.state ?? { revision: branded<Revision>(0), items: [] };
--- a/packages/direct/src/shared/callMetrics.ts
+++ b/packages/direct/src/shared/callMetrics.ts
@@ -32,6 +32,10 @@
      * @param result - how it ended
      */
     countAttempt(service: string, result: string): void;
+    /** Counts a server that ended before the answer to a request was under way. */
+    countCrashReport(): void;
+    /** Counts a request that was refused because a part of its prompt is in quarantine. */
+    countQuarantined(): void;
 }
 
 /** Discards all measurements. */
@@ -39,4 +43,6 @@
     countCall: () => {},
     observeFirstByte: () => {},
     countAttempt: () => {},
+    countCrashReport: () => {},
+    countQuarantined: () => {},
 };
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -13,6 +13,7 @@
 import { toCallerHead } from "./callHeaders.ts";
 import { CallLog, type CallProgress } from "./callLog.ts";
 import { chooseServer } from "./chooseServer.ts";
+import { CrashGuard } from "./crashGuard.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
 import { serverEjected } from "./directEvents.ts";
 import type { GroupHealth } from "./groupHealth.ts";
@@ -54,12 +55,15 @@
     private readonly state: ServiceState;
     private readonly progress: CallProgress;
     private readonly log: CallLog;
+    private readonly guard: CrashGuard;
     private readonly tried = new Set<TrackedServer>();
     private readonly deadlineMs: number;
     private readonly callerDeadlineMs: number;
     private unsentAttempts = 0;
     private isGroupDown = false;
     private isRefusedByQueue = false;
+    private isUnderWay = false;
+    private quarantineMs: number | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer; } | undefined;
 
     /**
@@ -92,6 +96,7 @@
             cursor: createStreamCursor(call, headers.lastEventId),
         };
         this.log = new CallLog(context, call, admitted, this.progress);
+        this.guard = new CrashGuard(context, call, admitted);
     }
 
     private get cursor(): StreamCursor {
@@ -133,6 +138,10 @@
     private async runStep(signal: AbortSignal): Promise<NextStep> {
         const { groups } = this.state;
         const candidates = this.candidates();
+        const refused = this.refuseQuarantined();
+        if (refused) {
+            return refused;
+        }
         if (!this.admitted.spec?.engine) {
             return this.attemptOnServer(candidates, signal);
         }
@@ -200,14 +209,43 @@
         servers: readonly TrackedServer[],
         signal: AbortSignal,
     ): Promise<NextStep> {
+        const refused = this.refuseQuarantined();
+        if (refused) {
+            return refused;
+        }
         const server = this.selectServer(servers);
         if (!server) {
             return { kind: "stop", reason: "no backend server can take the request now" };
         }
+        const sentMs = this.nowMs;
+        this.isUnderWay = false;
         const outcome = await this.sendAttempt(server, signal);
+        const mayBeCrash = outcome.kind === "broken" && !this.isUnderWay && !signal.aborted;
+        if (mayBeCrash && await this.guard.suspectsRequest(server, sentMs)) {
+            this.progress.sentAttempts++;
+            this.progress.mayHaveRun = true;
+            this.log.attemptFailed(server, outcome);
+            return { kind: "stop", reason: "the backend server ended as it began the answer" };
+        }
         return this.handleOutcome(server, outcome);
     }
 
+    /** Refuses the request if a part of its prompt is in quarantine; the verdict may come while it waits. */
+    private refuseQuarantined(): NextStep | undefined {
+        const decision = this.guard.check();
+        if (decision.kind !== "refused") {
+            return undefined;
+        }
+        this.quarantineMs = decision.retryAfterMs;
+        this.context.options.metrics.countQuarantined();
+        return { kind: "stop", reason: `servers end as they answer prompts with part ${decision.part}` };
+    }
+
+    private recordUnderWay(): void {
+        this.isUnderWay = true;
+        this.guard.recordUnderWay();
+    }
+
     private selectServer(servers: readonly TrackedServer[]): TrackedServer | undefined {
         const { runtime, settings } = this.context.options;
         const choice = {
@@ -246,8 +284,12 @@
             signal: timeout.signal,
             onFirstByte: () => this.recordFirstByte(group),
             onBytes: () => group.recordBytes(),
+            onUnderWay: () => this.recordUnderWay(),
         });
         group.end();
+        if (outcome.kind === "streamed" || outcome.kind === "whole" && outcome.head.status === HTTP_OK) {
+            this.recordUnderWay();
+        }
         const isServerError = outcome.kind === "whole" && outcome.head.status >= HTTP_SERVER_ERROR;
         const isFailure = outcome.kind === "broken" || outcome.kind === "notSent" || isServerError;
         tracked.end(isFailure && !signal.aborted ? "failed" : "ended");
@@ -388,6 +430,9 @@
 
     private retryAfterMs(remainingMs: number): number {
         const { admissionQueue, groups } = this.state;
+        if (this.quarantineMs !== undefined) {
+            return this.quarantineMs;
+        }
         if (this.isGroupDown || this.isRefusedByQueue) {
             return (this.isGroupDown ? groups : admissionQueue).retryAfterMs(remainingMs);
         }
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -14,6 +14,7 @@
 import type { CallMetrics } from "./callMetrics.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
+import { PromptQuarantine } from "./promptQuarantine.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
@@ -89,6 +90,8 @@
     public readonly options: DirectContextOptions;
     /** Memory of the responses that are being buffered. */
     public readonly responseBuffers = new ResponseBuffers();
+    /** Parts of prompts that crash servers. */
+    public readonly quarantine: PromptQuarantine;
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
     private readonly services = new Map<ServiceName, ServiceState>();
@@ -99,6 +102,13 @@
         this.options = options;
         this.bounds = options.settings.bounds;
         this.allotment = new FleetAllotment(options.settings.instance, options.fleet);
+        const { clock, events, random } = options.runtime;
+        this.quarantine = new PromptQuarantine({
+            clock,
+            events,
+            random,
+            isTrialInstance: part => this.allotment.unitsOf(`trial of ${part}`, 1) > 0,
+        });
     }
 
     /**
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -201,6 +201,32 @@
     summary: "An attempt at a backend server ended without a complete response.",
 });
 
+/** A server ended before an answer was under way. */
+export const crashReported = defineEvent({
+    number: 8050,
+    name: "direct.crash.reported",
+    level: "warning",
+    summary:
+        "A backend server no longer accepts connections after an attempt there broke off before its answer was under way; the prompt's parts count as evidence.",
+});
+
+/** A part of prompts was put into quarantine. */
+export const promptPartQuarantined = defineEvent({
+    number: 8051,
+    name: "direct.prompt-part.quarantined",
+    level: "warning",
+    summary: "Servers ended as they began answers on a part of prompts; requests with it are refused.",
+});
+
+/** A part of prompts is sound again. */
+export const promptPartCleared = defineEvent({
+    number: 8052,
+    name: "direct.prompt-part.cleared",
+    level: "info",
+    summary:
+        "A part of prompts is no longer in quarantine: an answer on it is under way, or the evidence is old.",
+});
+
 /** Another instance was found. */
 export const peerFound = defineEvent({
     number: 8040,
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -19,12 +19,20 @@
     timeoutSignal,
 } from "@magnolialock/kernel";
 import type { DirectSettings } from "../types/directSettings.ts";
+import type { NewsSource } from "../types/peerNews.ts";
 import type { PublishedState } from "../types/publishedState.ts";
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
 import { peerFetchFailed, peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
 import type { FleetView } from "./fleetAllotment.ts";
 import type { GroupHealth } from "./groupHealth.ts";
-import { decodePeerReport, encodePeerReport, type PeerReport, reportKey } from "./peerReport.ts";
+import { NewsSpreader } from "./newsSpreader.ts";
+import {
+    decodePeerReport,
+    encodePeerNews,
+    encodePeerReport,
+    type PeerReport,
+    reportKey,
+} from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 
@@ -40,6 +48,8 @@
     readonly directory: ServerDirectory;
     /** Returns the states of the services, by name. */
     readonly services: () => ReadonlyMap<string, ServiceState>;
+    /** News that the instances tell each other. */
+    readonly news: NewsSource;
     /**
      * Fetches the published state that another instance knows.
      *
@@ -108,6 +118,7 @@
     private readonly unconfirmed = new Set<Address>();
     private currentFleet: FleetView | undefined;
     private readonly stopping = new AbortController();
+    private spreader: NewsSpreader | undefined;
     private behindSinceMs: number | undefined;
     private isFetching = false;
     private reportCount = 0;
@@ -173,6 +184,12 @@
             events.emit(peerUnreadable, { from, bytes: bytes.length });
             return;
         }
+        if (report.news) {
+            this.options.news.applyNews(report.news);
+        }
+        if (report.isNewsOnly) {
+            return;
+        }
         const known = this.peers.get(from);
         if (!known?.isAlive || known.report.incarnation !== report.incarnation) {
             const { instance, incarnation, revision } = report;
@@ -182,6 +199,9 @@
             this.currentFleet = undefined;
         }
         this.peers.set(from, { report, lastReportMs: clock.nowMs(), isAlive: true });
+        if (known?.report.incarnation !== report.incarnation) {
+            this.spreader?.greet(from);
+        }
         this.addSeeds(report.members);
         this.unconfirmed.delete(from);
         const groups = groupsByReportKey(this.options.services());
@@ -198,6 +218,7 @@
     public async run(socket: DatagramSocket): Promise<void> {
         const { clock, random } = this.options.runtime;
         const { signal } = this.stopping;
+        this.spreader = this.createSpreader(socket);
         while (!signal.aborted) {
             this.expirePeers();
             this.updatePeerLoad();
@@ -210,6 +231,29 @@
     /** Stops the exchange. */
     public [Symbol.dispose](): void {
         this.stopping.abort();
+        this.spreader?.[Symbol.dispose]();
+    }
+
+    private createSpreader(socket: DatagramSocket): NewsSpreader {
+        const { news, runtime, settings, store } = this.options;
+        const { dataCentre, instance } = settings;
+        return new NewsSpreader({
+            clock: runtime.clock,
+            random: runtime.random,
+            news,
+            peers: () => [...this.peers.keys()],
+            send: (to, toSend) => {
+                const sender = {
+                    instance,
+                    incarnation: this.incarnation,
+                    dataCentre,
+                    revision: store.revision,
+                };
+                const datagrams = encodePeerNews(sender, toSend);
+                datagrams.forEach(bytes => socket.send(to, bytes));
+                return datagrams.reduce((sum, { length }) => sum + length, 0);
+            },
+        });
     }
 
     private expirePeers(): void {
@@ -270,10 +314,16 @@
             groupUpMs,
             members: shuffled(random, known).slice(0, MEMBERS_PER_REPORT),
             heardInstances: this.peers.size + 1,
+            news: this.options.news.sampleNews(),
         };
         let bytes = encodePeerReport(report);
         if (bytes.length > MAX_DATAGRAM_BYTES) {
-            bytes = encodePeerReport({ ...report, members: [], running: busiestServers(running) });
+            bytes = encodePeerReport({
+                ...report,
+                members: [],
+                news: undefined,
+                running: busiestServers(running),
+            });
         }
         const receivers = this.selectReceivers(includesRemote);
         for (const receiver of receivers) {
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create, fromBinary, type MessageInitShape, toBinary } from "@bufbuild/protobuf";
 import {
     type Address,
     branded,
@@ -14,9 +14,16 @@
     type IncarnationId,
     type InstanceId,
     isAddress,
+    MAX_DATAGRAM_BYTES,
     type Revision,
 } from "@magnolialock/kernel";
-import { type DirectReport, DirectReportSchema } from "@magnolialock/protocol";
+import {
+    type DirectReport,
+    DirectReportSchema,
+    type PeerNews as NewsMessage,
+    type PeerNewsSchema,
+} from "@magnolialock/protocol";
+import type { PeerNews } from "../types/peerNews.ts";
 
 /** Report of one instance. */
 export interface PeerReport {
@@ -42,6 +49,10 @@
     readonly members: readonly Address[];
     /** Number of instances that it has heard from, itself included. */
     readonly heardInstances: number;
+    /** News; undefined if there are none. */
+    readonly news?: PeerNews | undefined;
+    /** Whether the datagram holds only news, and the fields of a report mean nothing. */
+    readonly isNewsOnly?: boolean;
 }
 
 /**
@@ -72,9 +83,72 @@
             sinceGroupUpMs: [...report.groupUpMs.values()],
             members: [...report.members],
             heardInstances: report.heardInstances,
+            ...(report.news ? { news: toMessage(report.news) } : {}),
+            isNewsOnly: report.isNewsOnly ?? false,
         }),
     );
 
+/** Largest age in a datagram, in milliseconds. */
+const MAX_AGE_MS = 2 ** 31;
+
+const toAge = (ageMs: number): number => Math.round(Math.min(MAX_AGE_MS, Math.max(0, ageMs)));
+
+const toMessage = ({ crashes, soundParts }: PeerNews): MessageInitShape<typeof PeerNewsSchema> => ({
+    crashes: crashes.map(({ ageMs, id, parts, sentBeforeMs, servedBeforeMs, server }) => ({
+        id,
+        server,
+        ageMs: toAge(ageMs),
+        sentBeforeMs: toAge(sentBeforeMs),
+        servedBeforeMs: toAge(servedBeforeMs),
+        parts: [...parts],
+    })),
+    soundParts: [...soundParts].map(([part, ageMs]) => ({ part, ageMs: toAge(ageMs) })),
+});
+
+const fromMessage = ({ crashes, soundParts }: NewsMessage): PeerNews => ({
+    crashes,
+    soundParts: new Map(soundParts.map(({ ageMs, part }) => [part, ageMs])),
+});
+
+/** Halves of news that do not fit into one datagram. */
+const halve = ({ crashes, soundParts }: PeerNews): PeerNews[] => {
+    const sound = [...soundParts];
+    const crashCount = Math.ceil(crashes.length / 2);
+    const soundCount = Math.ceil(sound.length / 2);
+    return [
+        { crashes: crashes.slice(0, crashCount), soundParts: new Map(sound.slice(soundCount)) },
+        { crashes: crashes.slice(crashCount), soundParts: new Map(sound.slice(0, soundCount)) },
+    ];
+};
+
+/**
+ * Encodes news in datagrams of their own.
+ *
+ * @param sender - the instance that sends them
+ * @param news - the news
+ * @returns the datagrams, each of at most {@link MAX_DATAGRAM_BYTES}
+ */
+export const encodePeerNews = (
+    sender: Pick<PeerReport, "instance" | "incarnation" | "dataCentre" | "revision">,
+    news: PeerNews,
+): Uint8Array[] => {
+    const size = news.crashes.length + news.soundParts.size;
+    if (size === 0) {
+        return [];
+    }
+    const report = {
+        running: new Map(),
+        groupUpMs: new Map(),
+        members: [],
+        heardInstances: 0,
+        isNewsOnly: true,
+    };
+    const bytes = encodePeerReport({ ...sender, ...report, news });
+    return bytes.length <= MAX_DATAGRAM_BYTES || size === 1
+        ? [bytes]
+        : halve(news).flatMap(half => encodePeerNews(sender, half));
+};
+
 const zip = (keys: readonly number[], values: readonly number[]): ReadonlyMap<number, number> =>
     new Map(keys.map((key, index) => [key, values[index] ?? 0]));
 
@@ -105,5 +179,7 @@
         groupUpMs: zip(report.groupHashes, report.sinceGroupUpMs),
         members: members.filter((member): member is Address => isAddress(member)),
         heardInstances,
+        news: report.news && fromMessage(report.news),
+        isNewsOnly: report.isNewsOnly,
     };
 };
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -80,6 +80,8 @@
     readonly onFirstByte: () => void;
     /** Called whenever bytes of the response arrive. */
     readonly onBytes: () => void;
+    /** Called once the answer has gone on for a few events, or is complete. */
+    readonly onUnderWay: () => void;
 }
 
 /** How an attempt ended. */
@@ -102,6 +104,8 @@
     | { readonly kind: "broken"; readonly message: string; };
 
 const HTTP_OK = 200;
+/** Events after which an answer is under way: a server that cannot write it ends at its first tokens. */
+const EVENTS_UNDER_WAY = 4;
 
 /** Handles the response of one attempt. */
 class ResponseHandler implements UpstreamConsumer, BufferedResponse {
@@ -121,6 +125,7 @@
     private bufferedBytes = 0;
     private readonly sentMs: number;
     private hasFirstByte = false;
+    private eventCount = 0;
 
     public constructor(options: AttemptOptions) {
         this.options = options;
@@ -197,6 +202,10 @@
                 cursor.longestGapMs = Math.max(cursor.longestGapMs, nowMs - cursor.lastEventMs);
             }
             cursor.eventCount++;
+            this.eventCount++;
+            if (this.eventCount === EVENTS_UNDER_WAY) {
+                this.options.onUnderWay();
+            }
             cursor.lastEventMs = nowMs;
             if (!reply.write(event.bytes)) {
                 this.upstream?.pause();
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -132,6 +132,9 @@
     resume(): void;
 }
 
+/** Whether a backend server accepts a connection; a silent one neither accepts nor refuses it in time. */
+export type ProbeResult = "accepted" | "refused" | "silent";
+
 /** Client for requests to backend servers. */
 export interface UpstreamClient {
     /**
@@ -148,6 +151,12 @@
         request: UpstreamRequest,
         consumer: UpstreamConsumer,
     ): UpstreamCall;
+    /**
+     * Opens a connection to a backend server and closes it again, without a request.
+     *
+     * @param address - address of the backend server
+     */
+    probe(address: Address): Promise<ProbeResult>;
     /**
      * Closes the idle connections to a backend server that was removed.
      *
