--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -227,6 +227,14 @@
         "A part of prompts is no longer in quarantine: an answer on it is under way, or the evidence is old.",
 });
 
+/** A request with a quarantined part was sent. */
+export const promptPartTried = defineEvent({
+    number: 8053,
+    name: "direct.prompt-part.tried",
+    level: "info",
+    summary: "A request was sent to find out whether a part of prompts in quarantine is sound again.",
+});
+
 /** Another instance was found. */
 export const peerFound = defineEvent({
     number: 8040,
--- a/packages/direct/src/shared/newsSpreader.ts
+++ b/packages/direct/src/shared/newsSpreader.ts
@@ -29,8 +29,8 @@
     readonly send: (to: Address, news: PeerNews) => number;
 }
 
-/** Instances that are told fresh news: with twelve, all of a thousand instances hear them but for one chance in 200. */
-const FANOUT = 12;
+/** Instances that are told fresh news: with eight, one in 3,000 does not hear them and waits for a report. */
+const FANOUT = 8;
 /** Time for which news are collected before they are sent, in milliseconds. */
 const BATCH_MS = 10;
 /** Bytes per second that one instance may send as news, beside its reports. */
--- a/packages/direct/src/shared/promptQuarantine.ts
+++ b/packages/direct/src/shared/promptQuarantine.ts
@@ -17,7 +17,7 @@
 import { type Clock, type EventLog, type RandomSource, shuffled } from "@magnolialock/kernel";
 import { LRUCache } from "lru-cache";
 import type { CrashNotice, NewsSource, PeerNews } from "../types/peerNews.ts";
-import { promptPartCleared, promptPartQuarantined } from "./directEvents.ts";
+import { promptPartCleared, promptPartQuarantined, promptPartTried } from "./directEvents.ts";
 import { RecentParts } from "./recentParts.ts";
 
 /** Options of a {@link PromptQuarantine}. */
@@ -429,6 +429,7 @@
             return false;
         }
         this.trialMs.set(part, nowMs);
+        this.options.events.emit(promptPartTried, { part, sinceDueMs: Math.round(nowMs - untilMs) });
         return true;
     }
 
