--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -52,6 +52,7 @@
     notRun: "x-not-run",
     refusingServer: "x-fault",
     promptParts: "x-parts",
+    serverLimit: "x-limit",
     queuePriority: "x-rank",
 };
 
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -10,7 +10,13 @@
     type RandomSource,
 } from "@magnolialock/kernel";
 import { VirtualClock } from "@magnolialock/test-support";
-import type { ProbeResult, UpstreamCall, UpstreamConsumer, UpstreamRequest } from "../../types/call.ts";
+import type {
+    ProbeResult,
+    ResponseHead,
+    UpstreamCall,
+    UpstreamConsumer,
+    UpstreamRequest,
+} from "../../types/call.ts";
 import type { ServiceSpec } from "../../types/publishedState.ts";
 import { PeerExchange } from "../peerExchange.ts";
 import {
@@ -47,6 +53,8 @@
 export class FleetServer {
     public id: string;
     public isUp = true;
+    /** Limit that the server names in its answers, in requests per second; undefined if it names none. */
+    public limitPerS: number | undefined;
     public readonly running = new Set<FleetAttempt>();
     private life = 1;
 
@@ -185,10 +193,14 @@
         }
     }
 
-    private sendHead(status: number, headers: Record<string, string>): void {
+    private sendHead(status: number, headers: ResponseHead["headers"]): void {
         this.consumer.onHead({
             status,
-            headers: { ...headers, [NAMES.requestId]: this.header(NAMES.requestId) },
+            headers: {
+                ...headers,
+                [NAMES.requestId]: this.header(NAMES.requestId),
+                [NAMES.serverLimit]: this.server?.limitPerS?.toString(),
+            },
         });
     }
 }
@@ -366,6 +378,18 @@
         return this.arrivals.filter(({ atMs, parts }) => atMs > afterMs && parts.includes(part)).length;
     }
 
+    /** Largest number of requests that reached a server within any span of a length, after a time. */
+    public mostArrivals(server: FleetServer, spanMs: number, afterMs: number): number {
+        const times = this.arrivals.filter(({ atMs, server: name }) =>
+            name === server.name && atMs >= afterMs
+        )
+            .map(({ atMs }) => atMs);
+        return times.reduce((most, startMs, index) => {
+            const count = times.slice(index).findIndex(atMs => atMs > startMs + spanMs);
+            return Math.max(most, count < 0 ? times.length - index : count);
+        }, 0);
+    }
+
     /** Share of the requests of a time span, without the bad ones, whose answer began. */
     public begunShare(fromMs: number, toMs: number): number {
         const sound = this.requests.filter(({ parts, sentMs }) =>
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -26,6 +26,8 @@
     readonly refusingServer: string;
     /** Parts of the request's prompt, in order: a list of `<identifier>:<tokens>`. */
     readonly promptParts: string;
+    /** On responses: requests per second that the server takes from all instances together. */
+    readonly serverLimit: string;
     /** Priority in a model server's queue, 0 to {@link MAX_QUEUE_PRIORITY}; 0 is the most urgent. */
     readonly queuePriority: string;
 }
