fix(direct): keep the requests of all instances within the limits that servers name

What callers would see: a server in need names Server-Limit and gets more than that from all instances together, while it is slow already.

Cause: no code read the header. Class: a bound of the fleet that no instance can see alone, as FAILBACK; an equal share for each instance would be one request in minutes with 400 of them, and a burst of one each would break the bound at once.

Change: - ServerLimits reads the header of every answer that the server itself has made. Four parts of each limit go to the instances that rendezvous hashing puts first; the others send nothing. A part is one request at a time, refilled at a quarter of the rate, with phases at random. Whatever is sent counts: first attempts, repeats, resumed streams, what the server rejects. - Instances that have just started and know few others hold nothing (FleetAllotment.settledUnitsOf). - Beginning, change and end are passed on as news; a holder sends a request at least when the last sign is a second old, so that the end is seen. A limit under 0.1 a second is taken for 0.1. Headers that are no decimal number change nothing and are logged. - The admission queue counts only the slots that a limited server's requests can occupy; what no limit lets through is refused at once, with the time until the fleet may send again. - News share one budget of bytes with the reports, and their datagrams hold no identity.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -272,6 +272,7 @@
         revision: () => store.revision,
         configurationVersion: () => store.configuration?.configuration.version ?? 0,
         openedConnections: () => upstreams.opened,
+        limitedServers: () => context.limits.size,
         quarantinedParts: () => context.quarantine.parts.length,
     });
     const context: DirectContext = new DirectContext({
@@ -292,7 +293,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
-            news: context.quarantine,
+            news: context.news,
             fetchState: async (peer, signal) => {
                 const state = await fetchState(peer, signal);
                 // The platform has not told this instance: its connection may have gone silent.
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -19,6 +19,8 @@
     readonly configurationVersion: () => number;
     /** Number of connections to backend servers opened so far. */
     readonly openedConnections: () => number;
+    /** Number of backend servers that name a limit. */
+    readonly limitedServers: () => number;
     /** Number of prompt parts in quarantine. */
     readonly quarantinedParts: () => number;
 }
@@ -106,6 +108,7 @@
         "Connections opened to backend servers",
         readers.openedConnections,
     );
+    gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
     gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
     return {
         countCall: (result, service, status, durationMs) => {
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -143,6 +143,7 @@
 export const fleetOf = (size: number, own = "entry-1"): FleetView => ({
     others: Array.from({ length: size }, (_, index) => `entry-${index + 1}`).filter(name => name !== own),
     size,
+    isSettled: true,
 });
 
 /** An attempt that arrived at a backend server. */
@@ -318,14 +319,22 @@
             directory: this.directory,
             upstreams: this,
             metrics: noCallMetrics,
-            fleet: () => this.fleet,
-            peerDataCentres: () => this.peerDataCentres,
+            fleet: () => this.knownFleet(),
+            peerDataCentres: () => this.knownDataCentres(),
         });
         if (start !== "none") {
             this.publish("config", { kind: "configuration", configuration: start });
         }
     }
 
+    protected knownFleet(): FleetView {
+        return this.fleet;
+    }
+
+    protected knownDataCentres(): readonly DataCentreId[] {
+        return this.peerDataCentres;
+    }
+
     public publish(key: string, content: ItemContent): void {
         const revision = branded<Revision>(++this.revision);
         const text = String(revision);
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -18,6 +18,7 @@
     UpstreamRequest,
 } from "../../types/call.ts";
 import type { ServiceSpec } from "../../types/publishedState.ts";
+import type { FleetView } from "../fleetAllotment.ts";
 import { PeerExchange } from "../peerExchange.ts";
 import {
     configuration,
@@ -234,7 +235,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
-            news: context.quarantine,
+            news: context.news,
             fetchState: async () => store.export(),
         });
         void this.exchange.run({
@@ -246,6 +247,14 @@
         });
     }
 
+    protected override knownFleet(): FleetView {
+        return this.exchange.fleet;
+    }
+
+    protected override knownDataCentres(): readonly DataCentreId[] {
+        return this.exchange.aliveDataCentres;
+    }
+
     public override start(
         _server: string,
         address: Address,
--- a/packages/direct/src/shared/__tests__/fleetLimits.spec.ts
+++ b/packages/direct/src/shared/__tests__/fleetLimits.spec.ts
@@ -62,7 +62,9 @@
             : index % 3 === 1
             ? all.slice(0, size - 10)
             : [...all, "entry-gone-1", "entry-gone-2"];
-        return entryOf(name, { others, size: Math.max(size - 10, others.length + 1) }, 72);
+        const known = others.length + 1;
+        const view = { others, size: Math.max(size - 10, known), isSettled: known >= size * 0.85 };
+        return entryOf(name, view, 72);
     });
     const starts = sumByServer(fixtures, (fixture, server) => fixture.context.maxStartsPerS(server));
     for (const [server, sum] of starts) {
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -34,7 +34,7 @@
             store,
             directory,
             services: () => context.serviceStates(),
-            news: context.quarantine,
+            news: context.news,
             fetchState: async () => {
                 this.fetches++;
                 return this.state ?? { revision: branded<Revision>(0), items: [] };
--- a/packages/direct/src/shared/__tests__/promptQuarantine.spec.ts
+++ b/packages/direct/src/shared/__tests__/promptQuarantine.spec.ts
@@ -183,8 +183,10 @@
     }
     t.true(fixture.quarantine.reportCount <= 128);
     t.is(fixture.decision("bad"), "refused");
-    const sender = { instance: "entry-1", incarnation: "1", dataCentre: "here", revision: 1 };
-    const datagrams = encodePeerNews(sender as never, fixture.quarantine.allNews());
+    const datagrams = encodePeerNews({
+        ...fixture.quarantine.allNews(),
+        limits: new Map(),
+    });
     t.true(datagrams.every(({ length }) => length <= 1_200));
 });
 
--- a/packages/direct/src/shared/admissionQueue.ts
+++ b/packages/direct/src/shared/admissionQueue.ts
@@ -133,6 +133,11 @@
         return this.runningCalls;
     }
 
+    /** Moving average of the time for which a served request holds its slot, in milliseconds. */
+    public get meanDurationMs(): number {
+        return this.meanRunMs;
+    }
+
     /**
      * Waits for a slot.
      *
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -64,6 +64,7 @@
     private isRefusedByQueue = false;
     private isUnderWay = false;
     private quarantineMs: number | undefined;
+    private limitWaitMs: number | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer; } | undefined;
 
     /**
@@ -215,6 +216,7 @@
         }
         const server = this.selectServer(servers);
         if (!server) {
+            this.limitWaitMs = this.context.limits.retryAfterMs(servers, this.callerDeadlineMs - this.nowMs);
             return { kind: "stop", reason: "no backend server can take the request now" };
         }
         const sentMs = this.nowMs;
@@ -252,6 +254,8 @@
             dataCentre: settings.dataCentre,
             random: runtime.random,
             maxStartsPerS: (server: TrackedServer) => this.context.maxStartsPerS(server),
+            isWithinLimit: (server: TrackedServer) => this.context.limits.allows(server),
+            isLimitCheckDue: (server: TrackedServer) => this.context.limits.isCheckDue(server),
             tried: this.tried,
         };
         return chooseServer(servers, choice, this.admitted.spec?.engine === undefined);
@@ -263,6 +267,7 @@
         const wasEjected = server.health.isEjected;
         const tracked = server.health.begin();
         server.startRate.recordStart();
+        this.context.limits.recordStart(server);
         this.progress.lastServer = server;
         const mayRetry = this.isRepeatable && route.answer === "whole"
             && this.progress.sentAttempts + 1 < route.maxAttempts;
@@ -436,7 +441,8 @@
         if (this.isGroupDown || this.isRefusedByQueue) {
             return (this.isGroupDown ? groups : admissionQueue).retryAfterMs(remainingMs);
         }
-        return serverRetryAfterMs(this.context.options.runtime.random, this.tried.size > 0, remainingMs);
+        return this.limitWaitMs
+            ?? serverRetryAfterMs(this.context.options.runtime.random, this.tried.size > 0, remainingMs);
     }
 
     private recordAnswered(status: number): void {
--- a/packages/direct/src/shared/chooseServer.ts
+++ b/packages/direct/src/shared/chooseServer.ts
@@ -15,6 +15,10 @@
     readonly random: RandomSource;
     /** Returns how many requests this instance may start at a server per second. */
     readonly maxStartsPerS: (server: TrackedServer) => number;
+    /** Tells whether the limit that a server names leaves room for a request of this instance. */
+    readonly isWithinLimit: (server: TrackedServer) => boolean;
+    /** Tells whether a request is due that shows whether the limit of a server still holds. */
+    readonly isLimitCheckDue: (server: TrackedServer) => boolean;
     /** Servers that earlier attempts of this request used. */
     readonly tried: ReadonlySet<TrackedServer>;
 }
@@ -50,6 +54,7 @@
 ): TrackedServer | undefined => {
     const eligible = candidates.filter(server =>
         !context.tried.has(server) && server.startRate.allows(context.maxStartsPerS(server))
+        && context.isWithinLimit(server)
     );
     const healthy = eligible.filter(server => !server.health.isEjected);
     // A rank that is missing stalls its whole group, so another attempt goes to another group if there is one.
@@ -57,7 +62,9 @@
     const elsewhere = healthy.filter(({ groupName }) =>
         groupName !== undefined && !triedGroups.has(groupName)
     );
-    const preferred = elsewhere.length > 0 ? elsewhere : healthy;
+    const usual = elsewhere.length > 0 ? elsewhere : healthy;
+    const due = usual.filter(context.isLimitCheckDue);
+    const preferred = due.length > 0 ? due : usual;
     let best: TrackedServer | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     let ties = 0;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -14,10 +14,12 @@
 import type { CallMetrics } from "./callMetrics.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
+import { FleetNews } from "./fleetNews.ts";
 import { PromptQuarantine } from "./promptQuarantine.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
+import { ServerLimits } from "./serverLimits.ts";
 import { ServiceGroups } from "./serviceGroups.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
@@ -92,6 +94,10 @@
     public readonly responseBuffers = new ResponseBuffers();
     /** Parts of prompts that crash servers. */
     public readonly quarantine: PromptQuarantine;
+    /** Limits that backend servers name. */
+    public readonly limits: ServerLimits;
+    /** News for the other instances. */
+    public readonly news: FleetNews;
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
     private readonly services = new Map<ServiceName, ServiceState>();
@@ -103,12 +109,20 @@
         this.bounds = options.settings.bounds;
         this.allotment = new FleetAllotment(options.settings.instance, options.fleet);
         const { clock, events, random } = options.runtime;
+        this.limits = new ServerLimits({
+            clock,
+            events,
+            random,
+            header: options.headers.serverLimit,
+            unitsOf: (key, total) => this.allotment.settledUnitsOf(key, total),
+        });
         this.quarantine = new PromptQuarantine({
             clock,
             events,
             random,
             isTrialInstance: part => this.allotment.unitsOf(`trial of ${part}`, 1) > 0,
         });
+        this.news = new FleetNews(this.quarantine, this.limits);
     }
 
     /**
@@ -189,13 +203,21 @@
         const sum = (value: (server: TrackedServer) => number): number =>
             servers.reduce((total, server) => total + value(server), 0);
         return concurrencyLimit({
-            slots: sum(({ entry }) => entry.slots),
+            slots: sum(server => this.usableSlots(server)),
             ownRunning: sum(({ health }) => health.running),
             peerRunning: sum(({ peerRunning }) => peerRunning),
             share: shareOfFleet(settings.dataCentre, peerDataCentres()),
         });
     }
 
+    /** Slots of a server that the requests which its limit lets through can occupy. */
+    private usableSlots(server: TrackedServer): number {
+        const { service, slots } = server.entry;
+        const limitPerS = this.limits.limitOf(server);
+        const meanRunS = this.service(service).admissionQueue.meanDurationMs / MS_PER_SECOND;
+        return limitPerS === undefined ? slots : Math.min(slots, limitPerS * meanRunS);
+    }
+
     private retryBudgetShare(
         service: ServiceName,
     ): { readonly retriesPerS: number; readonly capacity: number; } {
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -235,6 +235,31 @@
     summary: "A request was sent to find out whether a part of prompts in quarantine is sound again.",
 });
 
+/** A server names a limit. */
+export const serverLimitNamed = defineEvent({
+    number: 8060,
+    name: "direct.server.limit-named",
+    level: "info",
+    summary: "A backend server names a limit on the requests of all instances, or has changed it.",
+});
+
+/** A server names no limit any more. */
+export const serverLimitEnded = defineEvent({
+    number: 8061,
+    name: "direct.server.limit-ended",
+    level: "info",
+    summary: "A backend server no longer names a limit on the requests of all instances.",
+});
+
+/** The limit of a server cannot be read. */
+export const serverLimitUnreadable = defineEvent({
+    number: 8062,
+    name: "direct.server.limit-unreadable",
+    level: "warning",
+    summary:
+        "The limit that a backend server names is no decimal number; what was known before stays in force.",
+});
+
 /** Another instance was found. */
 export const peerFound = defineEvent({
     number: 8040,
--- a/packages/direct/src/shared/fleetAllotment.ts
+++ b/packages/direct/src/shared/fleetAllotment.ts
@@ -18,6 +18,11 @@
     readonly others: readonly string[];
     /** Number of instances that may be alive, this one included; at least the number of known ones. */
     readonly size: number;
+    /**
+     * Whether nearly all instances are known by name. An instance that has just started knows few others, and
+     * would take itself for the first of them.
+     */
+    readonly isSettled: boolean;
 }
 
 interface CachedUnits {
@@ -28,7 +33,7 @@
 /** Computes this instance's part of the fleet's limits. */
 export class FleetAllotment {
     private readonly unitsByKey = new Map<string, CachedUnits>();
-    private view: FleetView = { others: [], size: 1 };
+    private view: FleetView = { others: [], size: 1, isSettled: false };
 
     /**
      * @param ownName - name of this instance, as the others know it
@@ -44,21 +49,51 @@
      * @returns units of this instance; 0 where others hold all of them
      */
     public unitsOf(key: string, total: number): number {
-        const view = this.readView();
-        if (view.others !== this.view.others || view.size !== this.view.size) {
-            this.view = view;
-            this.unitsByKey.clear();
-        }
+        this.refreshView();
         const cached = this.unitsByKey.get(key);
         if (cached?.total === total) {
             return cached.units;
         }
-        const wholePart = Math.floor(total / view.size);
-        const units = wholePart + (this.isInRemainder(key, total % view.size) ? 1 : 0);
+        const { size } = this.view;
+        const units = Math.floor(total / size) + (this.isInRemainder(key, total % size) ? 1 : 0);
         this.unitsByKey.set(key, { total, units });
         return units;
     }
 
+    /**
+     * Returns this instance's part of a limit that must not be exceeded by instances that have just started: they
+     * get nothing. The others divide the limit among the instances that they know.
+     *
+     * @param key - what is limited
+     * @param total - limit of all instances together, a whole number
+     */
+    public settledUnitsOf(key: string, total: number): number {
+        this.refreshView();
+        const { isSettled, others } = this.view;
+        if (!isSettled) {
+            return 0;
+        }
+        const known = others.length + 1;
+        const cacheKey = `settled ${key}`;
+        const cached = this.unitsByKey.get(cacheKey);
+        if (cached?.total === total) {
+            return cached.units;
+        }
+        const isInRemainder = this.precedes(key, total % known);
+        const units = Math.floor(total / known) + (isInRemainder ? 1 : 0);
+        this.unitsByKey.set(cacheKey, { total, units });
+        return units;
+    }
+
+    private refreshView(): void {
+        const view = this.readView();
+        const { isSettled, others, size } = this.view;
+        if (view.others !== others || view.size !== size || view.isSettled !== isSettled) {
+            this.view = view;
+            this.unitsByKey.clear();
+        }
+    }
+
     /**
      * Tells whether this instance is among the first for a key. While not all instances are known, fewer of the
      * known ones count, since unknown ones may come before them.
@@ -66,7 +101,12 @@
     private isInRemainder(key: string, remainder: number): boolean {
         const { others, size } = this.view;
         const known = others.length + 1;
-        const places = remainder * (known / size) ** 2;
+        return this.precedes(key, remainder * (known / size) ** 2);
+    }
+
+    /** Tells whether fewer of the known instances than there are places come before this one. */
+    private precedes(key: string, places: number): boolean {
+        const { others } = this.view;
         const seed = hash32(key);
         const ownWeight = hash32(this.ownName, seed);
         let precedingCount = 0;
--- a/packages/direct/src/shared/newsSpreader.ts
+++ b/packages/direct/src/shared/newsSpreader.ts
@@ -32,11 +32,11 @@
 /** Instances that are told fresh news: with eight, one in 3,000 does not hear them and waits for a report. */
 const FANOUT = 8;
 /** Time for which news are collected before they are sent, in milliseconds. */
-const BATCH_MS = 10;
-/** Bytes per second that one instance may send as news, beside its reports. */
-const NEWS_BYTES_PER_S = 1_500;
-/** Bytes of news that may be sent at once: a few rounds in a large fleet. */
-const BURST_BYTES = 4_000;
+const BATCH_MS = 50;
+/** Bytes per second that one instance may send as news; its reports wait for them. */
+const NEWS_BYTES_PER_S = 4_000;
+/** Bytes of news that may be sent at once: when many servers of a large fleet name limits at the same time. */
+const BURST_BYTES = 12_000;
 const MS_PER_SECOND = 1_000;
 
 /** Spreads the news of one instance. */
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -82,6 +82,8 @@
  * partitioned and still serve callers.
  */
 const FLEET_MEMBER_LIFETIME_MS = 60_000;
+/** Share of the fleet that an instance must know by name before it counts as settled. */
+const SETTLED_SHARE = 0.85;
 /** Smallest fleet size to assume: an instance that has not heard from any other may still be one of many. */
 const MIN_FLEET_SIZE = 8;
 /**
@@ -119,14 +121,18 @@
     private currentFleet: FleetView | undefined;
     private readonly stopping = new AbortController();
     private spreader: NewsSpreader | undefined;
+    private readonly startedMs: number;
     private behindSinceMs: number | undefined;
     private isFetching = false;
     private reportCount = 0;
     private reportPeriodMs = MIN_REPORT_PERIOD_MS;
+    /** Bytes sent as news since the last report; they delay the next one, so that both share one budget. */
+    private newsBytes = 0;
 
     /** @param options - identity, store and directory */
     public constructor(options: PeerExchangeOptions) {
         this.options = options;
+        this.startedMs = options.runtime.clock.nowMs();
         this.incarnation = branded<IncarnationId>(options.runtime.random.nextFloat().toString(36).slice(2));
         this.addSeeds(options.settings.seeds);
     }
@@ -143,7 +149,10 @@
                 others.push(report.instance);
                 size = Math.max(size, isAlive ? report.heardInstances : 0);
             }
-            this.currentFleet = { others, size: Math.max(size, others.length + 1) };
+            const known = others.length + 1;
+            const isOld = this.options.runtime.clock.nowMs() - this.startedMs >= FLEET_MEMBER_LIFETIME_MS;
+            const isSettled = isOld || known >= size * SETTLED_SHARE;
+            this.currentFleet = { others, size: Math.max(size, known), isSettled };
         }
         return this.currentFleet;
     }
@@ -224,7 +233,10 @@
             this.updatePeerLoad();
             this.sendReport(socket);
             void this.fetchNewerState();
-            await sleep(clock, this.reportPeriodMs * (0.9 + random.nextFloat() / 5), signal).catch(() => {});
+            const newsDelayMs = this.newsBytes / REPORT_BYTES_PER_S * MS_PER_SECOND;
+            this.newsBytes = 0;
+            const delayMs = this.reportPeriodMs * (0.9 + random.nextFloat() / 5) + newsDelayMs;
+            await sleep(clock, delayMs, signal).catch(() => {});
         }
     }
 
@@ -235,23 +247,18 @@
     }
 
     private createSpreader(socket: DatagramSocket): NewsSpreader {
-        const { news, runtime, settings, store } = this.options;
-        const { dataCentre, instance } = settings;
+        const { news, runtime } = this.options;
         return new NewsSpreader({
             clock: runtime.clock,
             random: runtime.random,
             news,
             peers: () => [...this.peers.keys()],
             send: (to, toSend) => {
-                const sender = {
-                    instance,
-                    incarnation: this.incarnation,
-                    dataCentre,
-                    revision: store.revision,
-                };
-                const datagrams = encodePeerNews(sender, toSend);
+                const datagrams = encodePeerNews(toSend);
                 datagrams.forEach(bytes => socket.send(to, bytes));
-                return datagrams.reduce((sum, { length }) => sum + length, 0);
+                const bytes = datagrams.reduce((sum, { length }) => sum + length, 0);
+                this.newsBytes += bytes;
+                return bytes;
             },
         });
     }
@@ -262,6 +269,9 @@
             MIN_PEER_TIMEOUT_MS,
             PEER_TIMEOUT_REPORTS * REMOTE_REPORT_INTERVAL * this.reportPeriodMs,
         );
+        if (!this.currentFleet?.isSettled) {
+            this.currentFleet = undefined;
+        }
         for (const [address, peer] of this.peers) {
             const silentMs = clock.nowMs() - peer.lastReportMs;
             if (peer.isAlive && silentMs > timeoutMs) {
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -93,7 +93,10 @@
 
 const toAge = (ageMs: number): number => Math.round(Math.min(MAX_AGE_MS, Math.max(0, ageMs)));
 
-const toMessage = ({ crashes, soundParts }: PeerNews): MessageInitShape<typeof PeerNewsSchema> => ({
+/** Limits travel as requests per this many seconds; 0 stands for a limit that has ended. */
+const LIMIT_SCALE = 1_000;
+
+const toMessage = ({ crashes, limits, soundParts }: PeerNews): MessageInitShape<typeof PeerNewsSchema> => ({
     crashes: crashes.map(({ ageMs, id, parts, sentBeforeMs, servedBeforeMs, server }) => ({
         id,
         server,
@@ -103,50 +106,76 @@
         parts: [...parts],
     })),
     soundParts: [...soundParts].map(([part, ageMs]) => ({ part, ageMs: toAge(ageMs) })),
+    limitedServers: [...limits.keys()],
+    limitsPer1000S: [...limits.values()].map(({ perS }) => Math.round((perS ?? 0) * LIMIT_SCALE)),
+    limitAgesMs: [...limits.values()].map(({ ageMs }) => toAge(ageMs)),
 });
 
-const fromMessage = ({ crashes, soundParts }: NewsMessage): PeerNews => ({
+const fromMessage = (
+    { crashes, limitAgesMs, limitedServers, limitsPer1000S, soundParts }: NewsMessage,
+): PeerNews => ({
     crashes,
     soundParts: new Map(soundParts.map(({ ageMs, part }) => [part, ageMs])),
+    limits: new Map(limitedServers.flatMap((server, index) => {
+        const limit = limitsPer1000S[index];
+        const ageMs = limitAgesMs[index];
+        return limit === undefined || ageMs === undefined
+            ? []
+            : [[server, { perS: limit === 0 ? undefined : limit / LIMIT_SCALE, ageMs }]];
+    })),
 });
 
 /** Halves of news that do not fit into one datagram. */
-const halve = ({ crashes, soundParts }: PeerNews): PeerNews[] => {
+const halve = ({ crashes, limits, soundParts }: PeerNews): PeerNews[] => {
     const sound = [...soundParts];
+    const limited = [...limits];
     const crashCount = Math.ceil(crashes.length / 2);
-    const soundCount = Math.ceil(sound.length / 2);
+    const soundCount = Math.floor(sound.length / 2);
+    const limitCount = crashes.length + sound.length > 1
+        ? Math.floor(limited.length / 2)
+        : Math.ceil(limited.length / 2);
     return [
-        { crashes: crashes.slice(0, crashCount), soundParts: new Map(sound.slice(soundCount)) },
-        { crashes: crashes.slice(crashCount), soundParts: new Map(sound.slice(0, soundCount)) },
+        {
+            crashes: crashes.slice(0, crashCount),
+            soundParts: new Map(sound.slice(0, soundCount)),
+            limits: new Map(limited.slice(0, limitCount)),
+        },
+        {
+            crashes: crashes.slice(crashCount),
+            soundParts: new Map(sound.slice(soundCount)),
+            limits: new Map(limited.slice(limitCount)),
+        },
     ];
 };
 
+/** Report of no instance, for datagrams that hold news only. */
+const NO_REPORT: PeerReport = {
+    instance: branded<InstanceId>(""),
+    incarnation: branded<IncarnationId>(""),
+    dataCentre: branded<DataCentreId>(""),
+    revision: branded<Revision>(0),
+    running: new Map(),
+    groupUpMs: new Map(),
+    members: [],
+    heardInstances: 0,
+    isNewsOnly: true,
+};
+
 /**
  * Encodes news in datagrams of their own.
  *
- * @param sender - the instance that sends them
  * @param news - the news
  * @returns the datagrams, each of at most {@link MAX_DATAGRAM_BYTES}
  */
-export const encodePeerNews = (
-    sender: Pick<PeerReport, "instance" | "incarnation" | "dataCentre" | "revision">,
-    news: PeerNews,
-): Uint8Array[] => {
-    const size = news.crashes.length + news.soundParts.size;
+export const encodePeerNews = (news: PeerNews): Uint8Array[] => {
+    const size = news.crashes.length + news.soundParts.size + news.limits.size;
     if (size === 0) {
         return [];
     }
-    const report = {
-        running: new Map(),
-        groupUpMs: new Map(),
-        members: [],
-        heardInstances: 0,
-        isNewsOnly: true,
-    };
-    const bytes = encodePeerReport({ ...sender, ...report, news });
+    const bytes = encodePeerReport({ ...NO_REPORT, news });
     return bytes.length <= MAX_DATAGRAM_BYTES || size === 1
         ? [bytes]
-        : halve(news).flatMap(half => encodePeerNews(sender, half));
+        : halve(news).flatMap(encodePeerNews);
 };
 
 const zip = (keys: readonly number[], values: readonly number[]): ReadonlyMap<number, number> =>
@@ -167,7 +196,8 @@
         return undefined;
     }
     const { dataCentre, heardInstances, incarnation, instance, members, revision } = report;
-    if (instance === "" || incarnation === "" || dataCentre === "") {
+    const isAnonymous = instance === "" || incarnation === "" || dataCentre === "";
+    if (isAnonymous && !report.isNewsOnly) {
         return undefined;
     }
     return {
--- a/packages/direct/src/shared/promptQuarantine.ts
+++ b/packages/direct/src/shared/promptQuarantine.ts
@@ -16,7 +16,7 @@
 
 import { type Clock, type EventLog, type RandomSource, shuffled } from "@magnolialock/kernel";
 import { LRUCache } from "lru-cache";
-import type { CrashNotice, NewsSource, PeerNews } from "../types/peerNews.ts";
+import type { CrashNotice, PromptNews } from "../types/peerNews.ts";
 import { promptPartCleared, promptPartQuarantined, promptPartTried } from "./directEvents.ts";
 import { RecentParts } from "./recentParts.ts";
 
@@ -113,7 +113,7 @@
 const SAMPLE_SIZE = 3;
 
 /** Evidence and verdicts about the parts of prompts. */
-export class PromptQuarantine implements NewsSource {
+export class PromptQuarantine {
     private readonly options: PromptQuarantineOptions;
     private readonly reports = new Map<number, CrashReport>();
     private readonly soundMs = new LRUCache<string, number>({ max: MAX_SOUND_PARTS });
@@ -213,30 +213,30 @@
     }
 
     /** {@inheritDoc NewsSource.takeFresh} */
-    public takeFresh(): PeerNews | undefined {
+    public takeFresh(): PromptNews {
         const news = this.newsOf(
             [...this.freshReports].flatMap(id => this.reports.get(id) ?? []),
             [...this.freshSound],
         );
         this.freshReports.clear();
         this.freshSound.clear();
-        return news.crashes.length + news.soundParts.size > 0 ? news : undefined;
+        return news;
     }
 
     /** {@inheritDoc NewsSource.allNews} */
-    public allNews(): PeerNews {
+    public allNews(): PromptNews {
         return this.newsOf([...this.reports.values()], [...this.soundNoticeMs.keys()]);
     }
 
     /** {@inheritDoc NewsSource.sampleNews} */
-    public sampleNews(): PeerNews {
+    public sampleNews(): PromptNews {
         const { random } = this.options;
         const sample = <T>(items: Iterable<T>): T[] => shuffled(random, [...items]).slice(0, SAMPLE_SIZE);
         return this.newsOf(sample(this.reports.values()), sample(this.soundNoticeMs.keys()));
     }
 
     /** {@inheritDoc NewsSource.applyNews} */
-    public applyNews({ crashes, soundParts }: PeerNews): void {
+    public applyNews({ crashes, soundParts }: PromptNews): void {
         const nowMs = this.options.clock.nowMs();
         let hasChanged = false;
         for (const [part, ageMs] of soundParts) {
@@ -433,7 +433,7 @@
         return true;
     }
 
-    private newsOf(reports: readonly CrashReport[], soundParts: readonly string[]): PeerNews {
+    private newsOf(reports: readonly CrashReport[], soundParts: readonly string[]): PromptNews {
         const nowMs = this.options.clock.nowMs();
         return {
             crashes: reports.map(report => toNotice(report, nowMs)),
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -153,6 +153,10 @@
             this.reject(this.headClass.message);
             return;
         }
+        const isMisdirected = this.headClass.kind === "notRun" && this.headClass.isMisdirected;
+        if (!isMisdirected) {
+            context.limits.record(this.options.server, head);
+        }
         const isEventStream = responseHeader(head, "content-type")?.startsWith("text/event-stream") ?? false;
         this.isStream = this.headClass.kind === "own" && route.answer === "stream" && head.status === HTTP_OK
             && isEventStream;
--- a/packages/direct/src/types/peerNews.ts
+++ b/packages/direct/src/types/peerNews.ts
@@ -24,14 +24,28 @@
     readonly parts: readonly string[];
 }
 
-/** News between instances. */
-export interface PeerNews {
+/** Evidence about the parts of prompts. */
+export interface PromptNews {
     /** Evidence about crashes. */
     readonly crashes: readonly CrashNotice[];
     /** Time since an answer was under way on a part that a crash notice names, in milliseconds, by part. */
     readonly soundParts: ReadonlyMap<string, number>;
 }
 
+/** Limit that a backend server names in its answers. */
+export interface LimitNotice {
+    /** Requests per second from all instances; undefined once the server names none any more. */
+    readonly perS: number | undefined;
+    /** Time since the latest answer that showed this, in milliseconds. */
+    readonly ageMs: number;
+}
+
+/** News between instances. */
+export interface PeerNews extends PromptNews {
+    /** Limits of backend servers, by their key in reports. */
+    readonly limits: ReadonlyMap<number, LimitNotice>;
+}
+
 /** Gives and takes news. */
 export interface NewsSource {
     /** Takes the news that were not told to other instances yet; undefined if there are none. */
