fix(direct): a stream without a length that breaks off no longer ends like a complete one

What callers saw: a stream that has neither a length nor chunks, breaks off within an event and cannot be resumed ended for the caller with a normal close after the last whole event, which is how such a stream ends when it is complete.

Cause: the reply was aborted by closing the connection, which is a sign of a broken answer only where a length or a last chunk is missing. Change: such replies are reset.

closeDelimited.spec.ts plays each end over real sockets: complete at an event's end, closed or reset within an event, reset at an event's end; resumed where the route allows it. The entry of endlessBytes.spec.ts moves to a file of its own, so that both use it.

--- /dev/null
+++ b/packages/direct/src/node/__tests__/closeDelimited.spec.ts
@@ -0,0 +1,148 @@
+import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { NAMES } from "../../shared/__tests__/directFixture.ts";
+import { responseHead, startEntry } from "./entryFixture.ts";
+
+const clock = createSystemClock();
+/** Pause between what a server sends and the end of its connection, in milliseconds. */
+const PAUSE_MS = 30;
+const MAX_WAIT_MS = 3_000;
+
+/** What a server sends after the head, and how it ends the connection. */
+interface Answer {
+    readonly body: string;
+    readonly end: "close" | "reset";
+}
+
+const events = (from: number, to: number): string =>
+    Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: x\n\n`).join("");
+
+/** Server whose streams have neither a length nor chunks; it gives its answers in turn. */
+class UnframedServer implements AsyncDisposable {
+    /** Heads of the requests, oldest first. */
+    public readonly requests: string[] = [];
+    private readonly sockets = new Set<Socket>();
+    private readonly server = createServer(socket => this.serve(socket));
+
+    public constructor(private readonly answers: Answer[]) {}
+
+    public async listen(): Promise<Address> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+        return branded<Address>(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+    }
+
+    public async [Symbol.asyncDispose](): Promise<void> {
+        this.sockets.forEach(socket => socket.destroy());
+        this.server.close();
+        await once(this.server, "close");
+    }
+
+    private serve(socket: Socket): void {
+        this.sockets.add(socket);
+        socket.on("error", () => {});
+        let received = "";
+        socket.on("data", bytes => {
+            received += bytes.toString("latin1");
+            if (received.endsWith("body")) {
+                this.requests.push(received);
+                this.answer(socket, received);
+            }
+        });
+    }
+
+    private answer(socket: Socket, received: string): void {
+        const requestId = new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(received)?.[1] ?? "";
+        const { body, end } = this.answers.shift() ?? { body: "", end: "reset" };
+        const fields = "content-type: text/event-stream\r\nconnection: close\r\n";
+        socket.write(responseHead(requestId, fields) + body);
+        clock.setTimer(PAUSE_MS, () => end === "reset" ? socket.resetAndDestroy() : socket.end());
+    }
+}
+
+interface Received {
+    readonly text: string;
+    readonly end: "close" | "reset";
+}
+
+/** Sends a request as a caller does, and tells how its connection ended. */
+const ask = async (callers: Address, name: string): Promise<Received> => {
+    const [host, port] = callers.split(":");
+    const socket = connect(Number(port), host);
+    let text = "";
+    const ended = new Promise<Received["end"]>(resolve => {
+        socket.on("data", bytes => text += bytes.toString("latin1"));
+        socket.once("end", () => resolve("close"));
+        socket.once("error", () => resolve("reset"));
+        socket.setTimeout(MAX_WAIT_MS, () => resolve("close"));
+    });
+    const fields = {
+        host: "shop.example",
+        [NAMES.requestId]: "r1",
+        [NAMES.remainingMs]: "3000",
+        [NAMES.apiKey]: "key-1",
+        connection: "close",
+    };
+    const lines = Object.entries(fields).map(([field, value]) => `${field}: ${value}\r\n`).join("");
+    socket.write(`POST /${name}/1 HTTP/1.1\r\n${lines}content-length: 4\r\n\r\nbody`);
+    const end = await ended;
+    socket.destroy();
+    return { text, end };
+};
+
+const bodyOf = ({ text }: Received): string => text.slice(text.indexOf("\r\n\r\n") + 4);
+
+const askServers = async (name: string, ...answers: readonly Answer[]) => {
+    const queue = [...answers];
+    await using first = new UnframedServer(queue);
+    await using second = new UnframedServer(queue);
+    const { entry, callers } = await startEntry(await first.listen(), await second.listen());
+    await using _entry = entry;
+    const received = await ask(callers, name);
+    return { received, requests: [...first.requests, ...second.requests] };
+};
+
+for (const name of ["stream", "once-stream"]) {
+    test.serial(`a stream without a length that closes at the end of an event is complete: ${name}`, async t => {
+        const { received, requests } = await askServers(name, { body: events(1, 3), end: "close" });
+        t.is(bodyOf(received), events(1, 3));
+        t.is(received.end, "close");
+        t.false(/content-length|transfer-encoding/i.test(received.text));
+        t.is(requests.length, 1);
+    });
+}
+
+for (
+    const [kind, answer] of Object.entries(
+        {
+            "closes within an event": { body: `${events(1, 2)}id: 3\nda`, end: "close" },
+            "is reset within an event": { body: `${events(1, 2)}id: 3\nda`, end: "reset" },
+            "is reset at the end of an event": { body: events(1, 2), end: "reset" },
+        } as const satisfies Record<string, Answer>,
+    )
+) {
+    test.serial(`a stream without a length that ${kind} is resumed`, async t => {
+        const { received, requests } = await askServers("stream", answer, {
+            body: events(3, 4),
+            end: "close",
+        });
+        t.is(bodyOf(received), events(1, 4));
+        t.is(received.end, "close");
+        t.is(requests.length, 2);
+        t.true(requests.some(text => /last-event-id: 2\r\n/i.test(text)));
+    });
+
+    test.serial(`a stream without a length that ${kind} and cannot be resumed looks broken`, async t => {
+        const { received, requests } = await askServers("once-stream", answer);
+        t.is(requests.length, 1);
+        t.is(received.end, "reset");
+    });
+
+    test.serial(`a stream without a length that ${kind} twice looks broken`, async t => {
+        const { received } = await askServers("stream", answer, { body: "id: 3\n", end: "close" });
+        t.is(received.end, "reset");
+        t.false(bodyOf(received).includes("id: 3"));
+    });
+}
--- a/packages/direct/src/node/__tests__/endlessBytes.spec.ts
+++ b/packages/direct/src/node/__tests__/endlessBytes.spec.ts
@@ -1,26 +1,10 @@
-import {
-    type Address,
-    branded,
-    createRandomSource,
-    createSystemClock,
-    EventLog,
-    type Revision,
-} from "@magnolialock/kernel";
+import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
 import test from "ava";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { request } from "undici";
-import {
-    configuration,
-    NAMES,
-    ORDERS,
-    route,
-    serverEntry,
-    serviceSpec,
-} from "../../shared/__tests__/directFixture.ts";
-import type { DirectSettings } from "../../types/directSettings.ts";
-import type { ItemContent, PublishedSource } from "../../types/publishedState.ts";
-import { startDirectEntry } from "../directEntry.ts";
+import { NAMES } from "../../shared/__tests__/directFixture.ts";
+import { responseHead, startEntry } from "./entryFixture.ts";
 
 const clock = createSystemClock();
 const LINE = `x-filler: ${"x".repeat(1_000)}\r\n`;
@@ -42,9 +26,6 @@
     readonly pauseMs?: number;
 }
 
-const head = (requestId: string, fields: string): string =>
-    `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${requestId}\r\n${NAMES.signature}: signed\r\n${fields}\r\n`;
-
 const ANSWERS = {
     "a head line": { start: () => "HTTP/1.1 200 OK\r\nx-filler: ", repeat: FILLER },
     "head lines": { start: () => "HTTP/1.1 200 OK\r\n", repeat: LINE },
@@ -53,20 +34,20 @@
         repeat: "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(400),
     },
     "bytes that are no HTTP": { start: () => "", repeat: FILLER },
-    "a body without a length": { start: id => head(id, "connection: close\r\n"), repeat: FILLER },
+    "a body without a length": { start: id => responseHead(id, "connection: close\r\n"), repeat: FILLER },
     "a slow body without a length": {
-        start: id => head(id, "connection: close\r\n"),
+        start: id => responseHead(id, "connection: close\r\n"),
         repeat: "x",
         pauseMs: 100,
     },
     "a slow head": { start: () => "HTTP/1.1 200 OK\r\nx-filler: ", repeat: "x", pauseMs: 100 },
     "a chunked body": {
-        start: id => head(id, "transfer-encoding: chunked\r\n"),
+        start: id => responseHead(id, "transfer-encoding: chunked\r\n"),
         repeat: `4000\r\n${FILLER}\r\n`,
     },
-    trailers: { start: id => `${head(id, "transfer-encoding: chunked\r\n")}0\r\n`, repeat: LINE },
+    trailers: { start: id => `${responseHead(id, "transfer-encoding: chunked\r\n")}0\r\n`, repeat: LINE },
     "an event": {
-        start: id => head(id, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"),
+        start: id => responseHead(id, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"),
         repeat: `4000\r\n${FILLER}\r\n`,
     },
 } as const satisfies Record<string, EndlessAnswer>;
@@ -106,7 +87,7 @@
             }
             const requestId = new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(received)?.[1] ?? "";
             if (received.includes("/good/")) {
-                socket.write(`${head(requestId, "content-length: 4\r\n")}good`);
+                socket.write(`${responseHead(requestId, "content-length: 4\r\n")}good`);
                 received = "";
                 return;
             }
@@ -142,81 +123,6 @@
     }
 }
 
-/** Published state that never changes. */
-const fixedSource = (contents: Readonly<Record<string, ItemContent>>): PublishedSource => ({
-    decode: key => contents[key] ?? { kind: "ignored" },
-    readAll: async () => ({
-        revision: branded<Revision>(1),
-        items: Object.keys(contents).map(key => ({ key, text: key, revision: branded<Revision>(1) })),
-    }),
-    watch: async (revision, waitMs, signal) => {
-        await new Promise((resolve, reject) => {
-            clock.setTimer(waitMs, () => resolve(undefined));
-            signal.addEventListener("abort", () => reject(signal.reason as Error));
-        });
-        return { kind: "changes", revision, changes: [] };
-    },
-});
-
-const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
-
-const startEntry = async (server: Address) => {
-    const settings: DirectSettings = {
-        instance: branded("entry-1"),
-        dataCentre: branded("here"),
-        callers: await freeAddress(),
-        readiness: await freeAddress(),
-        metrics: undefined,
-        peers: await freeAddress(),
-        seeds: [],
-        bounds: {
-            retryRatio: 0.2,
-            retrySlack: 100,
-            retryWindowMs: 10_000,
-            coldOvershoot: 1.5,
-            coldSlack: 5,
-            graceMs: 8_000,
-        },
-    };
-    const routes = [
-        route("whole", { timeoutMs: 1_500 }),
-        route("once", { timeoutMs: 1_500, repeat: "never", maxAttempts: 1 }),
-        route("stream", { timeoutMs: 1_500, answer: "stream", repeat: "resume", targetGapMs: 120 }),
-        route("good", { timeoutMs: 1_500 }),
-    ];
-    const entry = await startDirectEntry({
-        runtime: {
-            clock,
-            events: new EventLog({ clock, instance: "entry-1" }),
-            random: createRandomSource(1),
-        },
-        settings,
-        headers: NAMES,
-        source: fixedSource({
-            config: {
-                kind: "configuration",
-                configuration: configuration({ routes, services: [serviceSpec(ORDERS)] }),
-            },
-            server: {
-                kind: "server",
-                server: { ...serverEntry("server", ORDERS), address: server, slots: 100 },
-            },
-        }),
-        readinessPath: "/ready",
-    });
-    while (!entry.isReady) {
-        await new Promise(resolve => clock.setTimer(10, () => resolve(undefined)));
-    }
-    return { entry, callers: settings.callers };
-};
-
 /** Returns the status, or undefined if the connection was broken off. */
 const ask = async (callers: Address, name: string, requestId: string): Promise<number | undefined> => {
     try {
--- /dev/null
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -0,0 +1,111 @@
+/** A direct entry over real sockets, in front of one server that the test writes. */
+
+import {
+    type Address,
+    branded,
+    createRandomSource,
+    createSystemClock,
+    EventLog,
+    type Revision,
+} from "@magnolialock/kernel";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import {
+    configuration,
+    NAMES,
+    ORDERS,
+    route,
+    serverEntry,
+    serviceSpec,
+} from "../../shared/__tests__/directFixture.ts";
+import type { DirectSettings } from "../../types/directSettings.ts";
+import type { ItemContent, PublishedSource } from "../../types/publishedState.ts";
+import { startDirectEntry } from "../directEntry.ts";
+
+const clock = createSystemClock();
+
+/** Head of a response that the entry accepts. */
+export const responseHead = (requestId: string, fields: string): string =>
+    `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${requestId}\r\n${NAMES.signature}: signed\r\n${fields}\r\n`;
+
+/** Published state that never changes. */
+const fixedSource = (contents: Readonly<Record<string, ItemContent>>): PublishedSource => ({
+    decode: key => contents[key] ?? { kind: "ignored" },
+    readAll: async () => ({
+        revision: branded<Revision>(1),
+        items: Object.keys(contents).map(key => ({ key, text: key, revision: branded<Revision>(1) })),
+    }),
+    watch: async (revision, waitMs, signal) => {
+        await new Promise((resolve, reject) => {
+            clock.setTimer(waitMs, () => resolve(undefined));
+            signal.addEventListener("abort", () => reject(signal.reason as Error));
+        });
+        return { kind: "changes", revision, changes: [] };
+    },
+});
+
+const freeAddress = async (): Promise<Address> => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return branded<Address>(`127.0.0.1:${port}`);
+};
+
+/**
+ * Starts an entry whose services have the given servers.
+ *
+ * @param servers - addresses of the servers
+ */
+export const startEntry = async (...servers: readonly Address[]) => {
+    const settings: DirectSettings = {
+        instance: branded("entry-1"),
+        dataCentre: branded("here"),
+        callers: await freeAddress(),
+        readiness: await freeAddress(),
+        metrics: undefined,
+        peers: await freeAddress(),
+        seeds: [],
+        bounds: {
+            retryRatio: 0.2,
+            retrySlack: 100,
+            retryWindowMs: 10_000,
+            coldOvershoot: 1.5,
+            coldSlack: 5,
+            graceMs: 8_000,
+        },
+    };
+    const routes = [
+        route("whole", { timeoutMs: 1_500 }),
+        route("once", { timeoutMs: 1_500, repeat: "never", maxAttempts: 1 }),
+        route("stream", { timeoutMs: 1_500, answer: "stream", repeat: "resume", targetGapMs: 120 }),
+        route("once-stream", { timeoutMs: 1_500, answer: "stream", repeat: "never", maxAttempts: 1 }),
+        route("good", { timeoutMs: 1_500 }),
+    ];
+    const entry = await startDirectEntry({
+        runtime: {
+            clock,
+            events: new EventLog({ clock, instance: "entry-1" }),
+            random: createRandomSource(1),
+        },
+        settings,
+        headers: NAMES,
+        source: fixedSource({
+            config: {
+                kind: "configuration",
+                configuration: configuration({ routes, services: [serviceSpec(ORDERS)] }),
+            },
+            ...Object.fromEntries(servers.map((address, index) => {
+                const id = `server-${index}`;
+                const server = { ...serverEntry(id, ORDERS), address, slots: 100 };
+                return [id, { kind: "server", server } as const];
+            })),
+        }),
+        readinessPath: "/ready",
+    });
+    while (!entry.isReady) {
+        await new Promise(resolve => clock.setTimer(10, () => resolve(undefined)));
+    }
+    return { entry, callers: settings.callers };
+};
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -58,6 +58,7 @@
     public readonly disconnected: AbortSignal;
     private readonly controller = new AbortController();
     private isFinished = false;
+    private isCloseDelimited = false;
 
     public constructor(
         private readonly response: ServerResponse,
@@ -100,6 +101,10 @@
 
     public abort(): void {
         this.isFinished = true;
+        if (this.isCloseDelimited) {
+            // A normal close is how such a response ends when it is complete.
+            this.response.socket?.resetAndDestroy();
+        }
         this.response.destroy();
     }
 
@@ -107,6 +112,7 @@
         if (head.isCloseDelimited) {
             // A `Content-Length` or a last chunk would mark the body as complete, which the backend server
             // has not done.
+            this.isCloseDelimited = true;
             this.response.useChunkedEncodingByDefault = false;
             this.response.shouldKeepAlive = false;
         }
