fix(direct): a stream that ends before its first event is no answer

What callers saw: a stream without a length whose connection closed before the first event counted as complete; the entry ended its own reply with status 200 but without the server's headers and signature. A complete stream without events, as after the last event of a resumed one, was answered in the same way.

Cause: the head goes out with the first event, and the end of a stream did not look whether it had gone out. Change: without a length or chunks such a stream is broken, so it is sent to another server or answered with 502; with them its head is sent.

--- a/packages/direct/src/node/__tests__/closeDelimited.spec.ts
+++ b/packages/direct/src/node/__tests__/closeDelimited.spec.ts
@@ -146,3 +146,11 @@
         t.false(bodyOf(received).includes("id: 3"));
     });
 }
+for (const end of ["close", "reset"] as const) {
+    test.serial(`a stream without a length that ends before its first event is no answer: ${end}`, async t => {
+        const retried = await askServers("stream", { body: "", end }, { body: events(1, 2), end: "close" });
+        t.is(bodyOf(retried.received), events(1, 2));
+        const once = await askServers("once-stream", { body: "", end });
+        t.regex(once.received.text, /^HTTP\/1.1 502 /);
+    });
+}
--- a/packages/direct/src/shared/__tests__/streams.spec.ts
+++ b/packages/direct/src/shared/__tests__/streams.spec.ts
@@ -66,6 +66,16 @@
     t.deepEqual(idsOf(reply.text), [1, 2, 3]);
 });
 
+test.serial("a stream without events has the head and the signature of its server", async t => {
+    const fixture = withDrafts();
+    const { done, reply } = fixture.send("draft", { [NAMES.lastEventId]: "12" });
+    (await fixture.latestAttempt()).startStream().complete();
+    await fixture.runUntilSettled(done);
+    t.is(reply.status, 200);
+    t.is(reply.header(NAMES.signature), "signed");
+    t.is(reply.state, "ended");
+});
+
 test.serial("a caller's own resume position is forwarded", async t => {
     const fixture = withDrafts();
     const { done } = fixture.send("draft", { [NAMES.lastEventId]: "12" });
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -139,9 +139,23 @@
             : Buffer.concat(this.bufferedChunks);
     }
 
-    /** Whether the stream ended within an event. */
-    public get hasPartialEvent(): boolean {
-        return this.splitter.pendingBytes > 0;
+    /** Why a stream that has ended is not complete; undefined if it is. */
+    public get incompleteReason(): string | undefined {
+        if (this.splitter.pendingBytes > 0) {
+            return "the stream ended within an event";
+        }
+        return this.eventCount === 0 && this.head?.isCloseDelimited
+            ? "the stream ended before its first event"
+            : undefined;
+    }
+
+    /** Sends the caller the head of a complete stream that has no events. */
+    public sendHeadOnce(): void {
+        const { cursor, reply } = this.options;
+        if (!cursor.isHeadSent && this.head) {
+            cursor.isHeadSent = true;
+            reply.startStream(toCallerHead(this.head));
+        }
     }
 
     public onHead(head: ResponseHead): void {
@@ -196,10 +210,7 @@
                 this.reject(`event ${id} came after event ${cursor.lastEventId}`);
                 return;
             }
-            if (!cursor.isHeadSent) {
-                cursor.isHeadSent = true;
-                reply.startStream(toCallerHead(this.head as ResponseHead));
-            }
+            this.sendHeadOnce();
             cursor.lastEventId = id ?? cursor.lastEventId;
             const nowMs = context.options.runtime.clock.nowMs();
             if (cursor.eventCount > 0) {
@@ -247,9 +258,12 @@
     if (!handler.isStream) {
         return { kind: "whole", head, body: handler.body };
     }
-    return handler.hasPartialEvent
-        ? { kind: "broken", message: "the stream ended within an event" }
-        : { kind: "streamed" };
+    const { incompleteReason } = handler;
+    if (incompleteReason !== undefined) {
+        return { kind: "broken", message: incompleteReason };
+    }
+    handler.sendHeadOnce();
+    return { kind: "streamed" };
 };
 
 /**
