fix(direct): a part that was sound before takes three crashes to quarantine

Found by running the tests of the quarantine with the fleet's real size (they had taken it for eight): a rare part was quarantined beside the bad one, and two parts while a group flapped.

Cause: two crashes with few suspects in a row also happen by chance. Requests that an ordinary crash takes along are sent on unless an earlier crash accuses their parts (the first one's evidence had stopped the others). Whole responses count as sound only if their end can be verified; servers that were removed from the published state accuse nobody.

New known failure: a group that flaps from its first second on, before any answer was seen, gets one part of 60 quarantined; the test without warm-up is kept as it was.

--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -292,9 +292,6 @@
             onUnderWay: () => this.recordUnderWay(),
         });
         group.end();
-        if (outcome.kind === "streamed" || outcome.kind === "whole" && outcome.head.status === HTTP_OK) {
-            this.recordUnderWay();
-        }
         const isServerError = outcome.kind === "whole" && outcome.head.status >= HTTP_SERVER_ERROR;
         const isFailure = outcome.kind === "broken" || outcome.kind === "notSent" || isServerError;
         tracked.end(isFailure && !signal.aborted ? "failed" : "ended");
--- a/packages/direct/src/shared/crashGuard.ts
+++ b/packages/direct/src/shared/crashGuard.ts
@@ -62,10 +62,11 @@
      */
     public async suspectsRequest(server: TrackedServer, sentMs: number): Promise<boolean> {
         const { quarantine, options } = this.context;
-        if (this.parts.length === 0 || server.entry.state === "draining") {
+        const { address, id, state } = server.entry;
+        const isLeaving = state === "draining" || options.directory.find(id) !== server;
+        if (this.parts.length === 0 || isLeaving) {
             return false;
         }
-        const { address, id } = server.entry;
         const crashedMs = options.runtime.clock.nowMs();
         const servedMs = this.servedMs(server);
         if (await options.upstreams.probe(address) !== "refused") {
@@ -81,7 +82,7 @@
             ranMs: Math.round(crashedMs - sentMs),
         });
         options.metrics.countCrashReport();
-        const isKnownSound = quarantine.areKnownSound(this.parts);
+        const isKnownSound = quarantine.areKnownSound(this.parts, crashedMs);
         quarantine.recordCrash({
             id: attempt,
             server: server.reportKey,
--- a/packages/direct/src/shared/newsSpreader.ts
+++ b/packages/direct/src/shared/newsSpreader.ts
@@ -31,8 +31,10 @@
 
 /** Instances that are told fresh news: with eight, one in 3,000 does not hear them and waits for a report. */
 const FANOUT = 8;
-/** Time for which news are collected before they are sent, in milliseconds. */
-const BATCH_MS = 50;
+/** Time for which the first news are collected before they are sent, in milliseconds. */
+const BATCH_MS = 10;
+/** Time between two rounds while there are fresh news, in milliseconds. */
+const ROUND_MS = 50;
 /** Bytes per second that one instance may send as news; its reports wait for them. */
 const NEWS_BYTES_PER_S = 4_000;
 /** Bytes of news that may be sent at once: when many servers of a large fleet name limits at the same time. */
@@ -84,7 +86,7 @@
             for (const peer of shuffled(random, peers()).slice(0, FANOUT)) {
                 this.balanceBytes -= send(peer, fresh);
             }
-            await sleep(clock, BATCH_MS + this.overdraftMs(), signal).catch(() => {});
+            await sleep(clock, ROUND_MS + this.overdraftMs(), signal).catch(() => {});
         }
         this.isSpreading = false;
     }
--- a/packages/direct/src/shared/promptQuarantine.ts
+++ b/packages/direct/src/shared/promptQuarantine.ts
@@ -76,11 +76,13 @@
 
 /** Independent crashes that put a part into quarantine. */
 const CRASHES_TO_QUARANTINE = 2;
+/** The same for a part that was sound before: it may be accused by chance. */
+const CRASHES_OF_SOUND_PART = 3;
 /**
- * Least sum, over the crashes that accuse a part, of its share among the requests that remain suspects. Servers
- * that end together leave many suspects, and each of them little evidence.
+ * Blame that a part needs for each of these crashes: its share among the requests that remain suspects. Servers that
+ * end together leave many suspects, and each of them little evidence.
  */
-const BLAME_TO_QUARANTINE = 1.5;
+const MIN_BLAME_SHARE = 0.75;
 /** Servers that end within this time are treated as one crash with all their suspects, in milliseconds. */
 const SAME_MOMENT_MS = 250;
 /**
@@ -92,8 +94,6 @@
 const SAME_CRASH_MS = 1_500;
 /** Time until a part in quarantine is tried again after the crash that put it there, in milliseconds. */
 const FIRST_TRIAL_AFTER_MS = 600_000;
-/** The same for a part that was sound before, in milliseconds: it may have been accused by chance. */
-const DOUBTFUL_TRIAL_AFTER_MS = 15_000;
 /** Time for which only one instance may try a part; after it any may, in milliseconds. */
 const SINGLE_TRIAL_MS = 10_000;
 /** Factor by which each further crash makes that time longer: a trial costs a server. */
@@ -178,12 +178,17 @@
     }
 
     /**
-     * Tells whether an answer has been under way on each of the parts before.
+     * Tells whether an answer has been under way on each of the parts before a crash, and no earlier crash accuses
+     * them.
      *
      * @param parts - shared parts of a prompt
+     * @param crashedMs - time of the crash, in milliseconds
      */
-    public areKnownSound(parts: readonly string[]): boolean {
-        return parts.every(part => this.soundMs.has(part) && !this.accusations.has(part));
+    public areKnownSound(parts: readonly string[], crashedMs: number): boolean {
+        const isAccusedBefore = (part: string): boolean =>
+            this.accusations.get(part)?.some(report => crashedMs - report.crashedMs >= SAME_CRASH_MS)
+                ?? false;
+        return parts.every(part => this.soundMs.has(part) && !isAccusedBefore(part));
     }
 
     /**
@@ -346,17 +351,15 @@
         const counted = independentCrashes(accusing);
         const crashes = counted.length;
         const last = counted.at(-1);
-        if (!last || crashes < CRASHES_TO_QUARANTINE) {
+        const neededCrashes = this.soundMs.has(part) ? CRASHES_OF_SOUND_PART : CRASHES_TO_QUARANTINE;
+        if (!last || crashes < neededCrashes) {
             return undefined;
         }
         const blame = counted.reduce((sum, crash) => sum + this.blameFor(part, crash), 0);
-        if (blame < BLAME_TO_QUARANTINE) {
+        if (blame < neededCrashes * MIN_BLAME_SHARE) {
             return undefined;
         }
-        const isDoubtful = crashes === CRASHES_TO_QUARANTINE && this.soundMs.has(part);
-        const trialAfterMs = isDoubtful
-            ? DOUBTFUL_TRIAL_AFTER_MS
-            : FIRST_TRIAL_AFTER_MS * TRIAL_BACKOFF ** (crashes - CRASHES_TO_QUARANTINE);
+        const trialAfterMs = FIRST_TRIAL_AFTER_MS * TRIAL_BACKOFF ** (crashes - neededCrashes);
         return {
             crashes,
             untilMs: last.crashedMs + Math.min(MAX_TRIAL_AFTER_MS, trialAfterMs),
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -149,6 +149,16 @@
             : undefined;
     }
 
+    /**
+     * Records that a successful response has ended; one whose end cannot be verified may come from a server that has
+     * ended.
+     */
+    public recordVerifiedEnd(): void {
+        if (this.head?.status === HTTP_OK && !this.head.isCloseDelimited) {
+            this.options.onUnderWay();
+        }
+    }
+
     /** Sends the caller the head of a complete stream that has no events. */
     public sendHeadOnce(): void {
         const { cursor, reply } = this.options;
@@ -256,6 +266,7 @@
         return headClass;
     }
     if (!handler.isStream) {
+        handler.recordVerifiedEnd();
         return { kind: "whole", head, body: handler.body };
     }
     const { incompleteReason } = handler;
@@ -263,6 +274,7 @@
         return { kind: "broken", message: incompleteReason };
     }
     handler.sendHeadOnce();
+    handler.recordVerifiedEnd();
     return { kind: "streamed" };
 };
 
