--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -107,5 +107,5 @@
     while (!entry.isReady) {
         await new Promise(resolve => clock.setTimer(10, () => resolve(undefined)));
     }
-    return { entry, callers: settings.callers };
+    return { entry, callers: settings.callers, settings };
 };
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -101,6 +101,8 @@
  */
 const SHUTDOWN_MARGIN_MS = 400;
 const STOP_POLL_MS = 25;
+/** Time for the answers to requests that are ended by the stop to leave, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
 
 const fetchState = async (peer: Address, signal: AbortSignal): Promise<PublishedState> => {
     const response = await request(`http://${peer}${STATE_PATH}`, { signal });
@@ -244,6 +246,10 @@
         await sleep(clock, STOP_POLL_MS);
     }
     const unfinished = listener.running;
+    if (unfinished > 0) {
+        context.endRequests();
+        await sleep(clock, LAST_ANSWERS_MS);
+    }
     await scope[Symbol.asyncDispose]();
     events.emit(directStopped, { unfinished });
 };
--- a/packages/direct/src/shared/__tests__/fleetLimits.spec.ts
+++ b/packages/direct/src/shared/__tests__/fleetLimits.spec.ts
@@ -101,6 +101,18 @@
     }
 });
 
+test("an instance that knows few of its fleet gets no part of a limit that it must not exceed", t => {
+    for (const size of [7, 46, 400]) {
+        const names = namesOf(size);
+        const unitsOf = (name: string, isSettled: boolean): number => {
+            const view = { ...fleetOf(size, name), isSettled };
+            return new FleetAllotment(name, () => view).settledUnitsOf("server", 4);
+        };
+        t.is(names.reduce((sum, name) => sum + unitsOf(name, true), 0), 4);
+        t.is(names.reduce((sum, name) => sum + unitsOf(name, false), 0), 0);
+    }
+});
+
 test("the parts of a limit add up to the limit", t => {
     for (const [size, total] of [[1, 5], [3, 10], [8, 37], [35, 16], [400, 16]] as const) {
         const names = namesOf(size);
--- a/packages/direct/src/shared/__tests__/promptPartCrashes.spec.ts
+++ b/packages/direct/src/shared/__tests__/promptPartCrashes.spec.ts
@@ -140,6 +140,19 @@
     }
 });
 
+test.serial("a request that an ordinary crash takes along is sent to another server, a suspect is not", async t => {
+    using fleet = new DirectFleet({ ...SMALL, instances: 1 });
+    await fleet.clock.advance(2_000);
+    fleet.send(0, COMMON, "501");
+    await fleet.clock.advance(1_000);
+    const taken = [fleet.send(0, COMMON, "501"), fleet.send(0, COMMON, "new0")];
+    await fleet.clock.advance(10);
+    fleet.servers.forEach(server => server.running.size > 0 && server.crash());
+    await fleet.clock.advance(1_000);
+    t.deepEqual(taken.map(({ reply }) => reply.status), [200, 502]);
+    t.is(taken[0]?.reply.state, "ended");
+});
+
 for (const warmUpMs of [0, 10_000]) {
     const declare = warmUpMs === 0 ? test.serial.failing : test.serial;
     declare(
--- a/packages/direct/src/shared/__tests__/promptQuarantine.spec.ts
+++ b/packages/direct/src/shared/__tests__/promptQuarantine.spec.ts
@@ -76,6 +76,15 @@
     t.is(fixture.decision("popular"), "free");
 });
 
+test("a request that was sent before the earlier crash does not count", async t => {
+    const fixture = new QuarantineFixture();
+    fixture.crash(["popular"]);
+    const crashedMs = fixture.clock.nowMs();
+    await fixture.clock.advance(CYCLE_MS);
+    fixture.crash(["popular"], { sentMs: crashedMs - 1 });
+    t.is(fixture.decision("popular"), "free");
+});
+
 test("many suspects of each crash are little evidence", async t => {
     const fixture = new QuarantineFixture();
     for (let round = 0; round < 3; round++) {
--- a/packages/direct/src/shared/__tests__/serverLimits.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverLimits.spec.ts
@@ -103,6 +103,19 @@
     t.true(most <= allowed(limitPerS), `${most} in 4 s`);
 });
 
+test.serial("requests after a quiet time do not use what the limit let through meanwhile", async t => {
+    const limitPerS = 1.6;
+    using fleet = new DirectFleet(SMALL);
+    await fleet.clock.advance(3_000);
+    const limited = limitServers(fleet, 1, limitPerS);
+    await fleet.sendFor(3_000, 60, draw(fleet));
+    await fleet.clock.advance(30_000);
+    const burstMs = fleet.clock.nowMs();
+    await fleet.sendFor(SPAN_MS, 200, draw(fleet));
+    const most = mostInSpan(fleet, limited, burstMs);
+    t.true(most <= allowed(limitPerS), `${most} in 4 s`);
+});
+
 test.serial("instances that are replaced one after the other keep to the limit", async t => {
     const limitPerS = 1.6;
     using fleet = new DirectFleet(SMALL);
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -115,7 +115,9 @@
     /** Runs the request to its end; resolves once the caller has its response or has disconnected. */
     public async run(): Promise<void> {
         const { clock } = this.context.options.runtime;
-        using timeout = timeoutSignal(clock, this.deadlineMs - this.nowMs, this.reply.disconnected);
+        const { endSignal } = this.context;
+        const { disconnected } = this.reply;
+        using timeout = timeoutSignal(clock, this.deadlineMs - this.nowMs, disconnected, endSignal);
         for (;;) {
             const step = await this.runStep(timeout.signal);
             if (step.kind === "done") {
@@ -125,6 +127,10 @@
                 this.log.left();
                 return;
             }
+            if (endSignal.aborted) {
+                this.fail("the instance stops", HTTP_BAD_GATEWAY);
+                return;
+            }
             if (timeout.signal.aborted) {
                 this.fail("the time for the request is over", HTTP_GATEWAY_TIMEOUT);
                 return;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -100,6 +100,7 @@
     public readonly news: FleetNews;
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
+    private readonly ending = new AbortController();
     private readonly services = new Map<ServiceName, ServiceState>();
     private readonly allotment: FleetAllotment;
 
@@ -125,6 +126,16 @@
         this.news = new FleetNews(this.quarantine, this.limits);
     }
 
+    /** Aborted when the process is about to end: requests that still run are answered then. */
+    public get endSignal(): AbortSignal {
+        return this.ending.signal;
+    }
+
+    /** Ends the requests that still run. */
+    public endRequests(): void {
+        this.ending.abort();
+    }
+
     /**
      * Returns the state of a service; creates it on first use.
      *
--- a/packages/kernel/src/shared/clock.ts
+++ b/packages/kernel/src/shared/clock.ts
@@ -55,33 +55,33 @@
     });
 
 /**
- * Creates a signal that aborts after a timeout or together with a parent signal.
+ * Creates a signal that aborts after a timeout or together with one of its parent signals.
  *
  * @param clock - source of time
  * @param timeoutMs - timeout in milliseconds
- * @param parent - signal to follow
- * @returns the signal; disposing it cancels the timer and stops following the parent
+ * @param parents - signals to follow
+ * @returns the signal; disposing it cancels the timer and stops following the parents
  */
 export const timeoutSignal = (
     clock: Clock,
     timeoutMs: number,
-    parent?: AbortSignal,
+    ...parents: readonly (AbortSignal | undefined)[]
 ): { readonly signal: AbortSignal; } & Disposable => {
     const controller = new AbortController();
-    const onParentAbort = (): void => controller.abort(parent?.reason);
+    const onParentAbort = (): void => controller.abort(parents.find(parent => parent?.aborted)?.reason);
     const timer = clock.setTimer(
         timeoutMs,
         () => controller.abort(new AbortedError(`timed out after ${timeoutMs} ms`)),
     );
-    if (parent?.aborted) {
+    if (parents.some(parent => parent?.aborted)) {
         onParentAbort();
     }
-    parent?.addEventListener("abort", onParentAbort, { once: true });
+    parents.forEach(parent => parent?.addEventListener("abort", onParentAbort, { once: true }));
     return {
         signal: controller.signal,
         [Symbol.dispose]: () => {
             timer.cancel();
-            parent?.removeEventListener("abort", onParentAbort);
+            parents.forEach(parent => parent?.removeEventListener("abort", onParentAbort));
         },
     };
 };
