--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -32,6 +32,7 @@
 const fixedSource = (contents: Readonly<Record<string, ItemContent>>): PublishedSource => ({
     decode: key => contents[key] ?? { kind: "ignored" },
     readAll: async () => ({
+        era: undefined,
         revision: branded<Revision>(1),
         items: Object.keys(contents).map(key => ({ key, text: key, revision: branded<Revision>(1) })),
     }),
@@ -40,7 +41,7 @@
             clock.setTimer(waitMs, () => resolve(undefined));
             signal.addEventListener("abort", () => reject(signal.reason as Error));
         });
-        return { kind: "changes", revision, changes: [] };
+        return { kind: "changes", era: undefined, revision, changes: [] };
     },
 });
 
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -103,6 +103,15 @@
     summary: "The platform no longer has the changes since the known revision; the full state is read again.",
 });
 
+/** The full published state was read from the platform. */
+export const platformRead = defineEvent({
+    number: 8015,
+    name: "direct.platform.read",
+    level: "info",
+    summary:
+        "The full published state was read from the platform; it is ignored if it is older than the known one.",
+});
+
 /** A backend server was added. */
 export const serverAdded = defineEvent({
     number: 8020,
--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -6,7 +6,7 @@
 
 import { errorMessage, type Runtime, sleep, timeoutSignal } from "@magnolialock/kernel";
 import type { PublishedSource } from "../types/publishedState.ts";
-import { platformFound, platformLost, platformReread } from "./directEvents.ts";
+import { platformFound, platformLost, platformRead, platformReread } from "./directEvents.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 
 /** Options of a {@link PlatformWatcher}. */
@@ -124,7 +124,16 @@
         const { runtime, source, store } = this.options;
         if (!this.hasFullState) {
             using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
-            store.replace(await source.readAll(timeout.signal), "platform");
+            const known = store.revision;
+            const { era, items, revision } = await source.readAll(timeout.signal);
+            const isTakenOver = store.replace({ revision, items }, "platform");
+            runtime.events.emit(platformRead, {
+                era,
+                revision,
+                knownRevision: known,
+                items: items.length,
+                isTakenOver,
+            });
             this.hasFullState = true;
             return;
         }
@@ -135,7 +144,7 @@
         using timeout = timeoutSignal(runtime.clock, waitMs + WATCH_RESPONSE_MARGIN_MS, signal);
         const result = await source.watch(store.revision, waitMs, timeout.signal);
         if (result.kind === "historyLost") {
-            runtime.events.emit(platformReread, { revision: store.revision });
+            runtime.events.emit(platformReread, { era: result.era, revision: store.revision });
             this.hasFullState = false;
             return;
         }
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -110,10 +110,11 @@
      *
      * @param state - all items
      * @param source - origin of the update
+     * @returns whether the state was taken over
      */
-    public replace(state: PublishedState, source: UpdateSource): void {
+    public replace(state: PublishedState, source: UpdateSource): boolean {
         if (state.revision < this.currentRevision) {
-            return;
+            return false;
         }
         const keys = new Set(state.items.map(({ key }) => key));
         for (const [key, { item }] of this.items) {
@@ -125,6 +126,7 @@
         state.items.forEach(item => this.putItem(item));
         this.currentRevision = state.revision;
         this.notifyListeners(source);
+        return true;
     }
 
     /**
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -12,6 +12,7 @@
     DataCentreId,
     Revision,
     ServiceName,
+    StoreEra,
 } from "@magnolialock/kernel";
 
 /**
@@ -190,12 +191,24 @@
     readonly items: readonly PublishedItem[];
 }
 
+/** All items as the platform returned them. */
+export interface PublishedRead extends PublishedState {
+    /** Era that the platform named; undefined if it names none. */
+    readonly era: StoreEra | undefined;
+}
+
 /**
- * Result of a watch; `historyLost` means that the changes after the given revision are no longer available.
+ * Result of a watch; `historyLost` means that the changes after the given revision are not available. The era is
+ * undefined if the platform names none.
  */
 export type WatchResult =
-    | { readonly kind: "changes"; readonly revision: Revision; readonly changes: readonly ItemChange[]; }
-    | { readonly kind: "historyLost"; };
+    | {
+        readonly kind: "changes";
+        readonly era: StoreEra | undefined;
+        readonly revision: Revision;
+        readonly changes: readonly ItemChange[];
+    }
+    | { readonly kind: "historyLost"; readonly era: StoreEra | undefined; };
 
 /** Read-only access to the platform's published state. */
 export interface PublishedSource {
@@ -205,7 +218,7 @@
      * @param signal - cancels the read
      * @returns all items; changes after the returned revision may already be included
      */
-    readAll(signal: AbortSignal): Promise<PublishedState>;
+    readAll(signal: AbortSignal): Promise<PublishedRead>;
     /**
      * Waits for changes.
      *
--- a/packages/kernel/src/shared/brand.ts
+++ b/packages/kernel/src/shared/brand.ts
@@ -27,6 +27,11 @@
 export type RequestId = Brand<string, "RequestId">;
 /** Revision of the configuration, as numbered by the platform. */
 export type Revision = Brand<number, "Revision">;
+/**
+ * Number of a life of the platform's store. It rises each time the store returns from an older copy, after which
+ * revisions are given out again.
+ */
+export type StoreEra = Brand<number, "StoreEra">;
 /** Network address `ip:port`. */
 export type Address = Brand<string, "Address">;
 
