test(direct): a configuration written after the store returned from a copy is not in force

Seen: 0 of 7, 46 and 400 instances have the configuration in force; the frozen one misses it although the counter has passed its revision (3 of 7 have it). The same writes without a return break nothing, so the harness itself is sound.

--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -61,7 +61,7 @@
 const HERE = branded<DataCentreId>("here");
 export const THERE = branded<DataCentreId>("there");
 
-const SETTINGS: DirectSettings = {
+export const SETTINGS: DirectSettings = {
     instance: branded<InstanceId>("entry-1"),
     dataCentre: HERE,
     callers: branded<Address>("10.0.0.1:1"),
--- a/packages/lab/src/node/platformStandIns/storeStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/storeStandIn.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "@magnolialock/kernel";
+import { type RevisionedItem, RevisionedStore, type StoreCopy } from "@magnolialock/test-support";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { LoopbackServer } from "./loopbackServer.ts";
 
@@ -20,19 +21,6 @@
     /** Never answers. */
     | "silent";
 
-interface StoredItem {
-    readonly key: string;
-    readonly value: string;
-    readonly revision: number;
-    readonly created: number;
-}
-
-interface StoredChange {
-    readonly key: string;
-    readonly revision: number;
-    readonly item: StoredItem | undefined;
-}
-
 const HTTP_OK = 200;
 const HTTP_GONE = 410;
 const HTTP_NOT_FOUND = 404;
@@ -46,18 +34,16 @@
     public pageSize = 3;
     /** Called after each page; a reader must not miss changes that are made between the pages of one read. */
     public onPageSent: () => void = () => {};
+    /** Whether its answers name the era; older stores do not. */
+    public namesEra = true;
     /** Number of calls so far, in every mode. */
     public calls = 0;
-    private readonly items = new Map<string, StoredItem>();
-    private readonly pendingWatches = new Set<() => void>();
-    private changes: StoredChange[] = [];
-    private revision = 1;
-    /** A watch for the changes after an earlier revision than this is answered with status 410. */
-    private compactedRevision = 1;
+    private readonly model: RevisionedStore;
 
     /** @param clock - source of time */
-    public constructor(private readonly clock: Clock) {
+    public constructor(clock: Clock) {
         super();
+        this.model = new RevisionedStore(clock);
     }
 
     /**
@@ -67,12 +53,7 @@
      * @param content - content of the item; a string is stored as it is, anything else as JSON
      */
     public put(key: string, content: unknown): void {
-        const revision = ++this.revision;
-        const text = typeof content === "string" ? content : JSON.stringify(content);
-        const created = this.items.get(key)?.created ?? revision;
-        const item = { key, value: Buffer.from(text).toString("base64"), revision, created };
-        this.items.set(key, item);
-        this.recordChange({ key, revision, item });
+        this.model.put(key, typeof content === "string" ? content : JSON.stringify(content));
     }
 
     /**
@@ -81,22 +62,28 @@
      * @param key - key of the item
      */
     public remove(key: string): void {
-        this.items.delete(key);
-        this.recordChange({ key, revision: ++this.revision, item: undefined });
+        this.model.remove(key);
     }
 
     /** Discards the history of changes and closes all connections, and with them all watches. */
     public compact(): void {
-        this.changes = [];
-        this.compactedRevision = this.revision;
+        this.model.compact();
         this.server.closeAllConnections();
     }
 
-    private recordChange(change: StoredChange): void {
-        this.changes.push(change);
-        const watches = [...this.pendingWatches];
-        this.pendingWatches.clear();
-        watches.forEach(notify => notify());
+    /** Copies the store as it is now. */
+    public copy(): StoreCopy {
+        return this.model.copy();
+    }
+
+    /**
+     * Closes all connections and returns from an older copy; the era rises.
+     *
+     * @param copy - the copy
+     */
+    public restore(copy: StoreCopy): void {
+        this.server.closeAllConnections();
+        this.model.restore(copy);
     }
 
     protected async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -128,10 +115,12 @@
     }
 
     private sendPage(prefix: string, after: string, response: ServerResponse): void {
-        const keys = [...this.items.keys()].filter(key => key.startsWith(prefix) && key > after).sort();
-        const page = keys.slice(0, this.pageSize);
-        const items = page.map(key => ({ ...this.items.get(key), lease: 0 }));
-        this.sendJson(response, { items, has_more: keys.length > page.length, at: this.revision });
+        const { hasMore, items } = this.model.page(prefix, after, this.pageSize);
+        this.sendJson(response, {
+            items: items.map(toWire),
+            has_more: hasMore,
+            at: this.model.revision,
+        });
         this.onPageSent();
     }
 
@@ -141,28 +130,34 @@
         waitMs: number,
         response: ServerResponse,
     ): Promise<void> {
-        if (after < this.compactedRevision) {
-            response.writeHead(HTTP_GONE).end();
-            return;
+        if (this.model.changesAfter(after, prefix)?.length === 0) {
+            await this.model.waitForChange(waitMs);
         }
-        const changesSince = (): StoredChange[] =>
-            this.changes.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
-        if (changesSince().length === 0) {
-            await new Promise<void>(resolve => {
-                const timer = this.clock.setTimer(waitMs, resolve);
-                this.pendingWatches.add(() => {
-                    timer.cancel();
-                    resolve();
-                });
-            });
+        const changes = this.model.changesAfter(after, prefix);
+        if (!changes) {
+            response.writeHead(HTTP_GONE, this.eraHeader()).end();
+            return;
         }
-        const events = changesSince().map(({ item, key, revision }) =>
-            item ? { ...item, lease: 0 } : { key, revision, removed: true }
+        const events = changes.map(({ item, key, revision }) =>
+            item ? toWire(item) : { key, revision, removed: true }
         );
-        this.sendJson(response, { events, at: this.revision });
+        this.sendJson(response, { events, at: this.model.revision });
     }
 
     private sendJson(response: ServerResponse, body: unknown): void {
-        response.writeHead(HTTP_OK, { "content-type": "application/json" }).end(JSON.stringify(body));
+        response.writeHead(HTTP_OK, { "content-type": "application/json", ...this.eraHeader() })
+            .end(JSON.stringify(body));
+    }
+
+    private eraHeader(): Record<string, string> {
+        return this.namesEra ? { "store-era": String(this.model.era) } : {};
     }
 }
+
+const toWire = ({ created, key, revision, text }: RevisionedItem) => ({
+    key,
+    value: Buffer.from(text).toString("base64"),
+    revision,
+    created,
+    lease: 0,
+});
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
 export * from "./shared/processClock.ts";
+export * from "./shared/revisionedStore.ts";
 export * from "./shared/virtualClock.ts";
 export * from "./shared/virtualNetwork.ts";
 export * from "./shared/virtualRuntime.ts";
