--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -131,11 +131,17 @@
 ) => {
     const { runtime, settings, source } = options;
     const store = new PublishedStateStore({
+        clock: runtime.clock,
         events: runtime.events,
         decode: (key, text) => source.decode(key, text),
     });
+    scope.use(store);
     const watcher = scope.use(new PlatformWatcher({ runtime, source, store, fleetSize }));
-    const directory = new ServerDirectory({ runtime, store, sinceOutageMs: () => watcher.sinceOutageMs });
+    const directory = new ServerDirectory({
+        runtime,
+        store,
+        sinceOutageMs: () => Math.min(watcher.sinceOutageMs, store.sinceRestoredMs),
+    });
     const upstreams = scope.use(new ServerConnections(runtime.clock));
     return { store, watcher, directory, upstreams, settings };
 };
@@ -271,11 +277,14 @@
         scope,
     );
     let isStopping = false;
-    const isReady = (): boolean => !isStopping && store.configuration !== undefined;
+    const isReady = (): boolean => !isStopping && exchange.hasJoined;
     const metrics = createPromMetrics({
         running: () => listener.running,
         alivePeers: () => exchange.aliveCount,
+        era: () => store.era,
         revision: () => store.revision,
+        storeReturns: () => store.returns,
+        missingItems: () => store.missingCount,
         configurationVersion: () => store.configuration?.configuration.version ?? 0,
         openedConnections: () => upstreams.opened,
         limitedServers: () => context.limits.size,
@@ -289,6 +298,7 @@
         directory,
         upstreams,
         metrics,
+        hasJoined: () => exchange.hasJoined,
         fleet: () => exchange.fleet,
         peerDataCentres: () => exchange.aliveDataCentres,
     });
@@ -300,12 +310,9 @@
             directory,
             services: () => context.serviceStates(),
             news: context.news,
-            fetchState: async (peer, signal) => {
-                const state = await fetchState(peer, signal);
-                // The platform has not told this instance: its connection may have gone silent.
-                watcher.restartCall();
-                return state;
-            },
+            fetchState,
+            // The platform has not told this instance: its connection may have gone silent.
+            onFetched: () => watcher.restartCall(),
         }),
     );
     const listener = scope.use(
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -13,6 +13,12 @@
     readonly running: () => number;
     /** Number of other live instances. */
     readonly alivePeers: () => number;
+    /** Known era of the platform's store. */
+    readonly era: () => number;
+    /** Returns of the store from an older copy that were noticed. */
+    readonly storeReturns: () => number;
+    /** Items that are kept although the store lacks them since such a return. */
+    readonly missingItems: () => number;
     /** Known revision of the published state. */
     readonly revision: () => number;
     /** Version of the configuration in force; 0 before the first. */
@@ -40,6 +46,45 @@
     readonly contentType: string;
 }
 
+const registerGauges = (registry: Registry, readers: GaugeReaders): void => {
+    const gauge = (name: string, help: string, read: () => number): void => {
+        new Gauge({
+            name,
+            help,
+            registers: [registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    };
+    gauge("magnolialock_calls_running", "Running requests", readers.running);
+    gauge("magnolialock_peers", "Other live instances", readers.alivePeers);
+    gauge("magnolialock_platform_era", "Known era of the platform's store", readers.era);
+    gauge(
+        "magnolialock_platform_returns",
+        "Returns of the platform's store from an older copy that were noticed",
+        readers.storeReturns,
+    );
+    gauge(
+        "magnolialock_platform_missing_items",
+        "Items kept although the platform's store lacks them since it returned from an older copy",
+        readers.missingItems,
+    );
+    gauge("magnolialock_platform_revision", "Known revision of the published state", readers.revision);
+    gauge(
+        "magnolialock_configuration_version",
+        "Version of the configuration in force",
+        readers.configurationVersion,
+    );
+    gauge(
+        "magnolialock_connections_opened",
+        "Connections opened to backend servers",
+        readers.openedConnections,
+    );
+    gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
+    gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
+};
+
 /**
  * Creates the metrics.
  *
@@ -85,31 +130,7 @@
         help: "Requests refused because a part of their prompt is in quarantine",
         registers,
     });
-    const gauge = (name: string, help: string, read: () => number): void => {
-        new Gauge({
-            name,
-            help,
-            registers,
-            collect() {
-                this.set(read());
-            },
-        });
-    };
-    gauge("magnolialock_calls_running", "Running requests", readers.running);
-    gauge("magnolialock_peers", "Other live instances", readers.alivePeers);
-    gauge("magnolialock_platform_revision", "Known revision of the published state", readers.revision);
-    gauge(
-        "magnolialock_configuration_version",
-        "Version of the configuration in force",
-        readers.configurationVersion,
-    );
-    gauge(
-        "magnolialock_connections_opened",
-        "Connections opened to backend servers",
-        readers.openedConnections,
-    );
-    gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
-    gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
+    registerGauges(registry, readers);
     return {
         countCall: (result, service, status, durationMs) => {
             calls.inc({ result, service, status });
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -303,6 +303,7 @@
             random: createRandomSource(Number(name.split("-")[1])),
         };
         this.store = new PublishedStateStore({
+            clock: this.clock,
             events: this.events,
             decode: (key, text) => this.contents.get(`${key} ${text}`) ?? { kind: "ignored" },
         });
@@ -319,6 +320,7 @@
             directory: this.directory,
             upstreams: this,
             metrics: noCallMetrics,
+            hasJoined: () => true,
             fleet: () => this.knownFleet(),
             peerDataCentres: () => this.knownDataCentres(),
         });
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -237,6 +237,7 @@
             services: () => context.serviceStates(),
             news: context.news,
             fetchState: async () => store.export(),
+            onFetched: () => {},
         });
         void this.exchange.run({
             send: (to, bytes) => {
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -5,6 +5,7 @@
     type DataCentreId,
     type InstanceId,
     type Revision,
+    type StoreEra,
 } from "@magnolialock/kernel";
 import test from "ava";
 import type { DirectSettings } from "../../types/directSettings.ts";
@@ -16,6 +17,16 @@
 const addressOf = (index: number): Address =>
     branded<Address>(`10.9.${Math.floor(index / 200)}.${index % 200 + 1}:7340`);
 
+const stateAt = (revision: number): PublishedState => ({
+    era: branded<StoreEra>(0),
+    revision: branded<Revision>(revision),
+    items: [],
+    removed: [],
+    missing: [],
+    history: [],
+    ageMs: 0,
+});
+
 /** A peer exchange whose datagrams are counted instead of sent. */
 class ExchangeFixture {
     public readonly direct = new DirectFixture();
@@ -37,8 +48,9 @@
             news: context.news,
             fetchState: async () => {
                 this.fetches++;
-                return this.state ?? { revision: branded<Revision>(0), items: [] };
+                return this.state ?? stateAt(0);
             },
+            onFetched: () => {},
         });
         void this.exchange.run({
             send: (to, bytes) => {
@@ -63,7 +75,10 @@
                 instance: branded<InstanceId>(`entry-${index}`),
                 incarnation: branded("life"),
                 dataCentre: branded<DataCentreId>(changes.dataCentre ?? "here"),
+                era: branded<StoreEra>(0),
                 revision: branded<Revision>(changes.revision ?? 1),
+                configurationVersion: 0,
+                stateAgeMs: 0,
                 running: changes.running ?? new Map(),
                 groupUpMs: new Map(),
                 members: [],
@@ -106,7 +121,7 @@
 
 test.serial("an instance without updates from the platform fetches the state of one ahead", async t => {
     const fixture = new ExchangeFixture();
-    fixture.state = { revision: branded<Revision>(90), items: [] };
+    fixture.state = stateAt(90);
     fixture.receiveReport(1, { revision: 90 });
     await fixture.direct.clock.advance(300);
     t.is(fixture.fetches, 0);
--- a/packages/direct/src/shared/__tests__/routing.spec.ts
+++ b/packages/direct/src/shared/__tests__/routing.spec.ts
@@ -4,6 +4,7 @@
     createRandomSource,
     type Revision,
     seedFaults,
+    type StoreEra,
 } from "@magnolialock/kernel";
 import test from "ava";
 import { drawService, RouteTable } from "../routeTable.ts";
@@ -224,7 +225,7 @@
     const { store } = fixture;
     const { revision } = store;
     const older = branded<Revision>(revision - 1);
-    store.replace({ revision: older, items: [] }, "peer");
+    store.replace({ era: branded<StoreEra>(0), revision: older, items: [] }, "peer");
     t.is(store.revision, revision);
     t.is(store.servers().size, 2);
     store.apply(older, [{ key: "a", text: undefined, revision: older }], "peer");
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -73,7 +73,7 @@
             random: fleet.random.fork(`${this.name} ${fleet.clock.nowMs()}`),
         };
         const decode = (key: string, text: string): ItemContent => this.decode(key, text);
-        this.store = new PublishedStateStore({ events: this.events, decode });
+        this.store = new PublishedStateStore({ clock, events: this.events, decode });
         const { store } = this;
         this.watcher = new PlatformWatcher({
             runtime,
@@ -84,7 +84,7 @@
         this.directory = new ServerDirectory({
             runtime,
             store,
-            sinceOutageMs: () => this.watcher.sinceOutageMs,
+            sinceOutageMs: () => Math.min(this.watcher.sinceOutageMs, store.sinceRestoredMs),
         });
         this.exchange = new PeerExchange({
             runtime,
@@ -99,11 +99,8 @@
             directory: this.directory,
             services: () => new Map(),
             news: noNews,
-            fetchState: async peer => {
-                const state = await fleet.fetchState(index, peer);
-                this.watcher.restartCall();
-                return state;
-            },
+            fetchState: peer => fleet.fetchState(index, peer),
+            onFetched: () => this.watcher.restartCall(),
         });
         this.pauses = new PauseDetector({ clock, onPause: () => this.watcher.restartCall() });
     }
@@ -114,7 +111,7 @@
 
     /** Whether callers may be sent here. */
     public get isReady(): boolean {
-        return this.store.configuration !== undefined;
+        return this.exchange.hasJoined;
     }
 
     /** Version of the configuration in force; 0 before the first. */
@@ -143,6 +140,7 @@
         this.pauses[Symbol.dispose]();
         this.watcher[Symbol.dispose]();
         this.exchange[Symbol.dispose]();
+        this.store[Symbol.dispose]();
     }
 
     public decode(key: string, text: string): ItemContent {
--- a/packages/direct/src/shared/__tests__/storeRestored.spec.ts
+++ b/packages/direct/src/shared/__tests__/storeRestored.spec.ts
@@ -1,4 +1,21 @@
+import {
+    type Address,
+    branded,
+    createRandomSource,
+    type DataCentreId,
+    EventLog,
+    type InstanceId,
+    type Revision,
+    type StoreEra,
+} from "@magnolialock/kernel";
+import { VirtualClock } from "@magnolialock/test-support";
 import test, { type ExecutionContext } from "ava";
+import type { PublishedRead, PublishedState, WatchResult } from "../../types/publishedState.ts";
+import type { PeerReport } from "../peerReport.ts";
+import { PlatformWatcher } from "../platformWatcher.ts";
+import { PublishedStateStore } from "../publishedStateStore.ts";
+import { type ReportingPeer, StateCatchUp } from "../stateCatchUp.ts";
+import { configuration } from "./directFixture.ts";
 import { PublishedFleet, type PublishedFleetOptions } from "./publishedFleet.ts";
 
 const SMALL: PublishedFleetOptions = { instances: 7, servers: 9, dataCentres: 3 };
@@ -53,7 +70,7 @@
 });
 
 for (const [name, { applyMs, ...options }] of Object.entries(FLEETS)) {
-    test.serial.failing(`a configuration written after the store returned from a copy is not in force: ${name}`, async t => {
+    test.serial(`a configuration written after the store returned from a copy is not in force: ${name}`, async t => {
         using fleet = await startFleet(options);
         const copy = fleet.platform.copy();
         await writeLostItems(fleet);
@@ -74,7 +91,7 @@
     });
 }
 
-test.serial.failing("an instance that starts after the return takes the operator's items of the copy for the newest", async t => {
+test.serial("an instance that starts after the return takes the operator's items of the copy for the newest", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -82,16 +99,15 @@
     for (const [index, pauseMs] of [[1, 50], [2, 700], [0, 900]] as const) {
         await fleet.advance(pauseMs);
         fleet.startInstance(index);
-        for (let waitMs = 0; waitMs < 3_000 && !fleet.instances[index]?.isReady; waitMs += 100) {
-            await fleet.advance(100);
-        }
+        await fleet.advance(1_000);
+        t.true(fleet.instances[index]?.isReady);
         t.is(fleet.instances[index]?.version, 2);
     }
     await fleet.advance(2_000);
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("an instance that was frozen through the return misses what was written before it woke", async t => {
+test.serial("an instance that was frozen through the return misses what was written before it woke", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -113,7 +129,7 @@
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("an instance that the store turns away keeps to the era of before", async t => {
+test.serial("an instance that the store turns away keeps to the era of before", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -131,7 +147,7 @@
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("a data centre that is cut off through the return takes its old state back to the others", async t => {
+test.serial("a data centre that is cut off through the return takes its old state back to the others", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -153,7 +169,7 @@
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("a second return before the first is noticed everywhere loses writes", async t => {
+test.serial("a second return before the first is noticed everywhere loses writes", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -171,7 +187,7 @@
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("a return in the middle of a rollout brings the lost configuration's predecessor back", async t => {
+test.serial("a return in the middle of a rollout brings the lost configuration's predecessor back", async t => {
     using fleet = await startFleet(SMALL);
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -191,7 +207,7 @@
     assertNoViolations(t, fleet);
 });
 
-test.serial.failing("a store that names no era asks for endless reads after its return", async t => {
+test.serial("a store that names no era asks for endless reads after its return", async t => {
     using fleet = await startFleet({ ...SMALL, namesEra: false });
     const copy = fleet.platform.copy();
     await writeLostItems(fleet);
@@ -205,3 +221,105 @@
     t.true(fleet.calls.filter(({ atMs }) => atMs >= returnedMs).length <= SMALL.instances * 15);
     assertNoViolations(t, fleet);
 });
+
+const createStore = () => {
+    const clock = new VirtualClock();
+    const events = new EventLog({ clock, instance: "entry-1" });
+    const store = new PublishedStateStore({
+        clock,
+        events,
+        decode: (key, text) =>
+            key === "config"
+                ? { kind: "configuration", configuration: configuration({ version: Number(text) }) }
+                : { kind: "outDataCentre", dataCentre: branded<DataCentreId>(text) },
+    });
+    return { store, runtime: { clock, events, random: createRandomSource(1) } };
+};
+
+const readAt = (era: number, revision: number, items: Readonly<Record<string, string>>) => ({
+    era: branded<StoreEra>(era),
+    revision: branded<Revision>(revision),
+    items: Object.entries(items).map(([key, text]) => ({ key, text, revision: branded<Revision>(revision) })),
+});
+
+test.serial("answers of an earlier era that arrive late undo what is known", async t => {
+    const { runtime, store } = createStore();
+    const reads: ((read: PublishedRead) => void)[] = [];
+    const watches: { readonly after: number; readonly answer: (result: WatchResult) => void; }[] = [];
+    const source = {
+        readAll: () => new Promise<PublishedRead>(resolve => reads.push(resolve)),
+        watch: (after: Revision) => new Promise<WatchResult>(answer => watches.push({ after, answer })),
+        decode: () => ({ kind: "ignored" }) as const,
+    };
+    using watcher = new PlatformWatcher({ runtime, source, store, fleetSize: () => 1 });
+    void watcher.run();
+    await runtime.clock.advance(0);
+    reads.shift()?.(readAt(1, 20, { config: "2" }));
+    await runtime.clock.advance(10);
+    t.is(watches.at(-1)?.after, 20);
+    // Another instance has read in the next era before the watch is answered.
+    store.replace(readAt(2, 12, { config: "1", out: "centre-1" }), "peer");
+    const revision = branded<Revision>(21);
+    watches.shift()?.answer({
+        kind: "changes",
+        era: branded<StoreEra>(1),
+        revision,
+        changes: [{ key: "out", text: undefined, revision }],
+    });
+    await runtime.clock.advance(10);
+    t.deepEqual(store.version, { era: branded<StoreEra>(2), revision: branded<Revision>(12) });
+    t.is(watches.at(-1)?.after, 12);
+    t.is(store.outDataCentres().size, 1);
+    t.is(store.configurationVersion, 2);
+    // A server of the store that has not noticed yet answers from the era before.
+    watches.shift()?.answer({ kind: "historyLost", era: branded<StoreEra>(1) });
+    await runtime.clock.advance(100);
+    t.true(watcher.isFailing);
+    t.is(reads.length, 0);
+    t.false(store.replace(readAt(1, 30, { config: "1" }), "platform"));
+    t.is(store.outDataCentres().size, 1);
+});
+
+test.serial("a report without an era leads back to the era of before", async t => {
+    const { runtime, store } = createStore();
+    const fetched: Address[] = [];
+    const report: PeerReport = {
+        instance: branded<InstanceId>("entry-2"),
+        incarnation: branded("life"),
+        dataCentre: branded<DataCentreId>("here"),
+        era: undefined,
+        revision: branded<Revision>(30),
+        configurationVersion: 0,
+        stateAgeMs: 0,
+        running: new Map(),
+        groupUpMs: new Map(),
+        members: [],
+        heardInstances: 1,
+    };
+    const peer = branded<Address>("10.9.0.2:7340");
+    const peers = new Map<Address, ReportingPeer>([[peer, { report, lastReportMs: 0, isAlive: true }]]);
+    const catchUp = new StateCatchUp({
+        runtime,
+        store,
+        peers: () => peers,
+        expectsOthers: () => false,
+        // An earlier release hands on items and revision only.
+        fetchState: async address => {
+            fetched.push(address);
+            const { items, revision } = readAt(0, 30, { config: "2" });
+            return { items, revision } as unknown as PublishedState;
+        },
+        onFetched: () => {},
+    });
+    store.replace(readAt(1, 20, { config: "1" }), "platform");
+    await catchUp.catchUp(new AbortController().signal);
+    t.deepEqual(store.version, { era: branded<StoreEra>(1), revision: branded<Revision>(30) });
+    t.is(store.configurationVersion, 2);
+    store.replace(readAt(2, 15, { config: "1" }), "platform");
+    await catchUp.catchUp(new AbortController().signal);
+    await runtime.clock.advance(1_000);
+    await catchUp.catchUp(new AbortController().signal);
+    t.is(fetched.length, 1);
+    t.is(store.revision, branded<Revision>(15));
+    t.is(store.configurationVersion, 2);
+});
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -42,6 +42,8 @@
     readonly upstreams: UpstreamClient;
     /** Request metrics. */
     readonly metrics: CallMetrics;
+    /** Returns whether the published state is known as well as the others know it, so that requests may be served. */
+    readonly hasJoined: () => boolean;
     /** Returns the instances that may be alive. */
     readonly fleet: () => FleetView;
     /** Returns the data centre of each other live instance. */
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -112,6 +112,41 @@
         "The full published state was read from the platform; it is ignored if it is older than the known one.",
 });
 
+/** The platform's store has returned from an older copy. */
+export const storeRestored = defineEvent({
+    number: 8016,
+    name: "direct.platform.restored",
+    level: "warning",
+    summary:
+        "The platform's store has returned from an older copy: what was known before stays until it is written again.",
+});
+
+/** An item of the copy is not believed. */
+export const itemKept = defineEvent({
+    number: 8017,
+    name: "direct.item.kept",
+    level: "info",
+    summary:
+        "The store's older copy has an earlier content of an item; the newer one, or its removal, stays in force.",
+});
+
+/** Servers that the copy lacks have not come back. */
+export const missingDropped = defineEvent({
+    number: 8018,
+    name: "direct.servers.missing",
+    level: "info",
+    summary:
+        "Backend servers that the store's older copy lacks have not published themselves again; they count as gone.",
+});
+
+/** The state that another instance knows was fetched. */
+export const stateFetched = defineEvent({
+    number: 8019,
+    name: "direct.state.fetched",
+    level: "info",
+    summary: "The published state was fetched from another instance, which knew more.",
+});
+
 /** A backend server was added. */
 export const serverAdded = defineEvent({
     number: 8020,
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -11,18 +11,16 @@
     branded,
     type DataCentreId,
     type DatagramSocket,
-    errorMessage,
     type IncarnationId,
     MAX_DATAGRAM_BYTES,
     shuffled,
     sleep,
-    timeoutSignal,
 } from "@magnolialock/kernel";
 import type { DirectSettings } from "../types/directSettings.ts";
 import type { NewsSource } from "../types/peerNews.ts";
 import type { PublishedState } from "../types/publishedState.ts";
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
-import { peerFetchFailed, peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
+import { peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
 import type { FleetView } from "./fleetAllotment.ts";
 import type { GroupHealth } from "./groupHealth.ts";
 import { NewsSpreader } from "./newsSpreader.ts";
@@ -35,6 +33,7 @@
 } from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
+import { StateCatchUp } from "./stateCatchUp.ts";
 
 /** Options of a {@link PeerExchange}. */
 export interface PeerExchangeOptions {
@@ -57,6 +56,8 @@
      * @param signal - cancels the call
      */
     readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<PublishedState>;
+    /** Called after the state of another instance was taken over. */
+    readonly onFetched: () => void;
 }
 
 /**
@@ -99,13 +100,10 @@
 /** Number of member addresses in a report. */
 const MEMBERS_PER_REPORT = 8;
 /**
- * Time for which another instance must be ahead before its state is fetched, in milliseconds: the platform
- * usually delivers the change first.
+ * Time for which an instance must have known the published state before it answers newcomers at once, in
+ * milliseconds: in a fleet that starts as a whole everybody is one.
  */
-const FETCH_DELAY_MS = 400;
-/** Timeout for fetching a state, in milliseconds; large configurations take a while on slow links. */
-const FETCH_TIMEOUT_MS = 2_000;
-
+const MIN_GREETER_AGE_MS = 5_000;
 interface Peer {
     report: PeerReport;
     lastReportMs: number;
@@ -122,8 +120,8 @@
     private readonly stopping = new AbortController();
     private spreader: NewsSpreader | undefined;
     private readonly startedMs: number;
-    private behindSinceMs: number | undefined;
-    private isFetching = false;
+    private readonly catchUp: StateCatchUp;
+    private socket: DatagramSocket | undefined;
     private reportCount = 0;
     private reportPeriodMs = MIN_REPORT_PERIOD_MS;
     /** Bytes sent as news since the last report; they delay the next one, so that both share one budget. */
@@ -135,6 +133,16 @@
         this.startedMs = options.runtime.clock.nowMs();
         this.incarnation = branded<IncarnationId>(options.runtime.random.nextFloat().toString(36).slice(2));
         this.addSeeds(options.settings.seeds);
+        this.catchUp = new StateCatchUp({
+            ...options,
+            peers: () => this.peers,
+            expectsOthers: () => this.unconfirmed.size > 0,
+        });
+    }
+
+    /** Whether this instance knows what the others knew when it started, so that it may serve. */
+    public get hasJoined(): boolean {
+        return this.catchUp.hasJoined;
     }
 
     /**
@@ -209,7 +217,7 @@
         }
         this.peers.set(from, { report, lastReportMs: clock.nowMs(), isAlive: true });
         if (known?.report.incarnation !== report.incarnation) {
-            this.spreader?.greet(from);
+            this.greet(from);
         }
         this.addSeeds(report.members);
         this.unconfirmed.delete(from);
@@ -217,6 +225,9 @@
         for (const [key, sinceUpMs] of report.groupUpMs) {
             groups.get(key)?.applyPeerReport(sinceUpMs);
         }
+        if (!this.hasJoined) {
+            void this.catchUp.catchUp(this.stopping.signal);
+        }
     }
 
     /**
@@ -227,12 +238,13 @@
     public async run(socket: DatagramSocket): Promise<void> {
         const { clock, random } = this.options.runtime;
         const { signal } = this.stopping;
+        this.socket = socket;
         this.spreader = this.createSpreader(socket);
         while (!signal.aborted) {
             this.expirePeers();
             this.updatePeerLoad();
             this.sendReport(socket);
-            void this.fetchNewerState();
+            void this.catchUp.catchUp(signal);
             const newsDelayMs = this.newsBytes / REPORT_BYTES_PER_S * MS_PER_SECOND;
             this.newsBytes = 0;
             const delayMs = this.reportPeriodMs * (0.9 + random.nextFloat() / 5) + newsDelayMs;
@@ -246,6 +258,14 @@
         this.spreader?.[Symbol.dispose]();
     }
 
+    /** Tells an instance that has just started what this one knows; it waits for that before it serves. */
+    private greet(newcomer: Address): void {
+        this.spreader?.greet(newcomer);
+        if (this.hasJoined && this.options.store.ageMs >= MIN_GREETER_AGE_MS) {
+            this.socket?.send(newcomer, this.encodeReport(false));
+        }
+    }
+
     private createSpreader(socket: DatagramSocket): NewsSpreader {
         const { news, runtime } = this.options;
         return new NewsSpreader({
@@ -299,6 +319,24 @@
     }
 
     private sendReport(socket: DatagramSocket): void {
+        const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
+        const bytes = this.encodeReport(includesRemote);
+        const receivers = this.selectReceivers(includesRemote);
+        for (const receiver of receivers) {
+            socket.send(receiver, bytes);
+        }
+        if (includesRemote) {
+            const localCount = this.selectReceivers(false).length;
+            const meanBytes = bytes.length
+                * (localCount + (receivers.length - localCount) / REMOTE_REPORT_INTERVAL);
+            this.reportPeriodMs = Math.max(
+                MIN_REPORT_PERIOD_MS,
+                meanBytes / REPORT_BYTES_PER_S * MS_PER_SECOND,
+            );
+        }
+    }
+
+    private encodeReport(includesMembers: boolean): Uint8Array {
         const { random } = this.options.runtime;
         const { settings, directory, services, store } = this.options;
         const running = new Map<number, number>();
@@ -313,41 +351,24 @@
                 groupUpMs.set(key, Math.round(health.sinceUpMs));
             }
         }
-        const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
-        const known = includesRemote ? [...this.peers.keys()] : [];
+        const known = includesMembers ? [...this.peers.keys()] : [];
         const report: PeerReport = {
             instance: settings.instance,
             incarnation: this.incarnation,
             dataCentre: settings.dataCentre,
-            revision: store.revision,
+            ...store.version,
+            configurationVersion: store.configurationVersion,
+            stateAgeMs: store.ageMs,
             running,
             groupUpMs,
             members: shuffled(random, known).slice(0, MEMBERS_PER_REPORT),
             heardInstances: this.peers.size + 1,
             news: this.options.news.sampleNews(),
         };
-        let bytes = encodePeerReport(report);
-        if (bytes.length > MAX_DATAGRAM_BYTES) {
-            bytes = encodePeerReport({
-                ...report,
-                members: [],
-                news: undefined,
-                running: busiestServers(running),
-            });
-        }
-        const receivers = this.selectReceivers(includesRemote);
-        for (const receiver of receivers) {
-            socket.send(receiver, bytes);
-        }
-        if (includesRemote) {
-            const localCount = this.selectReceivers(false).length;
-            const meanBytes = bytes.length
-                * (localCount + (receivers.length - localCount) / REMOTE_REPORT_INTERVAL);
-            this.reportPeriodMs = Math.max(
-                MIN_REPORT_PERIOD_MS,
-                meanBytes / REPORT_BYTES_PER_S * MS_PER_SECOND,
-            );
-        }
+        const bytes = encodePeerReport(report);
+        return bytes.length <= MAX_DATAGRAM_BYTES
+            ? bytes
+            : encodePeerReport({ ...report, members: [], news: undefined, running: busiestServers(running) });
     }
 
     /**
@@ -366,40 +387,6 @@
             : shuffled(runtime.random, remote).slice(0, MAX_REMOTE_RECEIVERS);
         return includesRemote ? [...local, ...sample, ...this.unconfirmed] : local;
     }
-
-    /** Fetches the published state from an instance that has been ahead for a while. */
-    private async fetchNewerState(): Promise<void> {
-        const { runtime, store, fetchState } = this.options;
-        const { clock, events } = runtime;
-        const ahead = [...this.peers].filter(([, { isAlive, report }]) =>
-            isAlive && report.revision > store.revision
-        );
-        if (ahead.length === 0) {
-            this.behindSinceMs = undefined;
-            return;
-        }
-        this.behindSinceMs ??= clock.nowMs();
-        const isPlatformExpected = clock.nowMs() - this.behindSinceMs < FETCH_DELAY_MS && store.revision > 0;
-        if (isPlatformExpected || this.isFetching) {
-            return;
-        }
-        const [source] = shuffled(runtime.random, ahead);
-        if (!source) {
-            return;
-        }
-        using timeout = timeoutSignal(clock, FETCH_TIMEOUT_MS, this.stopping.signal);
-        this.isFetching = true;
-        try {
-            store.replace(await fetchState(source[0], timeout.signal), "peer");
-            this.behindSinceMs = undefined;
-        }
-        catch (error) {
-            events.emit(peerFetchFailed, { peer: source[1].report.instance, error: errorMessage(error) });
-        }
-        finally {
-            this.isFetching = false;
-        }
-    }
 }
 
 /** Returns the groups of all services by their key in the reports. */
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -16,6 +16,7 @@
     isAddress,
     MAX_DATAGRAM_BYTES,
     type Revision,
+    type StoreEra,
 } from "@magnolialock/kernel";
 import {
     type DirectReport,
@@ -33,8 +34,14 @@
     readonly incarnation: IncarnationId;
     /** Its data centre. */
     readonly dataCentre: DataCentreId;
+    /** Era of the published state that it knows; undefined from an earlier release. */
+    readonly era: StoreEra | undefined;
     /** Revision of the published state that it knows. */
     readonly revision: Revision;
+    /** Version of the configuration in force there; 0 if there is none, and from an earlier release. */
+    readonly configurationVersion: number;
+    /** Time for which it has followed the published state without a gap, in milliseconds. */
+    readonly stateAgeMs: number;
     /**
      * Number of requests that it runs, by the {@link reportKey} of the backend server; servers without any are
      * omitted.
@@ -77,6 +84,9 @@
             incarnation: report.incarnation,
             dataCentre: report.dataCentre,
             revision: BigInt(report.revision),
+            ...(report.era === undefined ? {} : { era: BigInt(report.era) }),
+            configurationVersion: report.configurationVersion,
+            stateAgeMs: toAge(report.stateAgeMs),
             serverHashes: [...report.running.keys()],
             runningRequests: [...report.running.values()],
             groupHashes: [...report.groupUpMs.keys()],
@@ -153,7 +163,10 @@
     instance: branded<InstanceId>(""),
     incarnation: branded<IncarnationId>(""),
     dataCentre: branded<DataCentreId>(""),
+    era: undefined,
     revision: branded<Revision>(0),
+    configurationVersion: 0,
+    stateAgeMs: 0,
     running: new Map(),
     groupUpMs: new Map(),
     members: [],
@@ -204,7 +217,10 @@
         instance: branded<InstanceId>(instance),
         incarnation: branded<IncarnationId>(incarnation),
         dataCentre: branded<DataCentreId>(dataCentre),
+        era: report.era === undefined ? undefined : branded<StoreEra>(Number(report.era)),
         revision: branded<Revision>(Number(revision)),
+        configurationVersion: report.configurationVersion,
+        stateAgeMs: report.stateAgeMs,
         running: zip(report.serverHashes, report.runningRequests),
         groupUpMs: zip(report.groupHashes, report.sinceGroupUpMs),
         members: members.filter((member): member is Address => isAddress(member)),
--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -4,7 +4,15 @@
  * @packageDocumentation
  */
 
-import { errorMessage, type Runtime, sleep, timeoutSignal } from "@magnolialock/kernel";
+import {
+    branded,
+    errorMessage,
+    ProtocolError,
+    type Runtime,
+    sleep,
+    type StoreEra,
+    timeoutSignal,
+} from "@magnolialock/kernel";
 import type { PublishedSource } from "../types/publishedState.ts";
 import { platformFound, platformLost, platformRead, platformReread } from "./directEvents.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
@@ -55,12 +63,31 @@
  */
 const MIN_OUTAGE_MS = 1_000;
 
+/**
+ * Time over which an instance spreads a full read for each instance of the fleet, in milliseconds: all of them
+ * notice a lost history at the same moment, and those that read first hand the state on.
+ */
+const READ_SPREAD_PER_INSTANCE_MS = 4;
+const MAX_READ_SPREAD_MS = 2_000;
+/** Shortest time between two full reads of one instance, in milliseconds. */
+const MIN_READ_INTERVAL_MS = 1_000;
+
+const assertNotOlder = (era: StoreEra, known: StoreEra): void => {
+    if (era < known) {
+        throw new ProtocolError(
+            `the platform answered from era ${era} of its store, which is now in era ${known}`,
+        );
+    }
+};
+
 /** Watches the published state of the platform. */
 export class PlatformWatcher implements Disposable {
     private readonly options: PlatformWatcherOptions;
     private readonly stopping = new AbortController();
     private currentCall = new AbortController();
     private hasFullState = false;
+    private nextReadMs = Number.NEGATIVE_INFINITY;
+    private eraBeforeRead: StoreEra | undefined;
     private failingSinceMs: number | undefined;
     private lastOutageEndMs = Number.NEGATIVE_INFINITY;
 
@@ -123,18 +150,7 @@
     private async syncOnce(signal: AbortSignal): Promise<void> {
         const { runtime, source, store } = this.options;
         if (!this.hasFullState) {
-            using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
-            const known = store.revision;
-            const { era, items, revision } = await source.readAll(timeout.signal);
-            const isTakenOver = store.replace({ revision, items }, "platform");
-            runtime.events.emit(platformRead, {
-                era,
-                revision,
-                knownRevision: known,
-                items: items.length,
-                isTakenOver,
-            });
-            this.hasFullState = true;
+            await this.readAll(signal);
             return;
         }
         const waitMs = runtime.random.nextInt(
@@ -142,10 +158,23 @@
             Math.min(MAX_WATCH_MS, this.options.fleetSize() * MAX_WATCH_PER_INSTANCE_MS),
         );
         using timeout = timeoutSignal(runtime.clock, waitMs + WATCH_RESPONSE_MARGIN_MS, signal);
-        const result = await source.watch(store.revision, waitMs, timeout.signal);
-        if (result.kind === "historyLost") {
-            runtime.events.emit(platformReread, { era: result.era, revision: store.revision });
+        const asked = store.version;
+        const result = await source.watch(asked.revision, waitMs, timeout.signal);
+        if (store.era !== asked.era) {
+            // Another instance has told of a newer era; the revision that was asked for belongs to an older one.
+            return;
+        }
+        const era = result.era ?? asked.era;
+        assertNotOlder(era, asked.era);
+        if (era > asked.era || result.kind === "historyLost") {
+            runtime.events.emit(platformReread, {
+                era,
+                knownEra: asked.era,
+                revision: asked.revision,
+                isHistoryLost: result.kind === "historyLost",
+            });
             this.hasFullState = false;
+            this.scheduleRead();
             return;
         }
         store.apply(result.revision, result.changes, "platform");
@@ -154,6 +183,50 @@
         }
     }
 
+    /** Spreads the reads of a fleet that all become due at one moment, and limits those of one instance. */
+    private scheduleRead(): void {
+        const { fleetSize, runtime, store } = this.options;
+        const nowMs = runtime.clock.nowMs();
+        const spreadMs = Math.min(MAX_READ_SPREAD_MS, fleetSize() * READ_SPREAD_PER_INSTANCE_MS);
+        this.eraBeforeRead = store.era;
+        this.nextReadMs = Math.max(
+            nowMs + spreadMs * runtime.random.nextFloat(),
+            this.nextReadMs + MIN_READ_INTERVAL_MS,
+        );
+    }
+
+    private async readAll(signal: AbortSignal): Promise<void> {
+        const { runtime, source, store } = this.options;
+        await sleep(runtime.clock, Math.max(0, this.nextReadMs - runtime.clock.nowMs()), signal);
+        if (this.eraBeforeRead !== undefined && store.era > this.eraBeforeRead) {
+            // Another instance has handed on what it read in the newer era.
+            this.hasFullState = true;
+            return;
+        }
+        this.nextReadMs = runtime.clock.nowMs();
+        using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
+        const asked = store.version;
+        const read = await source.readAll(timeout.signal);
+        if (store.era !== asked.era && read.era === undefined) {
+            return;
+        }
+        // A store that names no era shows its return only by a lower revision.
+        const isRewound = read.era === undefined && read.revision < asked.revision;
+        const era = read.era ?? branded<StoreEra>(asked.era + (isRewound ? 1 : 0));
+        const { items, revision } = read;
+        const isTakenOver = store.replace({ era, items, revision }, "platform");
+        runtime.events.emit(platformRead, {
+            era,
+            revision,
+            knownEra: asked.era,
+            knownRevision: asked.revision,
+            items: items.length,
+            isTakenOver,
+        });
+        assertNotOlder(era, asked.era);
+        this.hasFullState = true;
+    }
+
     private recordSuccess(): void {
         const { runtime, store } = this.options;
         if (this.failingSinceMs === undefined) {
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -1,35 +1,49 @@
 /**
- * Published state as this instance knows it. Its revision never decreases, whether updates come from the
- * platform or from other instances.
+ * Published state as this instance knows it, whether updates come from the platform or from other instances.
+ *
+ * Writes are ordered by the store's era and revision. When the store returns from an older copy, what was known
+ * before stays until the new era shows a newer write of the same item: an absence or an older content in the
+ * copy is no evidence. The version of the configuration in force never decreases.
  *
  * @packageDocumentation
  */
 
 import {
     type BackendServerId,
-    branded,
+    type Clock,
     type DataCentreId,
     type EventLog,
     type Revision,
-    type ServiceName,
+    type StoreEra,
 } from "@magnolialock/kernel";
+import { LRUCache } from "lru-cache";
 import type {
-    FleetConfiguration,
     ItemChange,
     ItemContent,
     PublishedItem,
     PublishedServer,
     PublishedState,
-    ServiceSpec,
+    StateVersion,
+    VersionedItem,
 } from "../types/publishedState.ts";
-import { configurationApplied, itemUnreadable } from "./directEvents.ts";
-import { RouteTable } from "./routeTable.ts";
+import { activateConfiguration, type ActiveConfiguration } from "./activeConfiguration.ts";
+import {
+    configurationApplied,
+    itemKept,
+    itemUnreadable,
+    missingDropped,
+    storeRestored,
+} from "./directEvents.ts";
+import { compareVersions, NO_VERSION } from "./stateVersion.ts";
+import { WriteHistory } from "./writeHistory.ts";
 
 /** Origin of an update. */
 export type UpdateSource = "platform" | "peer";
 
 /** Options of a {@link PublishedStateStore}. */
 export interface PublishedStateStoreOptions {
+    /** Source of time. */
+    readonly clock: Clock;
     /** Event log of the process. */
     readonly events: EventLog;
     /** Decodes an item. */
@@ -37,40 +51,82 @@
 }
 
 interface KnownItem {
-    readonly item: PublishedItem;
+    readonly item: VersionedItem;
     readonly content: ItemContent;
 }
 
-/** Configuration in force, with its lookup tables. */
-export interface ActiveConfiguration {
-    /** The operator's configuration. */
-    readonly configuration: FleetConfiguration;
-    /** Routes by host and prefix. */
-    readonly routes: RouteTable;
-    /** Services by name. */
-    readonly services: ReadonlyMap<ServiceName, ServiceSpec>;
-}
+/** A full state from the platform or, with more details, from another instance. */
+type FullState =
+    & StateVersion
+    & { readonly items: readonly (PublishedItem & Partial<Pick<StateVersion, "era">>)[]; }
+    & Partial<Pick<PublishedState, "removed" | "missing" | "history">>;
 
-const NO_REVISION = branded<Revision>(0);
+/** Maximum number of removals that are remembered. */
+const MAX_REMOVED = 2_048;
+/**
+ * Time after a return of the store for which servers that its copy lacks stay in use, in milliseconds: live ones
+ * publish themselves again within about two seconds, and it takes a moment until this instance knows.
+ */
+const MISSING_SERVER_LIFETIME_MS = 3_000;
+/** Maximum number of items kept against a copy that are logged one by one. */
+const MAX_KEPT_LOGGED = 32;
 
 /** Holds all published items and their decoded content. */
-export class PublishedStateStore {
-    private readonly events: EventLog;
-    private readonly decode: PublishedStateStoreOptions["decode"];
+export class PublishedStateStore implements Disposable {
+    private readonly options: PublishedStateStoreOptions;
     private readonly items = new Map<string, KnownItem>();
+    private readonly removed = new LRUCache<string, StateVersion>({ max: MAX_REMOVED });
+    private readonly missing = new Set<string>();
     private readonly listeners = new Set<(source: UpdateSource) => void>();
-    private currentRevision = NO_REVISION;
+    private history = new WriteHistory();
+    private knownVersion = NO_VERSION;
+    private knownSinceMs: number;
+    private restoredMs = Number.NEGATIVE_INFINITY;
+    private restorations = 0;
+    /** Items of the copy that the current merge has not believed. */
+    private keptCount = 0;
     private activeConfiguration: ActiveConfiguration | undefined;
+    private expiry: Disposable | undefined;
 
-    /** @param options - event log and decoder */
+    /** @param options - clock, event log and decoder */
     public constructor(options: PublishedStateStoreOptions) {
-        this.events = options.events;
-        this.decode = options.decode;
+        this.options = options;
+        this.knownSinceMs = options.clock.nowMs();
     }
 
-    /** Every change up to this revision is known; 0 before the first update. */
+    /** Every change up to this version is known. */
+    public get version(): StateVersion {
+        return this.knownVersion;
+    }
+
+    /** Every change of the current era up to this revision is known; 0 before the first update. */
     public get revision(): Revision {
-        return this.currentRevision;
+        return this.knownVersion.revision;
+    }
+
+    /** Era of the platform's store. */
+    public get era(): StoreEra {
+        return this.knownVersion.era;
+    }
+
+    /** Number of returns of the store from an older copy that this instance has noticed. */
+    public get returns(): number {
+        return this.restorations;
+    }
+
+    /** Number of items that are kept although the store lacks them since it returned from an older copy. */
+    public get missingCount(): number {
+        return this.missing.size;
+    }
+
+    /** Time since the latest such return was noticed, in milliseconds; infinite before the first. */
+    public get sinceRestoredMs(): number {
+        return this.options.clock.nowMs() - this.restoredMs;
+    }
+
+    /** Time for which the knowledge goes back without a gap, in milliseconds; 0 before the first update. */
+    public get ageMs(): number {
+        return this.revision === 0 ? 0 : this.options.clock.nowMs() - this.knownSinceMs;
     }
 
     /** Configuration in force; undefined until one is known. */
@@ -78,6 +134,11 @@
         return this.activeConfiguration;
     }
 
+    /** Version of the configuration in force; 0 before the first. */
+    public get configurationVersion(): number {
+        return this.activeConfiguration?.configuration.version ?? 0;
+    }
+
     /** Backend servers that are currently published, by identifier. */
     public servers(): Map<BackendServerId, PublishedServer> {
         const servers = new Map<BackendServerId, PublishedServer>();
@@ -100,58 +161,85 @@
         return dataCentres;
     }
 
-    /** Exports the full state for another instance. */
+    /** Exports all that is known, for another instance. */
     public export(): PublishedState {
-        return { revision: this.currentRevision, items: [...this.items.values()].map(({ item }) => item) };
+        return {
+            ...this.knownVersion,
+            items: [...this.items.values()].map(({ item }) => item),
+            removed: [...this.removed.entries()].map(([key, version]) => ({ ...version, key })),
+            missing: [...this.missing],
+            history: this.history.export(),
+            ageMs: this.ageMs,
+        };
     }
 
     /**
-     * Replaces the state by a full state. A state older than the known one is ignored.
+     * Merges a full state. Of an older one only a newer configuration is taken.
      *
      * @param state - all items
      * @param source - origin of the update
      * @returns whether the state was taken over
      */
-    public replace(state: PublishedState, source: UpdateSource): boolean {
-        if (state.revision < this.currentRevision) {
-            return false;
-        }
-        const keys = new Set(state.items.map(({ key }) => key));
-        for (const [key, { item }] of this.items) {
-            // An item newer than the given state was written after that state was read, so it stays.
-            if (!keys.has(key) && item.revision <= state.revision) {
-                this.items.delete(key);
-            }
+    public replace(state: FullState, source: UpdateSource): boolean {
+        const isOlder = compareVersions(state, this.knownVersion) < 0;
+        if (isOlder) {
+            this.mergeConfiguration(state);
+        }
+        else {
+            this.merge(state, source);
         }
-        state.items.forEach(item => this.putItem(item));
-        this.currentRevision = state.revision;
         this.notifyListeners(source);
-        return true;
+        return !isOlder;
+    }
+
+    /**
+     * Replaces all that is known by the knowledge of an instance that has followed the store for longer. An instance
+     * that has just started cannot tell an older copy from the newest state.
+     *
+     * @param state - knowledge of the other instance, not older than what is known here
+     */
+    public inherit(state: PublishedState): void {
+        const ownConfiguration = [...this.items.values()].find(({ content }) =>
+            content.kind === "configuration"
+        );
+        this.items.clear();
+        this.missing.clear();
+        this.removed.clear();
+        this.history = new WriteHistory();
+        this.knownVersion = NO_VERSION;
+        this.merge(state, "peer");
+        this.knownSinceMs = this.options.clock.nowMs() - state.ageMs;
+        if (ownConfiguration) {
+            this.putItem(ownConfiguration.item);
+        }
+        this.notifyListeners("peer");
     }
 
     /**
-     * Applies changes. Changes that are already known are skipped.
+     * Applies changes of the current era. Changes that are already known are skipped.
      *
      * @param revision - revision after the changes
      * @param changes - the changes, oldest first
      * @param source - origin of the update
      */
     public apply(revision: Revision, changes: readonly ItemChange[], source: UpdateSource): void {
-        if (revision <= this.currentRevision) {
+        if (revision <= this.revision) {
             return;
         }
-        for (const { key, text, revision: changeRevision } of changes) {
-            if (changeRevision <= this.currentRevision) {
+        const { era } = this;
+        for (const { key, revision: changeRevision, text } of changes) {
+            if (changeRevision <= this.revision) {
                 continue;
             }
-            if (text !== undefined) {
-                this.putItem({ key, text, revision: changeRevision });
+            this.missing.delete(key);
+            if (text === undefined) {
+                this.removeItem(key, { era, revision: changeRevision });
             }
-            else if ((this.items.get(key)?.item.revision ?? NO_REVISION) < changeRevision) {
-                this.items.delete(key);
+            else {
+                this.putItem({ key, text, era, revision: changeRevision });
             }
         }
-        this.currentRevision = revision;
+        this.knownVersion = { era, revision };
         if (changes.length > 0) {
             this.notifyListeners(source);
         }
@@ -166,47 +254,198 @@
         this.listeners.add(listener);
     }
 
-    private putItem(item: PublishedItem): void {
-        const known = this.items.get(item.key);
-        if (known && known.item.revision >= item.revision) {
+    /** Cancels the timer. */
+    public [Symbol.dispose](): void {
+        this.expiry?.[Symbol.dispose]();
+    }
+
+    private merge(state: FullState, source: UpdateSource): void {
+        const known = this.knownVersion;
+        const isReturn = known.revision > 0 && state.era > known.era;
+        this.history.import(state.history ?? []);
+        this.keptCount = 0;
+        const missingThere = new Set(state.missing);
+        for (const item of state.items) {
+            this.mergeItem({ ...item, era: item.era ?? state.era }, state.era, missingThere);
+        }
+        for (const { key, ...version } of state.removed ?? []) {
+            this.mergeRemoval(key, version);
+        }
+        this.mergeAbsences(state, isReturn);
+        this.knownVersion = { era: state.era, revision: state.revision };
+        if (isReturn) {
+            this.recordReturn(known, source);
+        }
+    }
+
+    private mergeItem(item: VersionedItem, era: StoreEra, missingThere: ReadonlySet<string>): void {
+        const { key } = item;
+        const known = this.items.get(key);
+        if (known?.content.kind === "configuration") {
+            this.putItem(item);
             return;
         }
-        const content = this.decode(item.key, item.text);
+        const knownVersion = known?.item ?? this.removed.get(key);
+        const isUnchanged = known?.item.revision === item.revision && known.item.text === item.text;
+        if (isUnchanged) {
+            if (item.era === era) {
+                this.missing.delete(key);
+            }
+            return;
+        }
+        if (!knownVersion || this.isNewWrite(item, knownVersion)) {
+            this.missing.delete(key);
+            this.putItem(item);
+            if (missingThere.has(key)) {
+                this.missing.add(key);
+            }
+            return;
+        }
+        if (item.era > knownVersion.era && this.keptCount++ < MAX_KEPT_LOGGED) {
+            const { era: knownEra, revision: knownRevision } = knownVersion;
+            const { revision } = item;
+            const kept = known?.content.kind ?? "removed";
+            this.options.events.emit(itemKept, { key, kept, knownEra, knownRevision, era, revision });
+        }
+    }
+
+    /** Tells a write that is newer than the known version from the content of an older copy. */
+    private isNewWrite(item: VersionedItem, known: StateVersion): boolean {
+        return item.era > known.era ? !this.history.includes(item) : compareVersions(item, known) > 0;
+    }
+
+    private mergeRemoval(key: string, version: StateVersion): void {
+        const known = this.items.get(key);
+        if (known && known.content.kind !== "configuration" && compareVersions(version, known.item) > 0) {
+            this.missing.delete(key);
+            this.removeItem(key, version);
+        }
+        else if (!known && compareVersions(version, this.removed.get(key) ?? NO_VERSION) > 0) {
+            this.removed.set(key, version);
+        }
+    }
+
+    /** Removes the items that a full state lacks, unless it lacks them because the store returned from a copy. */
+    private mergeAbsences(state: FullState, isReturn: boolean): void {
+        const { era, revision } = state;
+        const present = new Set(state.items.map(({ key }) => key));
+        for (const [key, { content, item }] of [...this.items]) {
+            if (present.has(key) || this.missing.has(key) || content.kind === "configuration") {
+                continue;
+            }
+            if (isReturn) {
+                this.missing.add(key);
+            }
+            else if (item.era < era || item.revision <= revision) {
+                // A newer item was written after the state was read, so it stays.
+                this.removeItem(key, { era, revision });
+            }
+        }
+    }
+
+    private recordReturn(known: StateVersion, source: UpdateSource): void {
+        const { clock, events } = this.options;
+        this.restorations++;
+        this.restoredMs = clock.nowMs();
+        events.emit(storeRestored, {
+            knownEra: known.era,
+            knownRevision: known.revision,
+            era: this.era,
+            revision: this.revision,
+            source,
+            kept: this.keptCount,
+            missing: this.missing.size,
+            configurationVersion: this.configurationVersion,
+        });
+        this.expiry?.[Symbol.dispose]();
+        this.expiry = clock.setTimer(MISSING_SERVER_LIFETIME_MS, () => this.dropMissingServers());
+    }
+
+    private dropMissingServers(): void {
+        const { era } = this;
+        const servers = [...this.missing].filter(key => this.items.get(key)?.content.kind === "server");
+        for (const key of servers) {
+            this.missing.delete(key);
+            this.items.delete(key);
+        }
+        if (servers.length > 0) {
+            this.options.events.emit(missingDropped, {
+                era,
+                servers: servers.length,
+                keys: servers.slice(0, 8).join(" "),
+            });
+            this.notifyListeners("platform");
+        }
+    }
+
+    private mergeConfiguration(state: FullState): void {
+        for (const item of state.items) {
+            if (this.options.decode(item.key, item.text).kind === "configuration") {
+                this.putItem({ ...item, era: item.era ?? state.era });
+            }
+        }
+    }
+
+    private putItem(item: VersionedItem): void {
+        const known = this.items.get(item.key);
+        const content = known?.item.text === item.text
+            ? known.content
+            : this.options.decode(item.key, item.text);
         if (content.kind === "unreadable") {
             const { key, revision } = item;
-            this.events.emit(itemUnreadable, { key, revision, error: content.message });
+            this.options.events.emit(itemUnreadable, { key, revision, error: content.message });
+        }
+        if (known?.content.kind === "configuration") {
+            // The item stays the one in force, as it is handed to other instances.
+            const isNewer = content.kind === "configuration"
+                && content.configuration.version > known.content.configuration.version;
+            if (!isNewer) {
+                return;
+            }
         }
-        const isBadConfiguration = content.kind === "unreadable" && known?.content.kind === "configuration";
-        this.items.set(item.key, { item, content: isBadConfiguration ? known.content : content });
+        if (known) {
+            this.history.record(known.item);
+        }
+        this.removed.delete(item.key);
+        this.items.set(item.key, { item, content });
+    }
+
+    private removeItem(key: string, version: StateVersion): void {
+        const known = this.items.get(key);
+        if (known?.content.kind === "configuration") {
+            return;
+        }
+        if (known) {
+            this.history.record(known.item);
+        }
+        this.items.delete(key);
+        this.removed.set(key, version);
     }
 
     private notifyListeners(source: UpdateSource): void {
-        this.activateConfiguration(source);
+        this.activateNewestConfiguration(source);
         this.listeners.forEach(listener => listener(source));
     }
 
-    private activateConfiguration(source: UpdateSource): void {
+    private activateNewestConfiguration(source: UpdateSource): void {
         for (const { content } of this.items.values()) {
-            if (content.kind !== "configuration") {
+            if (content.kind !== "configuration" || content.configuration.version <= this.activeVersion) {
                 continue;
             }
-            const { configuration } = content;
-            const known = this.activeConfiguration?.configuration.version ?? Number.NEGATIVE_INFINITY;
-            if (configuration.version > known) {
-                const services = new Map(configuration.services.map(service => [service.name, service]));
-                this.activeConfiguration = {
-                    configuration,
-                    routes: new RouteTable(configuration.routes),
-                    services,
-                };
-                const { version, routes } = configuration;
-                this.events.emit(configurationApplied, {
-                    version,
-                    revision: this.currentRevision,
-                    routes: routes.length,
-                    source,
-                });
-            }
+            this.activeConfiguration = activateConfiguration(content.configuration);
+            const { routes, version } = content.configuration;
+            const { era, revision } = this;
+            this.options.events.emit(configurationApplied, {
+                version,
+                era,
+                revision,
+                routes: routes.length,
+                source,
+            });
         }
     }
+
+    private get activeVersion(): number {
+        return this.activeConfiguration?.configuration.version ?? Number.NEGATIVE_INFINITY;
+    }
 }
--- a/packages/direct/src/shared/serveCall.ts
+++ b/packages/direct/src/shared/serveCall.ts
@@ -6,11 +6,11 @@
 
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { CallerReply, IncomingCall } from "../types/call.ts";
+import type { ActiveConfiguration } from "./activeConfiguration.ts";
 import { CallTask } from "./callTask.ts";
 import type { DirectContext } from "./directContext.ts";
 import { callRefused } from "./directEvents.ts";
 import { sendLocalReply } from "./localReply.ts";
-import type { ActiveConfiguration } from "./publishedStateStore.ts";
 import { drawService } from "./routeTable.ts";
 
 type Admission =
@@ -75,8 +75,8 @@
     call: IncomingCall,
     reply: CallerReply,
 ): Promise<void> => {
-    const { headers, metrics, runtime, store } = context.options;
-    const activeConfiguration = store.configuration;
+    const { hasJoined, headers, metrics, runtime, store } = context.options;
+    const activeConfiguration = hasJoined() ? store.configuration : undefined;
     const admission: Admission = activeConfiguration
         ? admit(activeConfiguration, context, call)
         : { kind: "refused", status: HTTP_UNAVAILABLE, reason: "no configuration is known yet" };
@@ -96,6 +96,7 @@
         status,
         reason,
         version: activeConfiguration?.configuration.version,
+        era: store.era,
         revision: store.revision,
     });
 };
--- /dev/null
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -0,0 +1,199 @@
+/**
+ * Takes over published state from other instances that know more: a newer era or revision of the store, a newer
+ * configuration, or, for an instance that has just started, what the store's copy has lost.
+ *
+ * @packageDocumentation
+ */
+
+import { type Address, errorMessage, shuffled, timeoutSignal } from "@magnolialock/kernel";
+import type { PublishedState } from "../types/publishedState.ts";
+import type { DirectRuntime } from "./directContext.ts";
+import { peerFetchFailed, stateFetched } from "./directEvents.ts";
+import type { PeerReport } from "./peerReport.ts";
+import type { PublishedStateStore } from "./publishedStateStore.ts";
+import { compareVersions } from "./stateVersion.ts";
+
+/** Another instance with its latest report. */
+export interface ReportingPeer {
+    /** Its latest report. */
+    readonly report: PeerReport;
+    /** Time at which the report arrived, in milliseconds. */
+    readonly lastReportMs: number;
+    /** Whether it has reported lately. */
+    readonly isAlive: boolean;
+}
+
+/** Options of a {@link StateCatchUp}. */
+export interface StateCatchUpOptions {
+    /** Runtime of the process. */
+    readonly runtime: DirectRuntime;
+    /** Published state of this instance. */
+    readonly store: PublishedStateStore;
+    /** Returns the other instances by address. */
+    readonly peers: () => ReadonlyMap<Address, ReportingPeer>;
+    /** Returns whether there may be other instances that have not reported yet. */
+    readonly expectsOthers: () => boolean;
+    /**
+     * Fetches the published state that another instance knows.
+     *
+     * @param peer - address of the instance
+     * @param signal - cancels the call
+     */
+    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<PublishedState>;
+    /** Called after the state of another instance was taken over. */
+    readonly onFetched: () => void;
+}
+
+/**
+ * Time for which another instance must be ahead before its state is fetched, in milliseconds: the platform
+ * usually delivers the change first.
+ */
+const FETCH_DELAY_MS = 400;
+/** Timeout for fetching a state, in milliseconds; large configurations take a while on slow links. */
+const FETCH_TIMEOUT_MS = 2_000;
+/**
+ * Time after the start at which this instance serves although it has not heard what the others know, in
+ * milliseconds: they may all be out of reach.
+ */
+const JOIN_TIMEOUT_MS = 1_500;
+/**
+ * An instance that has followed the store for longer than this one by this time knows what an older copy has lost,
+ * in milliseconds; instances of a fleet that starts as a whole differ by less.
+ */
+const LONGER_KNOWLEDGE_MS = 2_000;
+
+/** Keeps the published state level with the other instances. */
+export class StateCatchUp {
+    private readonly options: StateCatchUpOptions;
+    private readonly startedMs: number;
+    private behindSinceMs: number | undefined;
+    private isFetching = false;
+    private isJoined = false;
+
+    /** @param options - store and other instances */
+    public constructor(options: StateCatchUpOptions) {
+        this.options = options;
+        this.startedMs = options.runtime.clock.nowMs();
+    }
+
+    /**
+     * Whether this instance may serve: it knows a configuration, and what the others knew when it started, or nobody
+     * has told it in time.
+     */
+    public get hasJoined(): boolean {
+        if (!this.isJoined) {
+            this.isJoined = this.mayJoin();
+        }
+        return this.isJoined;
+    }
+
+    /**
+     * Fetches the state of an instance that has known more for a while.
+     *
+     * @param signal - cancels the fetch
+     */
+    public async catchUp(signal: AbortSignal): Promise<void> {
+        const { hasJoined } = this;
+        const { clock, random } = this.options.runtime;
+        const ahead = [...this.options.peers()].filter(([, peer]) => peer.isAlive && this.isAhead(peer));
+        const [source] = shuffled(random, ahead);
+        if (!source) {
+            this.behindSinceMs = undefined;
+            return;
+        }
+        this.behindSinceMs ??= clock.nowMs();
+        const isPlatformExpected = hasJoined && clock.nowMs() - this.behindSinceMs < FETCH_DELAY_MS;
+        if (isPlatformExpected || this.isFetching) {
+            return;
+        }
+        this.isFetching = true;
+        try {
+            await this.fetchFrom(source[0], source[1].report, signal);
+            this.behindSinceMs = undefined;
+        }
+        finally {
+            this.isFetching = false;
+        }
+    }
+
+    private async fetchFrom(peer: Address, report: PeerReport, signal: AbortSignal): Promise<void> {
+        const { fetchState, onFetched, runtime, store } = this.options;
+        const known = store.version;
+        using timeout = timeoutSignal(runtime.clock, FETCH_TIMEOUT_MS, signal);
+        try {
+            const state = this.complete(await fetchState(peer, timeout.signal));
+            const isLonger = state.ageMs > store.ageMs + LONGER_KNOWLEDGE_MS;
+            const isInherited = isLonger && compareVersions(state, store.version) >= 0;
+            if (isInherited) {
+                store.inherit(state);
+            }
+            else {
+                store.replace(state, "peer");
+            }
+            runtime.events.emit(stateFetched, {
+                peer: report.instance,
+                era: state.era,
+                revision: state.revision,
+                knownEra: known.era,
+                knownRevision: known.revision,
+                isInherited,
+                configurationVersion: store.configurationVersion,
+            });
+            onFetched();
+        }
+        catch (error) {
+            runtime.events.emit(peerFetchFailed, { peer: report.instance, error: errorMessage(error) });
+        }
+    }
+
+    /** Adds what states of earlier releases lack. */
+    private complete(
+        state: Partial<PublishedState> & Pick<PublishedState, "revision" | "items">,
+    ): PublishedState {
+        const era = state.era ?? this.options.store.era;
+        return {
+            removed: [],
+            missing: [],
+            history: [],
+            ageMs: 0,
+            ...state,
+            era,
+            items: state.items.map(item => ({ ...item, era: item.era ?? era })),
+        };
+    }
+
+    private isAhead(peer: ReportingPeer): boolean {
+        const { store } = this.options;
+        const { configurationVersion, era, revision } = peer.report;
+        if (era === undefined) {
+            // An earlier release reports a bare revision, which means nothing once the store has returned from a copy.
+            return store.returns === 0 && revision > store.revision;
+        }
+        const order = compareVersions({ era, revision }, store.version);
+        return order > 0
+            || configurationVersion > store.configurationVersion
+            || order === 0 && this.knowsLonger(peer);
+    }
+
+    private knowsLonger({ lastReportMs, report }: ReportingPeer): boolean {
+        const { runtime, store } = this.options;
+        const ageMs = report.stateAgeMs + runtime.clock.nowMs() - lastReportMs;
+        return report.stateAgeMs > 0 && ageMs > store.ageMs + LONGER_KNOWLEDGE_MS;
+    }
+
+    private mayJoin(): boolean {
+        const { expectsOthers, peers, runtime, store } = this.options;
+        if (store.configuration === undefined) {
+            return false;
+        }
+        if (runtime.clock.nowMs() - this.startedMs >= JOIN_TIMEOUT_MS) {
+            return true;
+        }
+        const informed = [...peers().values()].filter(({ isAlive, report }) =>
+            isAlive && report.revision > 0
+        );
+        return informed.length > 0
+            ? !informed.some(peer => this.isAhead(peer) || this.knowsLonger(peer))
+            : !expectsOthers();
+    }
+}
--- /dev/null
+++ b/packages/direct/src/shared/writeHistory.ts
@@ -0,0 +1,62 @@
+/**
+ * Writes of items that were superseded or removed. They tell the content of an older copy of the store from a new
+ * write: after the store returned from a copy, both have revisions below those that were known before.
+ *
+ * @packageDocumentation
+ */
+
+import { hash32 } from "@magnolialock/kernel";
+import { LRUCache } from "lru-cache";
+import type { ItemWrites, PublishedItem } from "../types/publishedState.ts";
+
+/** Maximum number of items whose superseded writes are remembered. */
+const MAX_ITEMS = 2_048;
+/** Maximum number of superseded writes of one item; a copy is some seconds old. */
+const MAX_WRITES_PER_ITEM = 8;
+
+/** Remembers superseded writes, each by its revision and the hash of its text. */
+export class WriteHistory {
+    private readonly writes = new LRUCache<string, ItemWrites["writes"]>({ max: MAX_ITEMS });
+
+    /**
+     * Records a write that another one, or a removal, has superseded.
+     *
+     * @param item - the item as it was
+     */
+    public record({ key, revision, text }: PublishedItem): void {
+        this.add(key, [[revision, hash32(text)]]);
+    }
+
+    /**
+     * Tells whether a write is one of the superseded ones.
+     *
+     * @param item - an item with the revision at which it was written
+     */
+    public includes({ key, revision, text }: PublishedItem): boolean {
+        const hash = hash32(text);
+        return this.writes.get(key)?.some(([known, knownHash]) => known === revision && knownHash === hash)
+            ?? false;
+    }
+
+    /** Exports the history for another instance. */
+    public export(): ItemWrites[] {
+        return [...this.writes.entries()].map(([key, writes]) => ({ key, writes }));
+    }
+
+    /**
+     * Adds the history that another instance knows.
+     *
+     * @param history - its writes
+     */
+    public import(history: readonly ItemWrites[]): void {
+        history.forEach(({ key, writes }) => this.add(key, writes));
+    }
+
+    private add(key: string, added: ItemWrites["writes"]): void {
+        const known = this.writes.get(key) ?? [];
+        const unknown = added.filter(([revision, hash]) =>
+            !known.some(([knownRevision, knownHash]) => knownRevision === revision && knownHash === hash)
+        );
+        this.writes.set(key, [...known, ...unknown].slice(-MAX_WRITES_PER_ITEM));
+    }
+}
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -183,18 +183,53 @@
     readonly revision: Revision;
 }
 
-/** All items at one revision. */
-export interface PublishedState {
-    /** Every change up to this revision is included. */
+/** Place of a write among all writes: by era, then by revision. */
+export interface StateVersion {
+    /** Life of the store in which the write was made. */
+    readonly era: StoreEra;
+    /** Its revision. */
     readonly revision: Revision;
-    /** All items. */
-    readonly items: readonly PublishedItem[];
 }
 
 /** All items as the platform returned them. */
-export interface PublishedRead extends PublishedState {
+export interface PublishedRead {
     /** Era that the platform named; undefined if it names none. */
     readonly era: StoreEra | undefined;
+    /** Every change up to this revision is included. */
+    readonly revision: Revision;
+    /** All items. */
+    readonly items: readonly PublishedItem[];
+}
+
+/** An item with the version of its write. */
+export interface VersionedItem extends PublishedItem, StateVersion {}
+
+/** Removal of an item. */
+export interface RemovedItem extends StateVersion {
+    /** Key of the item. */
+    readonly key: string;
+}
+
+/** Superseded writes of one item. */
+export interface ItemWrites {
+    /** Key of the item. */
+    readonly key: string;
+    /** Revision and hash of the text of each write. */
+    readonly writes: readonly (readonly [revision: number, textHash: number])[];
+}
+
+/** All that an instance knows of the published state, as it hands it to another one. */
+export interface PublishedState extends StateVersion {
+    /** Items, with those that are kept although an older copy of the store lacks them. */
+    readonly items: readonly VersionedItem[];
+    /** Removals. */
+    readonly removed: readonly RemovedItem[];
+    /** Keys of the items that the store lacks since it returned from an older copy. */
+    readonly missing: readonly string[];
+    /** Superseded writes. */
+    readonly history: readonly ItemWrites[];
+    /** Time for which the knowledge goes back without a gap, in milliseconds. */
+    readonly ageMs: number;
 }
 
 /**
