fix(control): rules published after the platform was restored come into force once their file names the era

Change: the operator raises `platform era=N` in the rule file. A revision holds the era above the platform's number, so that all comparisons (store, digests, joins, fetches, freshness, status) order both without a new message, and processes of earlier releases take it as well. Without the line a lower number stays out of force, as before: a stale platform looks the same, and an accepted revision never reverts; E1004 tells the operator. The watch starts without an index and compares the content. status and rollout show the era.

--- a/packages/cli/src/node/commands/rollout.ts
+++ b/packages/cli/src/node/commands/rollout.ts
@@ -4,7 +4,13 @@
  * @packageDocumentation
  */
 
-import { createProcessRuntime, ExitCode } from "@magnolialock/kernel";
+import {
+    createProcessRuntime,
+    ExitCode,
+    formatRevision,
+    parseRevision,
+    SettingsError,
+} from "@magnolialock/kernel";
 import { match } from "ts-pattern";
 import { awaitRollout, type RolloutState } from "../../shared/awaitRollout.ts";
 import { formatRejection } from "../../shared/formatStatus.ts";
@@ -19,7 +25,7 @@
 const formatState = (state: RolloutState): string =>
     match(state)
         .with({ kind: "in force" }, ({ revision, count }) =>
-            `revision ${revision} is in force on all ${count} processes\n`)
+            `revision ${formatRevision(revision)} is in force on all ${count} processes\n`)
         .with({ kind: "rejected" }, ({ status }) =>
             formatRejection(status))
         .with({ kind: "missing" }, ({ revision, count, missing }) => {
@@ -27,7 +33,9 @@
                 ? ` and ${missing.length - MAX_LISTED_PROCESSES} more`
                 : "";
             const names = missing.slice(0, MAX_LISTED_PROCESSES).join(", ");
-            return `revision ${revision} is in force on ${count} of ${count + missing.length} processes; `
+            return `revision ${formatRevision(revision)} is in force on ${count} of ${
+                count + missing.length
+            } processes; `
                 + `missing: ${names}${more}\n`;
         })
         .exhaustive();
@@ -45,6 +53,16 @@
         )
     }\n`;
 
+const readRevision = (text: string): number => {
+    const revision = parseRevision(text);
+    if (revision === undefined) {
+        throw new SettingsError(
+            `--revision ${text} is not a revision: write it as status shows it, like 7 or 1:7`,
+        );
+    }
+    return revision;
+};
+
 /** Shows the rollout state of a revision, or waits until it is in force on every live process. */
 export const rolloutCommand = commands.register({
     name: "rollout",
@@ -53,8 +71,8 @@
     builder: yargs =>
         addFleetOptions(yargs)
             .option("revision", {
-                type: "number",
-                describe: "revision to look for; by default the newest known",
+                type: "string",
+                describe: "revision to look for, as status shows it; by default the newest known",
             })
             .option("wait", {
                 type: "boolean",
@@ -74,7 +92,7 @@
             runtime,
             peers,
             timeoutMs: Number(args["timeoutMs"]),
-            revision: args["revision"] === undefined ? undefined : Number(args["revision"]),
+            revision: args["revision"] === undefined ? undefined : readRevision(String(args["revision"])),
             waitMs: args["wait"] ? Number(args["waitS"]) * MS_PER_S : 0,
             onProgress: progress => {
                 const line = args["json"] ? toJson(progress) : formatState(progress);
--- a/packages/cli/src/shared/formatStatus.ts
+++ b/packages/cli/src/shared/formatStatus.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { formatRevision } from "@magnolialock/kernel";
 import Table from "cli-table3";
 import { describeCondition, type FleetStatus, type ProcessStatus } from "./fleetStatus.ts";
 
@@ -38,7 +39,7 @@
     status.dataCentre,
     status.role,
     status.instance,
-    status.answer ? String(status.answer.revision) : "?",
+    status.answer ? formatRevision(Number(status.answer.revision)) : "?",
     status.answer ? formatAge(status.answer.confirmedAgeMs) : "?",
     status.answer?.server ?? "",
     formatLoad(status),
@@ -59,7 +60,10 @@
     }
     const { rejectedRevision, rejectedFindings, revision } = status;
     return [
-        `revision ${rejectedRevision} was rejected; ${revision} stays in force. Fix the rules and publish again:`,
+        `revision ${formatRevision(rejectedRevision)} was rejected; ${
+            formatRevision(revision)
+        } stays in force. `
+        + "Fix the rules and publish again:",
         ...rejectedFindings.map(finding => `  ${finding}`),
         "",
     ].join("\n");
@@ -81,7 +85,7 @@
     const unanswered = status.processes.filter(({ answer }) => !answer).length;
     const behind = status.processes
         .filter(({ answer }) => answer && Number(answer.revision) < status.revision).length;
-    const summary = `${status.processes.length} processes, revision ${status.revision}, `
+    const summary = `${status.processes.length} processes, revision ${formatRevision(status.revision)}, `
         + `${behind} behind, ${unanswered} without an answer\n`;
     return `${trimLines(table.toString())}\n\n${summary}${formatRejection(status)}`;
 };
--- a/packages/control/src/node/consulPlatform.ts
+++ b/packages/control/src/node/consulPlatform.ts
@@ -102,6 +102,7 @@
         });
         return readResponse(response);
     };
+    let lastValue: string | null | undefined;
     return {
         watchRules: async (known, waitMs, signal) => {
             const response = await query(`/v1/kv/${options.key}`, known, waitMs, signal);
@@ -109,9 +110,12 @@
                 return undefined;
             }
             const [entry] = keyEntries.parse(response.json);
-            if (!entry || entry.ModifyIndex === known) {
+            // A platform restored from an older copy may publish another content under an index that is known.
+            const isKnown = entry?.ModifyIndex === known && entry?.Value === lastValue;
+            if (!entry || isKnown) {
                 return undefined;
             }
+            lastValue = entry.Value;
             return {
                 revision: branded<Revision>(entry.ModifyIndex),
                 bytes: Buffer.from(entry.Value ?? "", "base64"),
--- a/packages/control/src/shared/__tests__/configurationStore.spec.ts
+++ b/packages/control/src/shared/__tests__/configurationStore.spec.ts
@@ -1,4 +1,12 @@
-import { branded, EventLog, type Revision, seedFaults } from "@magnolialock/kernel";
+import {
+    branded,
+    EventLog,
+    formatRevision,
+    parseRevision,
+    type Revision,
+    seedFaults,
+    toRulesRevision,
+} from "@magnolialock/kernel";
 import { VirtualClock } from "@magnolialock/test-support";
 import test from "ava";
 import { ConfigurationStore } from "../configurationStore.ts";
@@ -44,3 +52,29 @@
     t.deepEqual(seen, [100, 120]);
     t.is(store.confirmedAtMs, 120);
 });
+
+test.serial("the era of the rule file comes before the platform's number, for rejected files too", t => {
+    const store = createStore();
+    const withEra = (bytes: Uint8Array, era: number): Uint8Array =>
+        Buffer.concat([bytes, Buffer.from(`platform era=${era} # ana: restored\n`)]);
+    t.deepEqual(store.offerPublished(revision(9), good("recife")), {
+        outcome: "accepted",
+        revision: revision(9),
+    });
+    t.is(store.offerPublished(revision(4), good("natal")).outcome, "old");
+    t.is(store.offerPublished(revision(4), withEra(good("natal"), 1)).outcome, "accepted");
+    t.is(store.current?.revision, toRulesRevision(1, 4));
+    t.is(store.offerPublished(revision(9), withEra(bad, 1)).outcome, "rejected");
+    t.is(store.rejected?.revision, toRulesRevision(1, 9));
+    t.is(store.offerPublished(revision(50), good("recife")).outcome, "old");
+    t.is(store.offer(toRulesRevision(1, 3), good("recife"), "peer"), "old");
+});
+
+test("revisions are shown with their era and read as they are shown", t => {
+    for (const [shown, value] of [["7", toRulesRevision(0, 7)], ["3:12", toRulesRevision(3, 12)]] as const) {
+        t.is(formatRevision(value), shown);
+        t.is(parseRevision(shown), value);
+    }
+    t.is(parseRevision("seven"), undefined);
+    t.is(parseRevision("1:"), undefined);
+});
--- a/packages/control/src/shared/configurationStore.ts
+++ b/packages/control/src/shared/configurationStore.ts
@@ -9,11 +9,13 @@
     type EventLog,
     type Finding,
     formatFinding,
+    formatRevision,
     isFaultSeeded,
     type Revision,
+    toRulesRevision,
 } from "@magnolialock/kernel";
 import { type ParsedRules, parseRules, type RuleSet } from "@magnolialock/rules";
-import { configurationAccepted, configurationRejected } from "./controlEvents.ts";
+import { configurationAccepted, configurationRejected, platformRewound } from "./controlEvents.ts";
 
 /** A configuration without findings. Parsing is deterministic, so every instance accepts it. */
 export interface AcceptedConfiguration {
@@ -134,8 +136,45 @@
         if (this.isOld(revision)) {
             return "old";
         }
+        const hash = contentHash(bytes);
+        return this.offerParsed(revision, bytes, hash, this.parse(bytes, hash), source);
+    }
+
+    /**
+     * Offers what the platform publishes. Its number is ordered below the era in the file; a file without a higher
+     * era and with a lower number is an older copy and does not come into force.
+     *
+     * @param platformRevision - the platform's number
+     * @param bytes - content of the rule file
+     * @returns whether the revision was accepted, rejected or old, and the revision
+     */
+    public offerPublished(
+        platformRevision: Revision,
+        bytes: Uint8Array,
+    ): { readonly outcome: OfferOutcome; readonly revision: Revision; } {
         const hash = contentHash(bytes);
         const parsed = this.parse(bytes, hash);
+        const revision = toRulesRevision(parsed.platformEra, platformRevision);
+        const { accepted } = this;
+        if (accepted && revision < accepted.revision && hash !== accepted.contentHash) {
+            this.events.emit(platformRewound, {
+                revision: formatRevision(revision),
+                revisionInForce: formatRevision(accepted.revision),
+            });
+        }
+        const outcome = this.isOld(revision)
+            ? "old"
+            : this.offerParsed(revision, bytes, hash, parsed, "platform");
+        return { outcome, revision };
+    }
+
+    private offerParsed(
+        revision: Revision,
+        bytes: Uint8Array,
+        hash: string,
+        parsed: ParsedRules,
+        source: string,
+    ): OfferOutcome {
         if (parsed.kind === "rejected") {
             this.recordRejected({ revision, findings: parsed.findings }, source);
             if (this.accepted && isFaultSeeded("control.adopt-rejected")) {
--- a/packages/control/src/shared/controlEvents.ts
+++ b/packages/control/src/shared/controlEvents.ts
@@ -30,6 +30,15 @@
     summary: "The platform's rules or instance list could not be read; the process continues without them.",
 });
 
+/** The platform offers an older revision. */
+export const platformRewound = defineEvent({
+    number: 1004,
+    name: "control.platform.rewound",
+    level: "warning",
+    summary:
+        "The platform offers other rules at a lower revision, which stay out of force: if it was restored from an older copy, raise the era in the rule file.",
+});
+
 /** A member of the own data centre changed its state. */
 export const memberChanged = defineEvent({
     number: 1010,
--- a/packages/control/src/shared/plane/watchPlatform.ts
+++ b/packages/control/src/shared/plane/watchPlatform.ts
@@ -86,16 +86,18 @@
  */
 export const watchPlatformRules = (options: WatchPlatformRulesOptions): Promise<void> => {
     const { runtime, platform, store, signal, onConfirmed } = options;
-    let known: Revision | undefined = store.current?.revision;
+    // The platform's own number, which differs from the revision in force once the platform was restored.
+    let known: Revision | undefined;
+    let publishedRevision: Revision | undefined;
     return runWatchLoop(options, "rules", async () => {
         const askedAtMs = runtime.clock.nowMs();
         const published = await platform.watchRules(known, WATCH_WAIT_MS, signal);
         if (published) {
             known = published.revision;
-            store.offer(published.revision, published.bytes, "platform");
+            publishedRevision = store.offerPublished(published.revision, published.bytes).revision;
         }
         // A platform that has reverted to an older revision is no evidence that the store is current.
-        if (known !== undefined && known >= (store.current?.revision ?? 0)) {
+        if (publishedRevision !== undefined && publishedRevision >= (store.current?.revision ?? 0)) {
             onConfirmed(askedAtMs);
         }
     });
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -33,6 +33,7 @@
 export * from "./shared/random.ts";
 export * from "./shared/readBounded.ts";
 export * from "./shared/resourceScope.ts";
+export * from "./shared/rulesRevision.ts";
 export * from "./shared/runtime.ts";
 export * from "./shared/seededFaults.ts";
 export * from "./shared/timeline.ts";
--- a/packages/lab/src/node/__tests__/realSockets.spec.ts
+++ b/packages/lab/src/node/__tests__/realSockets.spec.ts
@@ -11,6 +11,7 @@
     type DataCentreId,
     type InstanceId,
     ResourceScope,
+    type Revision,
     sleep,
 } from "@magnolialock/kernel";
 import {
@@ -156,3 +157,24 @@
     t.is(text.match(/"token":\d/g)?.length, 2, text);
     t.true(text.endsWith("data: [DONE]\n\n"));
 });
+
+test("rules under an index that is known are missed after the platform was restored", async t => {
+    await using scope = new ResourceScope();
+    const platform = new SimulatedPlatform({ clock: createSystemClock() });
+    const address = await freeAddress();
+    scope.use(await listenHttp({ app: createPlatformServer(platform), address, protocol: "http1" }));
+    const client = scope.use(createConsulPlatform({ address, key: "rules", service: "magnolialock" }));
+    const { signal } = new AbortController();
+    const read = async (known?: Revision): Promise<string | undefined> => {
+        const published = await client.watchRules(known, 50, signal);
+        return published && Buffer.from(published.bytes).toString();
+    };
+    platform.publish(Buffer.from("one"));
+    const index = platform.publish(Buffer.from("two"));
+    t.is(await read(), "two");
+    t.is(await read(index), undefined);
+    platform.restore(1);
+    t.is(platform.publish(Buffer.from("three")), index);
+    t.is(await read(index), "three");
+    t.is(await read(index), undefined);
+});
--- a/packages/lab/src/shared/rollout/__tests__/rollout.spec.ts
+++ b/packages/lab/src/shared/rollout/__tests__/rollout.spec.ts
@@ -8,6 +8,7 @@
     MAX_DATAGRAM_BYTES,
     type Revision,
     seedFaults,
+    toRulesRevision,
 } from "@magnolialock/kernel";
 import { createVirtualRuntime } from "@magnolialock/test-support";
 import test from "ava";
@@ -246,3 +247,31 @@
     await fleet.clock.advance(SETTLE_MS);
     t.deepEqual(activeRevisions(fleet), [2]);
 });
+
+test.serial("rules published after the platform was restored stay out of force although their era is raised", async t => {
+    const accepted: number[][] = [];
+    const fleet = await startFleet(5, accepted);
+    fleet.platform.restore(3);
+    await fleet.start(fleet.nodes[0] as never);
+    await fleet.clock.advance(SETTLE_MS);
+    t.deepEqual(activeRevisions(fleet), [5], "the copy is not believed, also by a process that starts");
+    fleet.platform.publish(fleet.rules.version(4));
+    await fleet.clock.advance(MAX_IN_FORCE_MS);
+    t.deepEqual(activeRevisions(fleet), [5], "a lower revision of the same era is the copy's");
+    const rewound = [...fleet.runningNodes.values()].flatMap(({ runtime }) => runtime.events.recent())
+        .filter(({ definition }) => definition.name === "control.platform.rewound");
+    t.true(rewound.length > 0);
+    const eraLine = Buffer.from("platform era=1 # ana: restored from a copy\n");
+    fleet.platform.publish(Buffer.concat([fleet.rules.version(6), eraLine]));
+    await fleet.clock.advance(MAX_IN_FORCE_MS);
+    const restored = Number(toRulesRevision(1, 5));
+    t.deepEqual(activeRevisions(fleet), [restored]);
+    await fleet.start(fleet.nodes[4] as never);
+    fleet.platform.mode = "down";
+    await fleet.start(fleet.nodes[7] as never);
+    await fleet.clock.advance(SETTLE_MS);
+    t.deepEqual(activeRevisions(fleet), [restored]);
+    fleet.platform.serveOldRevision(3);
+    await fleet.clock.advance(SETTLE_MS);
+    t.deepEqual(activeRevisions(fleet), [restored]);
+});
--- a/packages/lab/src/shared/standIns/simulatedPlatform.ts
+++ b/packages/lab/src/shared/standIns/simulatedPlatform.ts
@@ -90,6 +90,15 @@
         return branded<Revision>(this.rules.version);
     }
 
+    /**
+     * Returns from an older copy: later revisions are lost and given out again.
+     *
+     * @param revision - revision at which the copy was made
+     */
+    public restore(revision: number): void {
+        this.rules.set(this.publishedBytes.get(revision), revision);
+    }
+
     /**
      * Serves the given rules instead of the latest ones until the mode changes.
      *
--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -12,6 +12,7 @@
 import "./shared/kinds/groupKind.ts";
 import "./shared/kinds/outKind.ts";
 import "./shared/kinds/drainKind.ts";
+import "./shared/kinds/platformKind.ts";
 
 export * from "./shared/decodeLines.ts";
 export * from "./shared/fields.ts";
--- a/packages/rules/src/shared/parseRules.ts
+++ b/packages/rules/src/shared/parseRules.ts
@@ -12,10 +12,16 @@
 import { type FieldDefinition, type RuleKind, ruleKinds } from "./ruleKind.ts";
 import { RuleSetBuilder } from "./ruleSetBuilder.ts";
 
-/** Result of parsing a rule file; `lineCount` counts the lines that hold a rule. */
+/**
+ * Result of parsing a rule file; `lineCount` counts the lines that hold a rule, and `platformEra` is the era of the
+ * platform that the file states, 0 by default.
+ */
 export type ParsedRules =
-    | { readonly kind: "accepted"; readonly rules: RuleSet; readonly lineCount: number; }
-    | { readonly kind: "rejected"; readonly findings: readonly Finding[]; };
+    & { readonly platformEra: number; }
+    & (
+        | { readonly kind: "accepted"; readonly rules: RuleSet; readonly lineCount: number; }
+        | { readonly kind: "rejected"; readonly findings: readonly Finding[]; }
+    );
 
 /** Options of {@link parseRules}. */
 export interface ParseRulesOptions {
@@ -222,7 +228,7 @@
             { line: 1, column: 1 },
             `the file has ${bytes.length} bytes: keep it under ${MAX_RULES_BYTES}`,
         );
-        return { kind: "rejected", findings: builder.findings };
+        return { kind: "rejected", platformEra: 0, findings: builder.findings };
     }
     let lineCount = 0;
     for (const [index, line] of decodeLines(bytes).entries()) {
@@ -237,7 +243,7 @@
         const findings = [...builder.findings].sort((left, right) =>
             (left.line ?? 0) - (right.line ?? 0) || (left.column ?? 0) - (right.column ?? 0)
         );
-        return { kind: "rejected", findings };
+        return { kind: "rejected", platformEra: builder.platformEra, findings };
     }
-    return { kind: "accepted", rules: builder.build(), lineCount };
+    return { kind: "accepted", platformEra: builder.platformEra, rules: builder.build(), lineCount };
 };
--- a/packages/rules/src/shared/ruleSetBuilder.ts
+++ b/packages/rules/src/shared/ruleSetBuilder.ts
@@ -47,6 +47,8 @@
     public readonly outDataCentres = new Set<DataCentreId>();
     /** Backend servers that are draining. */
     public readonly drainingServers = new Set<BackendServerId>();
+    /** How often the platform was restored from an older copy, as the file states. */
+    public platformEra = 0;
     /** Findings, in the order in which they were reported. */
     public readonly findings: Finding[] = [];
     private readonly definitions = new Map<string, SourcePosition>();
