fix(direct): an instance that knew less when the store returned takes over what the others knew

A server that had left got requests from it until its entry expired, an evacuated data centre until the operator wrote again.

Change: reports name the highest revision known before the return; who knew less fetches the state of one that knew more. A write of the new era that somebody has seen superseded before counts as the copy's, also after it was taken over. A removal that others have seen is no expiry around an outage, so the server is not kept for two seconds. Servers that the copy lacks and that were dropped are not taken up again from instances that still keep them; those handed on with a newer era expire as well.

--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -24,6 +24,7 @@
     removed: [],
     missing: [],
     history: [],
+    revisionBeforeReturn: branded<Revision>(0),
     ageMs: 0,
 });
 
@@ -77,6 +78,7 @@
                 dataCentre: branded<DataCentreId>(changes.dataCentre ?? "here"),
                 era: branded<StoreEra>(0),
                 revision: branded<Revision>(changes.revision ?? 1),
+                revisionBeforeReturn: branded<Revision>(0),
                 configurationVersion: 0,
                 stateAgeMs: 0,
                 running: changes.running ?? new Map(),
--- a/packages/direct/src/shared/__tests__/publishedFleet.ts
+++ b/packages/direct/src/shared/__tests__/publishedFleet.ts
@@ -63,6 +63,8 @@
     public isCut: (from: number, to: number) => boolean = () => false;
     /** Time from which instances must know all writes so far, in milliseconds. */
     public checkedFromMs = Number.POSITIVE_INFINITY;
+    /** Tells whether an instance may not know all writes yet. */
+    public isUnchecked: (instance: StateInstance) => boolean = () => false;
     /** Data centres of servers that the operator has taken out. */
     public readonly out = new Set<string>();
     private readonly writtenServers = new Map<string, WrittenServer>();
@@ -146,6 +148,11 @@
         this.platform.remove(`${SERVER_PREFIX}${id}`);
     }
 
+    /** A server ends without a word. */
+    public crashServer(id: string): void {
+        (this.writtenServers.get(id) as WrittenServer).state = "gone";
+    }
+
     /**
      * The store goes away and returns from a copy; servers write themselves again with their next heartbeats.
      *
@@ -284,7 +291,7 @@
                 this.violations.add(`${now}: version ${version} at ${name} is older than before`);
             }
             this.inForce.set(instance, version);
-            if (!isReady || this.clock.nowMs() < this.checkedFromMs) {
+            if (!isReady || this.isUnchecked(instance) || this.clock.nowMs() < this.checkedFromMs) {
                 continue;
             }
             const servers = new Set(instance.directory.candidates(ORDERS).map(({ entry }) => entry.id));
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -357,6 +357,7 @@
             incarnation: this.incarnation,
             dataCentre: settings.dataCentre,
             ...store.version,
+            revisionBeforeReturn: store.revisionBeforeReturn,
             configurationVersion: store.configurationVersion,
             stateAgeMs: store.ageMs,
             running,
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -38,6 +38,11 @@
     readonly era: StoreEra | undefined;
     /** Revision of the published state that it knows. */
     readonly revision: Revision;
+    /**
+     * Highest revision that it knew before the store returned to this era from an older copy; 0 if it has noticed
+     * no return, and from an earlier release.
+     */
+    readonly revisionBeforeReturn: Revision;
     /** Version of the configuration in force there; 0 if there is none, and from an earlier release. */
     readonly configurationVersion: number;
     /** Time for which it has followed the published state without a gap, in milliseconds. */
@@ -85,6 +90,7 @@
             dataCentre: report.dataCentre,
             revision: BigInt(report.revision),
             ...(report.era === undefined ? {} : { era: BigInt(report.era) }),
+            revisionBeforeReturn: BigInt(report.revisionBeforeReturn),
             configurationVersion: report.configurationVersion,
             stateAgeMs: toAge(report.stateAgeMs),
             serverHashes: [...report.running.keys()],
@@ -165,6 +171,7 @@
     dataCentre: branded<DataCentreId>(""),
     era: undefined,
     revision: branded<Revision>(0),
+    revisionBeforeReturn: branded<Revision>(0),
     configurationVersion: 0,
     stateAgeMs: 0,
     running: new Map(),
@@ -219,6 +226,7 @@
         dataCentre: branded<DataCentreId>(dataCentre),
         era: report.era === undefined ? undefined : branded<StoreEra>(Number(report.era)),
         revision: branded<Revision>(Number(revision)),
+        revisionBeforeReturn: branded<Revision>(Number(report.revisionBeforeReturn)),
         configurationVersion: report.configurationVersion,
         stateAgeMs: report.stateAgeMs,
         running: zip(report.serverHashes, report.runningRequests),
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -10,6 +10,7 @@
 
 import {
     type BackendServerId,
+    branded,
     type Clock,
     type DataCentreId,
     type EventLog,
@@ -59,7 +60,10 @@
 type FullState =
     & StateVersion
     & { readonly items: readonly (PublishedItem & Partial<Pick<StateVersion, "era">>)[]; }
-    & Partial<Pick<PublishedState, "removed" | "missing" | "history">>;
+    & Partial<Pick<PublishedState, "removed" | "missing" | "history" | "revisionBeforeReturn">>;
+
+/** A write or, without a text, a removal. */
+type MergedVersion = StateVersion & Partial<Pick<PublishedItem, "key" | "text">>;
 
 /** Maximum number of removals that are remembered. */
 const MAX_REMOVED = 2_048;
@@ -77,12 +81,14 @@
     private readonly items = new Map<string, KnownItem>();
     private readonly removed = new LRUCache<string, StateVersion>({ max: MAX_REMOVED });
     private readonly missing = new Set<string>();
+    private readonly departed = new LRUCache<BackendServerId, true>({ max: MAX_REMOVED });
     private readonly listeners = new Set<(source: UpdateSource) => void>();
     private history = new WriteHistory();
     private knownVersion = NO_VERSION;
     private knownSinceMs: number;
     private restoredMs = Number.NEGATIVE_INFINITY;
     private restorations = 0;
+    private lastRevisionBeforeReturn = NO_VERSION.revision;
     /** Items of the copy that the current merge has not believed. */
     private keptCount = 0;
     private activeConfiguration: ActiveConfiguration | undefined;
@@ -114,6 +120,14 @@
         return this.restorations;
     }
 
+    /**
+     * Highest revision that was known, here or to an instance whose knowledge was merged, before the store returned
+     * to the current era; 0 if no return was noticed.
+     */
+    public get revisionBeforeReturn(): Revision {
+        return this.lastRevisionBeforeReturn;
+    }
+
     /** Number of items that are kept although the store lacks them since it returned from an older copy. */
     public get missingCount(): number {
         return this.missing.size;
@@ -150,6 +164,15 @@
         return servers;
     }
 
+    /**
+     * Tells whether another instance has seen a server leave; its entry has not merely expired around an outage.
+     *
+     * @param id - identifier of a server that is not published
+     */
+    public hasDeparted(id: BackendServerId): boolean {
+        return this.departed.has(id);
+    }
+
     /** Data centres that operators have taken out of service. */
     public outDataCentres(): Set<DataCentreId> {
         const dataCentres = new Set<DataCentreId>();
@@ -169,6 +192,7 @@
             removed: [...this.removed.entries()].map(([key, version]) => ({ ...version, key })),
             missing: [...this.missing],
             history: this.history.export(),
+            revisionBeforeReturn: this.lastRevisionBeforeReturn,
             ageMs: this.ageMs,
         };
     }
@@ -207,6 +231,7 @@
         this.removed.clear();
         this.history = new WriteHistory();
         this.knownVersion = NO_VERSION;
+        this.lastRevisionBeforeReturn = NO_VERSION.revision;
         this.merge(state, "peer");
         this.knownSinceMs = this.options.clock.nowMs() - state.ageMs;
         if (ownConfiguration) {
@@ -273,9 +298,23 @@
         }
         this.mergeAbsences(state, isReturn);
         this.knownVersion = { era: state.era, revision: state.revision };
+        this.lastRevisionBeforeReturn = branded<Revision>(Math.max(
+            isReturn ? known.revision : this.lastRevisionBeforeReturn,
+            state.revisionBeforeReturn ?? 0,
+        ));
         if (isReturn) {
             this.recordReturn(known, source);
         }
+        if (isReturn || !this.expiry) {
+            this.scheduleExpiry();
+        }
+    }
+
+    private scheduleExpiry(): void {
+        this.expiry?.[Symbol.dispose]();
+        this.expiry = this.missing.size === 0
+            ? undefined
+            : this.options.clock.setTimer(MISSING_SERVER_LIFETIME_MS, () => this.dropMissingServers());
     }
 
     private mergeItem(item: VersionedItem, era: StoreEra, missingThere: ReadonlySet<string>): void {
@@ -285,7 +324,7 @@
             this.putItem(item);
             return;
         }
-        const knownVersion = known?.item ?? this.removed.get(key);
+        const knownVersion: MergedVersion | undefined = known?.item ?? this.removed.get(key);
         const isUnchanged = known?.item.revision === item.revision && known.item.text === item.text;
         if (isUnchanged) {
             if (item.era === era) {
@@ -293,7 +332,7 @@
             }
             return;
         }
-        if (!knownVersion || this.isNewWrite(item, knownVersion)) {
+        if (!knownVersion || this.isNewer(item, knownVersion)) {
             this.missing.delete(key);
             this.putItem(item);
             if (missingThere.has(key)) {
@@ -309,14 +348,24 @@
         }
     }
 
-    /** Tells a write that is newer than the known version from the content of an older copy. */
-    private isNewWrite(item: VersionedItem, known: StateVersion): boolean {
-        return item.era > known.era ? !this.history.includes(item) : compareVersions(item, known) > 0;
+    /** Compares writes and removals; a write of a later era that was superseded before comes from the copy. */
+    private isNewer(incoming: MergedVersion, known: MergedVersion): boolean {
+        if (incoming.era === known.era) {
+            return incoming.revision > known.revision;
+        }
+        return incoming.era > known.era ? !this.wasSuperseded(incoming) : this.wasSuperseded(known);
+    }
+
+    private wasSuperseded({ key, revision, text }: MergedVersion): boolean {
+        return key !== undefined && text !== undefined && this.history.includes({ key, revision, text });
     }
 
     private mergeRemoval(key: string, version: StateVersion): void {
         const known = this.items.get(key);
-        if (known && known.content.kind !== "configuration" && compareVersions(version, known.item) > 0) {
+        if (known && known.content.kind !== "configuration" && this.isNewer(version, known.item)) {
+            if (known.content.kind === "server") {
+                this.departed.set(known.content.server.id, true);
+            }
             this.missing.delete(key);
             this.removeItem(key, version);
         }
@@ -328,9 +377,11 @@
     /** Removes the items that a full state lacks, unless it lacks them because the store returned from a copy. */
     private mergeAbsences(state: FullState, isReturn: boolean): void {
         const { era, revision } = state;
+        const missingThere = new Set(state.missing);
         const present = new Set(state.items.map(({ key }) => key));
         for (const [key, { content, item }] of [...this.items]) {
-            if (present.has(key) || this.missing.has(key) || content.kind === "configuration") {
+            const isPresent = present.has(key) && !(isReturn && missingThere.has(key));
+            if (isPresent || this.missing.has(key) || content.kind === "configuration") {
                 continue;
             }
             if (isReturn) {
@@ -357,16 +408,18 @@
             missing: this.missing.size,
             configurationVersion: this.configurationVersion,
         });
-        this.expiry?.[Symbol.dispose]();
-        this.expiry = clock.setTimer(MISSING_SERVER_LIFETIME_MS, () => this.dropMissingServers());
     }
 
     private dropMissingServers(): void {
         const { era } = this;
+        this.expiry = undefined;
         const servers = [...this.missing].filter(key => this.items.get(key)?.content.kind === "server");
         for (const key of servers) {
+            const { era: writtenEra, revision } = this.items.get(key)?.item ?? NO_VERSION;
             this.missing.delete(key);
             this.items.delete(key);
+            // Others may still hand it on; only a newer write brings it back.
+            this.removed.set(key, { era: writtenEra, revision });
         }
         if (servers.length > 0) {
             this.options.events.emit(missingDropped, {
--- a/packages/direct/src/shared/serverDirectory.ts
+++ b/packages/direct/src/shared/serverDirectory.ts
@@ -85,7 +85,8 @@
                 continue;
             }
             const sinceOutageMs = this.options.sinceOutageMs();
-            if (server.entry.state === "ready" && sinceOutageMs < OUTAGE_GRACE_MS) {
+            const mayReturn = server.entry.state === "ready" && !store.hasDeparted(id);
+            if (mayReturn && sinceOutageMs < OUTAGE_GRACE_MS) {
                 if (server.expiresMs === undefined) {
                     server.expiresMs = clock.nowMs() + OUTAGE_GRACE_MS - sinceOutageMs;
                     this.options.runtime.events.emit(serverKept, {
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -5,7 +5,14 @@
  * @packageDocumentation
  */
 
-import { type Address, errorMessage, shuffled, timeoutSignal } from "@magnolialock/kernel";
+import {
+    type Address,
+    branded,
+    errorMessage,
+    type Revision,
+    shuffled,
+    timeoutSignal,
+} from "@magnolialock/kernel";
 import type { PublishedState } from "../types/publishedState.ts";
 import type { DirectRuntime } from "./directContext.ts";
 import { peerFetchFailed, stateFetched } from "./directEvents.ts";
@@ -93,7 +100,7 @@
      * @param signal - cancels the fetch
      */
     public async catchUp(signal: AbortSignal): Promise<void> {
-        const { hasJoined } = this;
+        this.isJoined ||= this.mayJoin();
         const { clock, random } = this.options.runtime;
         const ahead = [...this.options.peers()].filter(([, peer]) => peer.isAlive && this.isAhead(peer));
         const [source] = shuffled(random, ahead);
@@ -102,8 +109,7 @@
             return;
         }
         this.behindSinceMs ??= clock.nowMs();
-        const isPlatformExpected = hasJoined && clock.nowMs() - this.behindSinceMs < FETCH_DELAY_MS;
-        if (isPlatformExpected || this.isFetching) {
+        if (this.isPlatformExpected(source[1]) || this.isFetching) {
             return;
         }
         this.isFetching = true;
@@ -155,6 +161,7 @@
             removed: [],
             missing: [],
             history: [],
+            revisionBeforeReturn: branded<Revision>(0),
             ageMs: 0,
             ...state,
             era,
@@ -162,9 +169,19 @@
         };
     }
 
+    /** Tells whether the platform should soon deliver what another instance already knows. */
+    private isPlatformExpected({ report }: ReportingPeer): boolean {
+        const { clock } = this.options.runtime;
+        const { era, revision } = report;
+        const isUpdate = era === undefined
+            || compareVersions({ era, revision }, this.options.store.version) > 0;
+        return isUpdate && this.hasJoined && this.behindSinceMs !== undefined
+            && clock.nowMs() - this.behindSinceMs < FETCH_DELAY_MS;
+    }
+
     private isAhead(peer: ReportingPeer): boolean {
         const { store } = this.options;
-        const { configurationVersion, era, revision } = peer.report;
+        const { configurationVersion, era, revision, revisionBeforeReturn } = peer.report;
         if (era === undefined) {
             // An earlier release reports a bare revision, which means nothing once the store has returned from a copy.
             return store.returns === 0 && revision > store.revision;
@@ -172,6 +189,7 @@
         const order = compareVersions({ era, revision }, store.version);
         return order > 0
             || configurationVersion > store.configurationVersion
+            || era === store.era && revisionBeforeReturn > store.revisionBeforeReturn
             || order === 0 && this.knowsLonger(peer);
     }
 
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -228,6 +228,8 @@
     readonly missing: readonly string[];
     /** Superseded writes. */
     readonly history: readonly ItemWrites[];
+    /** Highest revision that was known before the store returned to this era; 0 if no return was noticed. */
+    readonly revisionBeforeReturn: Revision;
     /** Time for which the knowledge goes back without a gap, in milliseconds. */
     readonly ageMs: number;
 }
--- a/packages/lab/src/node/platformStandIns/storeStandIn.ts
+++ b/packages/lab/src/node/platformStandIns/storeStandIn.ts
@@ -77,12 +77,15 @@
     }
 
     /**
-     * Closes all connections and returns from an older copy; the era rises.
+     * Returns from an older copy; the era rises.
      *
      * @param copy - the copy
+     * @param options - whether open connections stay open, as behind a proxy
      */
-    public restore(copy: StoreCopy): void {
-        this.server.closeAllConnections();
+    public restore(copy: StoreCopy, options: { readonly keepsConnections?: boolean; } = {}): void {
+        if (!options.keepsConnections) {
+            this.server.closeAllConnections();
+        }
         this.model.restore(copy);
     }
 
