--- a/packages/direct/src/shared/callLog.ts
+++ b/packages/direct/src/shared/callLog.ts
@@ -9,6 +9,7 @@
 import type { DirectContext } from "./directContext.ts";
 import { attemptFailed, callAnswered, callFailed, callLeft, callRefused } from "./directEvents.ts";
 import { sharedPromptParts } from "./promptParts.ts";
+import { requestIdentity } from "./requestIdentity.ts";
 import type { AttemptOutcome, StreamCursor } from "./runAttempt.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
@@ -98,6 +99,7 @@
         const { headers, runtime, store } = this.context.options;
         runtime.events.emit(attemptFailed, {
             requestId: this.requestId,
+            request: requestIdentity(this.call, this.admitted),
             promptParts: sharedPromptParts(this.call, headers).join(" "),
             events: this.progress.cursor.eventCount,
             server: server.entry.id,
