--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -26,6 +26,7 @@
     DRAFTS,
     type FakeReply,
     NAMES,
+    ORDERS,
     serverEntry,
     serviceSpec,
 } from "./directFixture.ts";
@@ -118,9 +119,10 @@
         return index < 0 ? undefined : headers[index + 1];
     }
 
-    /** Identifiers of the prompt's parts. */
+    /** Identifiers of the prompt's parts; for a request without a prompt, what it asks for. */
     public get parts(): readonly string[] {
-        return this.header(NAMES.promptParts)?.split(",").map(part => part.split(":")[0] as string) ?? [];
+        return this.header(NAMES.promptParts)?.split(",").map(part => part.split(":")[0] as string)
+            ?? [this.request.path.slice(1, this.request.path.lastIndexOf("/"))];
     }
 
     public end(kind: "broken" | "notSent" | "complete"): void {
@@ -157,6 +159,12 @@
             server.crash();
             return;
         }
+        if (fleet.options.isPlain) {
+            this.sendHead(200, { [NAMES.signature]: "signed" });
+            this.consumer.onData(Buffer.from("x"));
+            this.end("complete");
+            return;
+        }
         await this.answer(server);
     }
 
@@ -282,6 +290,8 @@
     readonly keepsServerIds?: boolean;
     readonly dataCentres?: number;
     readonly seed?: number;
+    /** Whether the servers are of a plain service, whose requests have no prompt. */
+    readonly isPlain?: boolean;
 }
 
 /** A request with its reply. */
@@ -324,7 +334,9 @@
                 new FleetServer(this, `server-${index}`, address, groups[index % (groupCount || 1)]),
             );
         }
-        this.spec = serviceSpec(DRAFTS, { engine: { experts: groupCount > 0 ? EXPERTS : undefined } });
+        this.spec = options.isPlain
+            ? serviceSpec(ORDERS)
+            : serviceSpec(DRAFTS, { engine: { experts: groupCount > 0 ? EXPERTS : undefined } });
         for (let index = 0; index < options.instances; index++) {
             this.startEntry(index);
         }
@@ -368,6 +380,28 @@
         return request;
     }
 
+    /**
+     * Sends a request without a prompt to an entry.
+     *
+     * @param entry - index of the entry
+     * @param target - route and what is asked for, `<route>/<subject>`
+     * @param key - API key of the caller
+     */
+    public sendPlain(entry: number, target: string, key = "key-1"): FleetRequest {
+        const { reply } = (this.entries[entry] as FleetEntry).send(target, {
+            [NAMES.requestId]: `call-${this.nextRequest++}`,
+            [NAMES.apiKey]: key,
+        });
+        const request = { sentMs: this.clock.nowMs(), parts: [target], reply };
+        this.requests.push(request);
+        return request;
+    }
+
+    /** The same as {@link DirectFleet.sendFor} for requests without a prompt. */
+    public sendPlainFor(durationMs: number, perS: number, draw: () => string): Promise<void> {
+        return this.repeatFor(durationMs, perS, entry => this.sendPlain(entry, draw()));
+    }
+
     /**
      * Sends requests at random entries.
      *
@@ -375,10 +409,14 @@
      * @param perS - requests a second over the fleet
      * @param draw - draws the shared parts of one request
      */
-    public async sendFor(durationMs: number, perS: number, draw: () => readonly string[]): Promise<void> {
+    public sendFor(durationMs: number, perS: number, draw: () => readonly string[]): Promise<void> {
+        return this.repeatFor(durationMs, perS, entry => this.send(entry, ...draw()));
+    }
+
+    private async repeatFor(durationMs: number, perS: number, send: (entry: number) => void): Promise<void> {
         const endMs = this.clock.nowMs() + durationMs;
         while (this.clock.nowMs() < endMs) {
-            this.send(this.random.nextInt(0, this.entries.length - 1), ...draw());
+            send(this.random.nextInt(0, this.entries.length - 1));
             await this.clock.advance(1_000 / perS * (0.5 + this.random.nextFloat()));
         }
     }
@@ -443,7 +481,7 @@
     }
 
     private publishedEntry(server: FleetServer): ReturnType<typeof serverEntry> {
-        return serverEntry(server.id, DRAFTS, { address: server.address });
+        return serverEntry(server.id, this.spec.name, { address: server.address });
     }
 
     private nameGroups(entry: FleetEntry): void {
