fix(direct): quarantine whole requests that crash the servers that answer them

Only shared prompt parts were accused; a request without them was sent on to further servers, remembered by nobody, and its caller came again.

Change: one quarantine for both. Identities are computed only after a failure or while requests are accused, and soundness is remembered for accused ones only. The identity of a request with a prompt accuses it alone, since bystanders of a crash would else take blame off a bad part. A request without parts is not sent on after its server's crash.

Wrong verdicts: crashes in between at which a suspect was not present ask for more crashes, at most three for a part and one for a request.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -289,6 +289,7 @@
         openedConnections: () => upstreams.opened,
         limitedServers: () => context.limits.size,
         quarantinedParts: () => context.quarantine.parts.length,
+        quarantinedRequests: () => context.quarantine.requests.length,
     });
     const context: DirectContext = new DirectContext({
         runtime,
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -29,6 +29,8 @@
     readonly limitedServers: () => number;
     /** Number of prompt parts in quarantine. */
     readonly quarantinedParts: () => number;
+    /** Number of whole requests in quarantine. */
+    readonly quarantinedRequests: () => number;
 }
 
 /**
@@ -83,6 +85,7 @@
     );
     gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
     gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
+    gauge("magnolialock_quarantined_requests", "Whole requests in quarantine", readers.quarantinedRequests);
 };
 
 /**
@@ -127,7 +130,7 @@
     });
     const quarantined = new Counter({
         name: "magnolialock_quarantined_calls_total",
-        help: "Requests refused because a part of their prompt is in quarantine",
+        help: "Requests refused because they or a part of their prompt are in quarantine",
         registers,
     });
     registerGauges(registry, readers);
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -118,7 +118,10 @@
     version: 1,
     routes: [route("status"), route("booking", { repeat: "never", maxAttempts: 1 }), route("draft", STREAM)],
     services: [serviceSpec(ORDERS), serviceSpec(DRAFTS, { engine: ENGINE })],
-    accountsByKey: new Map([["key-1", { account: branded<ClientAccountId>("shop"), priority: undefined }]]),
+    accountsByKey: new Map([
+        ["key-1", { account: branded<ClientAccountId>("shop"), priority: undefined }],
+        ["key-2", { account: branded<ClientAccountId>("bakery"), priority: undefined }],
+    ]),
     limits: { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     ...changes,
 });
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -207,8 +207,8 @@
 
 const noNews = {
     takeFresh: () => undefined,
-    allNews: () => ({ crashes: [], soundParts: new Map(), limits: new Map() }),
-    sampleNews: () => ({ crashes: [], soundParts: new Map(), limits: new Map() }),
+    allNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map() }),
+    sampleNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map() }),
     applyNews: () => {},
     onFreshNews: () => {},
 };
--- a/packages/direct/src/shared/callLog.ts
+++ b/packages/direct/src/shared/callLog.ts
@@ -97,10 +97,11 @@
         outcome: Exclude<AttemptOutcome, { readonly kind: "streamed" | "whole"; }>,
     ): void {
         const { headers, runtime, store } = this.context.options;
+        const parts = sharedPromptParts(this.call, headers);
         runtime.events.emit(attemptFailed, {
             requestId: this.requestId,
-            request: requestIdentity(this.call, this.admitted),
-            promptParts: sharedPromptParts(this.call, headers).join(" "),
+            request: requestIdentity(this.call, this.admitted, parts.length > 0),
+            promptParts: parts.join(" "),
             events: this.progress.cursor.eventCount,
             server: server.entry.id,
             outcome: outcome.kind,
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -13,7 +13,7 @@
 import { toCallerHead } from "./callHeaders.ts";
 import { CallLog, type CallProgress } from "./callLog.ts";
 import { chooseServer } from "./chooseServer.ts";
-import { CrashGuard } from "./crashGuard.ts";
+import { CrashGuard, refusalReason } from "./crashGuard.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
 import { serverEjected } from "./directEvents.ts";
 import type { GroupHealth } from "./groupHealth.ts";
@@ -50,6 +50,7 @@
 const STALL_MARGIN_MS = 150;
 /** Polling interval of a stream that waits for its group to recover, in milliseconds. */
 const GROUP_POLL_MS = 50;
+
 /** Runs one admitted request. */
 export class CallTask {
     private readonly state: ServiceState;
@@ -238,7 +239,7 @@
         return this.handleOutcome(server, outcome);
     }
 
-    /** Refuses the request if a part of its prompt is in quarantine; the verdict may come while it waits. */
+    /** Refuses the request if it or a part of its prompt is in quarantine; the verdict may come while it waits. */
     private refuseQuarantined(): NextStep | undefined {
         const decision = this.guard.check();
         if (decision.kind !== "refused") {
@@ -246,7 +247,7 @@
         }
         this.quarantineMs = decision.retryAfterMs;
         this.context.options.metrics.countQuarantined();
-        return { kind: "stop", reason: `servers end as they answer prompts with part ${decision.part}` };
+        return { kind: "stop", reason: refusalReason(decision) };
     }
 
     private recordUnderWay(): void {
--- a/packages/direct/src/shared/crashGuard.ts
+++ b/packages/direct/src/shared/crashGuard.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps one request from crashing one backend server after the other: refuses it while a part of its prompt is
- * in quarantine, and reports the server that ends before the answer is under way.
+ * Keeps one request from crashing one backend server after the other: refuses it while it or a part of its prompt
+ * is in quarantine, and reports the server that ends before the answer is under way.
  *
  * @packageDocumentation
  */
@@ -8,12 +8,25 @@
 import { hash32 } from "@magnolialock/kernel";
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { IncomingCall } from "../types/call.ts";
+import type { QuarantineDecision } from "./crashQuarantine.ts";
 import type { DirectContext } from "./directContext.ts";
 import { crashReported } from "./directEvents.ts";
 import { sharedPromptParts } from "./promptParts.ts";
-import type { QuarantineDecision } from "./promptQuarantine.ts";
+import { isRequestIdentity, requestIdentity } from "./requestIdentity.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
+/**
+ * Says why a request in quarantine is refused.
+ *
+ * @param decision - the decision
+ */
+export const refusalReason = (
+    { suspect }: Extract<QuarantineDecision, { readonly kind: "refused"; }>,
+): string =>
+    isRequestIdentity(suspect)
+        ? `servers end as they answer this request, ${suspect}`
+        : `servers end as they answer prompts with part ${suspect}`;
+
 /** Guards the attempts of one request. */
 export class CrashGuard {
     /** Shared parts of the request's prompt. */
@@ -43,14 +56,14 @@
         if (this.isTrial) {
             return { kind: "trial" };
         }
-        const decision = this.context.quarantine.check(this.parts);
+        const decision = this.context.quarantine.check(this.suspects);
         this.isTrial = decision.kind === "trial";
         return decision;
     }
 
     /** Records that an answer to the request is under way. */
     public recordUnderWay(): void {
-        this.context.quarantine.recordSound(this.parts);
+        this.context.quarantine.recordSound(this.suspects);
     }
 
     /**
@@ -64,7 +77,7 @@
         const { quarantine, options } = this.context;
         const { address, id, state } = server.entry;
         const isLeaving = state === "draining" || options.directory.find(id) !== server;
-        if (this.parts.length === 0 || isLeaving) {
+        if (isLeaving) {
             return false;
         }
         const crashedMs = options.runtime.clock.nowMs();
@@ -78,23 +91,33 @@
             requestId,
             server: id,
             evidence: attempt.toString(16),
+            request: this.identity,
             promptParts: this.parts.join(" "),
             ranMs: Math.round(crashedMs - sentMs),
         });
         options.metrics.countCrashReport();
-        const isKnownSound = quarantine.areKnownSound(this.parts, crashedMs);
+        const isKnownSound = this.parts.length > 0 && quarantine.areKnownSound(this.parts, crashedMs);
         quarantine.recordCrash({
             id: attempt,
             server: server.reportKey,
             crashedMs,
             sentMs,
             servedMs,
-            parts: this.parts,
+            suspects: [...this.parts, this.identity],
         });
         this.isTrial = false;
         return !isKnownSound;
     }
 
+    private get identity(): string {
+        return requestIdentity(this.call, this.admitted, this.parts.length > 0);
+    }
+
+    /** What may be to blame; the identity costs a hash and matters only while requests are accused. */
+    private get suspects(): readonly string[] {
+        return this.context.quarantine.accusesRequests ? [...this.parts, this.identity] : this.parts;
+    }
+
     /** Time of the last answer that the server's group has begun; servers without a group do not wait for others. */
     private servedMs({ groupName }: TrackedServer): number {
         const { service, spec } = this.admitted;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -13,9 +13,9 @@
 import { CallerRetryDetector } from "./callerRetryDetector.ts";
 import type { CallMetrics } from "./callMetrics.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
+import { CrashQuarantine } from "./crashQuarantine.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
 import { FleetNews } from "./fleetNews.ts";
-import { PromptQuarantine } from "./promptQuarantine.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
@@ -94,8 +94,8 @@
     public readonly options: DirectContextOptions;
     /** Memory of the responses that are being buffered. */
     public readonly responseBuffers = new ResponseBuffers();
-    /** Parts of prompts that crash servers. */
-    public readonly quarantine: PromptQuarantine;
+    /** Parts of prompts, and requests, that crash servers. */
+    public readonly quarantine: CrashQuarantine;
     /** Limits that backend servers name. */
     public readonly limits: ServerLimits;
     /** News for the other instances. */
@@ -119,7 +119,7 @@
             header: options.headers.serverLimit,
             unitsOf: (key, total) => this.allotment.settledUnitsOf(key, total),
         });
-        this.quarantine = new PromptQuarantine({
+        this.quarantine = new CrashQuarantine({
             clock,
             events,
             random,
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -251,32 +251,33 @@
     name: "direct.crash.reported",
     level: "warning",
     summary:
-        "A backend server no longer accepts connections after an attempt there broke off before its answer was under way; the prompt's parts count as evidence.",
+        "A backend server no longer accepts connections after an attempt there broke off before its answer was under way; the request and its prompt's parts count as evidence.",
 });
 
-/** A part of prompts was put into quarantine. */
-export const promptPartQuarantined = defineEvent({
+/** A part of prompts or a request was put into quarantine. */
+export const suspectQuarantined = defineEvent({
     number: 8051,
     name: "direct.prompt-part.quarantined",
     level: "warning",
-    summary: "Servers ended as they began answers on a part of prompts; requests with it are refused.",
+    summary:
+        "Servers ended as they began answers on a part of prompts, or on one request that came again; it is refused.",
 });
 
-/** A part of prompts is sound again. */
-export const promptPartCleared = defineEvent({
+/** A part of prompts or a request is sound again. */
+export const suspectCleared = defineEvent({
     number: 8052,
     name: "direct.prompt-part.cleared",
     level: "info",
     summary:
-        "A part of prompts is no longer in quarantine: an answer on it is under way, or the evidence is old.",
+        "A part of prompts or a request is no longer in quarantine: an answer on it is under way, or the evidence is old.",
 });
 
-/** A request with a quarantined part was sent. */
-export const promptPartTried = defineEvent({
+/** A request in quarantine, or with a part in it, was sent. */
+export const suspectTried = defineEvent({
     number: 8053,
     name: "direct.prompt-part.tried",
     level: "info",
-    summary: "A request was sent to find out whether a part of prompts in quarantine is sound again.",
+    summary: "A request was sent to find out whether it, or a part of its prompt, is sound again.",
 });
 
 /** A server names a limit. */
--- a/packages/direct/src/shared/fleetNews.ts
+++ b/packages/direct/src/shared/fleetNews.ts
@@ -5,7 +5,7 @@
  */
 
 import type { NewsSource, PeerNews } from "../types/peerNews.ts";
-import type { PromptQuarantine } from "./promptQuarantine.ts";
+import type { CrashQuarantine } from "./crashQuarantine.ts";
 import type { ServerLimits } from "./serverLimits.ts";
 
 /** Combines the sources of news. */
@@ -15,14 +15,14 @@
      * @param limits - limits of servers
      */
     public constructor(
-        private readonly quarantine: PromptQuarantine,
+        private readonly quarantine: CrashQuarantine,
         private readonly limits: ServerLimits,
     ) {}
 
     /** {@inheritDoc NewsSource.takeFresh} */
     public takeFresh(): PeerNews | undefined {
         const news = { ...this.quarantine.takeFresh(), limits: this.limits.takeFresh() };
-        const size = news.crashes.length + news.soundParts.size + news.limits.size;
+        const size = news.crashes.length + news.soundSuspects.size + news.limits.size;
         return size > 0 ? news : undefined;
     }
 
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -112,26 +112,28 @@
 /** Limits travel as requests per this many seconds; 0 stands for a limit that has ended. */
 const LIMIT_SCALE = 1_000;
 
-const toMessage = ({ crashes, limits, soundParts }: PeerNews): MessageInitShape<typeof PeerNewsSchema> => ({
-    crashes: crashes.map(({ ageMs, id, parts, sentBeforeMs, servedBeforeMs, server }) => ({
+const toMessage = (
+    { crashes, limits, soundSuspects }: PeerNews,
+): MessageInitShape<typeof PeerNewsSchema> => ({
+    crashes: crashes.map(({ ageMs, id, sentBeforeMs, servedBeforeMs, server, suspects }) => ({
         id,
         server,
         ageMs: toAge(ageMs),
         sentBeforeMs: toAge(sentBeforeMs),
         servedBeforeMs: toAge(servedBeforeMs),
-        parts: [...parts],
+        suspects: [...suspects],
     })),
-    soundParts: [...soundParts].map(([part, ageMs]) => ({ part, ageMs: toAge(ageMs) })),
+    soundSuspects: [...soundSuspects].map(([suspect, ageMs]) => ({ suspect, ageMs: toAge(ageMs) })),
     limitedServers: [...limits.keys()],
     limitsPer1000S: [...limits.values()].map(({ perS }) => Math.round((perS ?? 0) * LIMIT_SCALE)),
     limitAgesMs: [...limits.values()].map(({ ageMs }) => toAge(ageMs)),
 });
 
 const fromMessage = (
-    { crashes, limitAgesMs, limitedServers, limitsPer1000S, soundParts }: NewsMessage,
+    { crashes, limitAgesMs, limitedServers, limitsPer1000S, soundSuspects }: NewsMessage,
 ): PeerNews => ({
     crashes,
-    soundParts: new Map(soundParts.map(({ ageMs, part }) => [part, ageMs])),
+    soundSuspects: new Map(soundSuspects.map(({ ageMs, suspect }) => [suspect, ageMs])),
     limits: new Map(limitedServers.flatMap((server, index) => {
         const limit = limitsPer1000S[index];
         const ageMs = limitAgesMs[index];
@@ -142,8 +144,8 @@
 });
 
 /** Halves of news that do not fit into one datagram. */
-const halve = ({ crashes, limits, soundParts }: PeerNews): PeerNews[] => {
-    const sound = [...soundParts];
+const halve = ({ crashes, limits, soundSuspects }: PeerNews): PeerNews[] => {
+    const sound = [...soundSuspects];
     const limited = [...limits];
     const crashCount = Math.ceil(crashes.length / 2);
     const soundCount = Math.floor(sound.length / 2);
@@ -153,12 +155,12 @@
     return [
         {
             crashes: crashes.slice(0, crashCount),
-            soundParts: new Map(sound.slice(0, soundCount)),
+            soundSuspects: new Map(sound.slice(0, soundCount)),
             limits: new Map(limited.slice(0, limitCount)),
         },
         {
             crashes: crashes.slice(crashCount),
-            soundParts: new Map(sound.slice(soundCount)),
+            soundSuspects: new Map(sound.slice(soundCount)),
             limits: new Map(limited.slice(limitCount)),
         },
     ];
@@ -188,7 +190,7 @@
  * @returns the datagrams, each of at most {@link MAX_DATAGRAM_BYTES}
  */
 export const encodePeerNews = (news: PeerNews): Uint8Array[] => {
-    const size = news.crashes.length + news.soundParts.size + news.limits.size;
+    const size = news.crashes.length + news.soundSuspects.size + news.limits.size;
     if (size === 0) {
         return [];
     }
--- a/packages/direct/src/types/peerNews.ts
+++ b/packages/direct/src/types/peerNews.ts
@@ -20,16 +20,16 @@
      * if there was none.
      */
     readonly servedBeforeMs: number;
-    /** Shared parts of the prompt that are not known to be sound. */
-    readonly parts: readonly string[];
+    /** Shared parts of the prompt that are not known to be sound, and the identity of the request. */
+    readonly suspects: readonly string[];
 }
 
-/** Evidence about the parts of prompts. */
-export interface PromptNews {
+/** Evidence about parts of prompts and whole requests. */
+export interface CrashNews {
     /** Evidence about crashes. */
     readonly crashes: readonly CrashNotice[];
-    /** Time since an answer was under way on a part that a crash notice names, in milliseconds, by part. */
-    readonly soundParts: ReadonlyMap<string, number>;
+    /** Time since an answer was under way on a suspect that a crash notice names, in milliseconds, by suspect. */
+    readonly soundSuspects: ReadonlyMap<string, number>;
 }
 
 /** Limit that a backend server names in its answers. */
@@ -41,7 +41,7 @@
 }
 
 /** News between instances. */
-export interface PeerNews extends PromptNews {
+export interface PeerNews extends CrashNews {
     /** Limits of backend servers, by their key in reports. */
     readonly limits: ReadonlyMap<number, LimitNotice>;
 }
