fix(direct): a state that brings nothing new is not fetched without end

Found by reading the change: an instance that reports more than its state holds (another release, a content that cannot be read here) would be asked for its whole state in every report cycle, five times a second. A fetch that changes nothing that reports are compared with now delays the next one, 0.2 s at first and 5 s at most; a failed fetch is repeated as before.

Test: at most 20 fetches in a minute from such an instance.

--- a/packages/direct/src/shared/__tests__/eraOrder.spec.ts
+++ b/packages/direct/src/shared/__tests__/eraOrder.spec.ts
@@ -124,6 +124,29 @@
     t.is(store.outDataCentres().size, 0);
 });
 
+test.serial("an instance that reports more than it hands on is asked without end", async t => {
+    const { runtime, store } = createStore();
+    let fetches = 0;
+    const catchUp = new StateCatchUp({
+        runtime,
+        store,
+        peers: () =>
+            peerWith({ era: branded<StoreEra>(1), revision: branded<Revision>(20), configurationVersion: 9 }),
+        expectsOthers: () => false,
+        fetchState: async () => {
+            fetches++;
+            return readAt(1, 20, { config: "1" }) as unknown as PublishedState;
+        },
+        onFetched: () => {},
+    });
+    store.replace(readAt(1, 20, { config: "1" }), "platform");
+    for (let cycle = 0; cycle < 300; cycle++) {
+        await catchUp.catchUp(new AbortController().signal);
+        await runtime.clock.advance(200);
+    }
+    t.true(fetches >= 5 && fetches <= 20, `${fetches} fetches in a minute`);
+});
+
 test.serial("a report without an era leads back to the era of before", async t => {
     const { runtime, store } = createStore();
     const fetched: Address[] = [];
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -58,6 +58,9 @@
 const FETCH_DELAY_MS = 400;
 /** Timeout for fetching a state, in milliseconds; large configurations take a while on slow links. */
 const FETCH_TIMEOUT_MS = 2_000;
+/** Delay after a fetch that has brought nothing new, in milliseconds; it doubles each time. */
+const MIN_RETRY_DELAY_MS = 200;
+const MAX_RETRY_DELAY_MS = 5_000;
 /**
  * Time after the start at which this instance serves although it has not heard what the others know, in
  * milliseconds: they may all be out of reach.
@@ -76,6 +79,8 @@
     private behindSinceMs: number | undefined;
     private isFetching = false;
     private isJoined = false;
+    private retryDelayMs = 0;
+    private nextFetchMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - store and other instances */
     public constructor(options: StateCatchUpOptions) {
@@ -109,20 +114,28 @@
             return;
         }
         this.behindSinceMs ??= clock.nowMs();
-        if (this.isPlatformExpected(source[1]) || this.isFetching) {
+        if (this.isPlatformExpected(source[1]) || this.isFetching || clock.nowMs() < this.nextFetchMs) {
             return;
         }
         this.isFetching = true;
-        try {
-            await this.fetchFrom(source[0], source[1].report, signal);
-            this.behindSinceMs = undefined;
-        }
-        finally {
-            this.isFetching = false;
-        }
+        const known = this.describeKnowledge();
+        const isFetched = await this.fetchFrom(source[0], source[1].report, signal);
+        this.isFetching = false;
+        this.behindSinceMs = isFetched ? undefined : this.behindSinceMs;
+        this.retryDelayMs = isFetched && this.describeKnowledge() === known
+            ? Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, 2 * this.retryDelayMs))
+            : 0;
+        this.nextFetchMs = clock.nowMs() + this.retryDelayMs;
     }
 
-    private async fetchFrom(peer: Address, report: PeerReport, signal: AbortSignal): Promise<void> {
+    /** Whatever reports are compared with; a fetch that changes none of it would be repeated at once. */
+    private describeKnowledge(): string {
+        const { configurationVersion, era, revision, revisionBeforeReturn } = this.options.store;
+        return [configurationVersion, era, revision, revisionBeforeReturn].join();
+    }
+
+    /** Returns whether the state was fetched; a failure is logged. */
+    private async fetchFrom(peer: Address, report: PeerReport, signal: AbortSignal): Promise<boolean> {
         const { fetchState, onFetched, runtime, store } = this.options;
         const known = store.version;
         using timeout = timeoutSignal(runtime.clock, FETCH_TIMEOUT_MS, signal);
@@ -146,9 +159,11 @@
                 configurationVersion: store.configurationVersion,
             });
             onFetched();
+            return true;
         }
         catch (error) {
             runtime.events.emit(peerFetchFailed, { peer: report.instance, error: errorMessage(error) });
+            return false;
         }
     }
 
