fix(direct): a data centre that is put back right after the store returned comes into use

The read lacks the item either way: because the copy lacks it, or because it was removed since.

Change: after a return, an instance that keeps items which the store lacks asks once for the changes since the newest item of the copy; a removal that was not known before the return is the operator's. Removals are part of the history that instances hand on. One call more for each instance and return.

--- a/packages/direct/src/shared/__tests__/publishedFleet.ts
+++ b/packages/direct/src/shared/__tests__/publishedFleet.ts
@@ -170,7 +170,16 @@
     /** The operator writes again what it had written. */
     public rewriteOperatorItems(): void {
         this.writeConfiguration(this.writtenConfiguration);
-        this.out.forEach(dataCentre => this.setOut(dataCentre, true));
+        for (const dataCentre of [0, 1, 2].map(number => this.dataCentreOf(number))) {
+            const isPublished = this.platform.textOf(`${OUT_PREFIX}${dataCentre}`) !== undefined;
+            if (isPublished || this.out.has(dataCentre)) {
+                this.setOut(dataCentre, this.out.has(dataCentre));
+            }
+        }
+    }
+
+    public pause(durationMs: number): Promise<void> {
+        return new Promise(resolve => this.clock.setTimer(durationMs, resolve));
     }
 
     /** Advances the clock and checks at short intervals what must always hold. */
--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -8,6 +8,7 @@
     branded,
     errorMessage,
     ProtocolError,
+    type Revision,
     type Runtime,
     sleep,
     type StoreEra,
@@ -72,6 +73,9 @@
 /** Shortest time between two full reads of one instance, in milliseconds. */
 const MIN_READ_INTERVAL_MS = 1_000;
 
+/** Wait of a watch for changes that have been made already, in milliseconds. */
+const HISTORY_WAIT_MS = 1;
+
 const assertNotOlder = (era: StoreEra, known: StoreEra): void => {
     if (era < known) {
         throw new ProtocolError(
@@ -88,6 +92,8 @@
     private hasFullState = false;
     private nextReadMs = Number.NEGATIVE_INFINITY;
     private eraBeforeRead: StoreEra | undefined;
+    /** Era in which removals since the return of the store were asked for. */
+    private removalsEra: StoreEra | undefined;
     private failingSinceMs: number | undefined;
     private lastOutageEndMs = Number.NEGATIVE_INFINITY;
 
@@ -153,6 +159,10 @@
             await this.readAll(signal);
             return;
         }
+        const removalsAfter = store.era === this.removalsEra ? undefined : store.removalsAfter;
+        if (removalsAfter !== undefined) {
+            await this.readRemovals(removalsAfter, signal);
+        }
         const waitMs = runtime.random.nextInt(
             MIN_WATCH_MS,
             Math.min(MAX_WATCH_MS, this.options.fleetSize() * MAX_WATCH_PER_INSTANCE_MS),
@@ -227,6 +237,19 @@
         this.hasFullState = true;
     }
 
+    /** Asks for the removals since the store has returned: the full state does not tell them from what the copy lacks. */
+    private async readRemovals(after: Revision, signal: AbortSignal): Promise<void> {
+        const { runtime, source, store } = this.options;
+        const { era } = store;
+        using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
+        const result = await source.watch(after, HISTORY_WAIT_MS, timeout.signal);
+        const isCurrent = store.era === era && (result.era ?? era) === era;
+        if (result.kind === "changes" && isCurrent) {
+            store.applyRemovals(result.changes);
+        }
+        this.removalsEra = era;
+    }
+
     private recordSuccess(): void {
         const { runtime, store } = this.options;
         if (this.failingSinceMs === undefined) {
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -35,6 +35,7 @@
     missingDropped,
     storeRestored,
 } from "./directEvents.ts";
+import { outDataCentresAmong, serversAmong } from "./publishedContents.ts";
 import { compareVersions, NO_VERSION } from "./stateVersion.ts";
 import { WriteHistory } from "./writeHistory.ts";
 
@@ -155,13 +156,7 @@
 
     /** Backend servers that are currently published, by identifier. */
     public servers(): Map<BackendServerId, PublishedServer> {
-        const servers = new Map<BackendServerId, PublishedServer>();
-        for (const { content } of this.items.values()) {
-            if (content.kind === "server") {
-                servers.set(content.server.id, content.server);
-            }
-        }
-        return servers;
+        return serversAmong(this.contents());
     }
 
     /**
@@ -175,13 +170,7 @@
 
     /** Data centres that operators have taken out of service. */
     public outDataCentres(): Set<DataCentreId> {
-        const dataCentres = new Set<DataCentreId>();
-        for (const { content } of this.items.values()) {
-            if (content.kind === "outDataCentre") {
-                dataCentres.add(content.dataCentre);
-            }
-        }
-        return dataCentres;
+        return outDataCentresAmong(this.contents());
     }
 
     /** Exports all that is known, for another instance. */
@@ -270,6 +259,41 @@
         }
     }
 
+    /**
+     * Revision after which changes of the current era should be asked for once it has begun, to find removals of items
+     * that the store's copy still held; undefined if no item is missing. It is not after that of the copy.
+     */
+    public get removalsAfter(): Revision | undefined {
+        if (this.missing.size === 0) {
+            return undefined;
+        }
+        const copied = [...this.items].flatMap(([key, { item }]) =>
+            item.era < this.era && !this.missing.has(key) && item.revision <= this.revision
+                ? [item.revision]
+                : []
+        );
+        return copied.length === 0 ? undefined : branded<Revision>(Math.max(...copied));
+    }
+
+    /**
+     * Applies the removals among the changes of the current era, up to the known revision, to items that are missing:
+     * they were removed again after the return, and not lost by it.
+     *
+     * @param changes - the changes
+     */
+    public applyRemovals(changes: readonly ItemChange[]): void {
+        const removals = changes.filter(({ key, revision, text }) =>
+            text === undefined && this.missing.has(key) && !this.history.includesRemoval(key, revision)
+        );
+        for (const { key, revision } of removals) {
+            this.missing.delete(key);
+            this.removeItem(key, { era: this.era, revision });
+        }
+        if (removals.length > 0) {
+            this.notifyListeners("platform");
+        }
+    }
+
     /**
      * Registers a listener that is called after each update.
      *
@@ -284,6 +308,10 @@
         this.expiry?.[Symbol.dispose]();
     }
 
+    private contents(): ItemContent[] {
+        return [...this.items.values()].map(({ content }) => content);
+    }
+
     private merge(state: FullState, source: UpdateSource): void {
         const known = this.knownVersion;
         const isReturn = known.revision > 0 && state.era > known.era;
@@ -473,6 +501,7 @@
         }
         this.items.delete(key);
         this.removed.set(key, version);
+        this.history.recordRemoval(key, version.revision);
     }
 
     private notifyListeners(source: UpdateSource): void {
--- a/packages/direct/src/shared/writeHistory.ts
+++ b/packages/direct/src/shared/writeHistory.ts
@@ -14,6 +14,9 @@
 /** Maximum number of superseded writes of one item; a copy is some seconds old. */
 const MAX_WRITES_PER_ITEM = 8;
 
+/** Stands for the hash of a text in the record of a removal; hashes are not negative. */
+const REMOVAL = -1;
+
 /** Remembers superseded writes, each by its revision and the hash of its text. */
 export class WriteHistory {
     private readonly writes = new LRUCache<string, ItemWrites["writes"]>({ max: MAX_ITEMS });
@@ -27,6 +30,26 @@
         this.add(key, [[revision, hash32(text)]]);
     }
 
+    /**
+     * Records a removal, which a later write may supersede.
+     *
+     * @param key - key of the item
+     * @param revision - revision of the removal
+     */
+    public recordRemoval(key: string, revision: number): void {
+        this.add(key, [[revision, REMOVAL]]);
+    }
+
+    /**
+     * Tells whether a removal is known.
+     *
+     * @param key - key of the item
+     * @param revision - revision of the removal
+     */
+    public includesRemoval(key: string, revision: number): boolean {
+        return this.writes.get(key)?.some(([known, hash]) => known === revision && hash === REMOVAL) ?? false;
+    }
+
     /**
      * Tells whether a write is one of the superseded ones.
      *
