--- a/packages/control/src/shared/plane/watchPlatform.ts
+++ b/packages/control/src/shared/plane/watchPlatform.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { errorMessage, isAborted, type Revision, type Runtime, sleep } from "@magnolialock/kernel";
+import { errorMessage, isAborted, platformNumberOf, type Runtime, sleep } from "@magnolialock/kernel";
 import type { Platform } from "../../types/platform.ts";
 import type { ConfigurationStore } from "../configurationStore.ts";
 import { platformUnreachable } from "../controlEvents.ts";
@@ -87,8 +87,8 @@
 export const watchPlatformRules = (options: WatchPlatformRulesOptions): Promise<void> => {
     const { runtime, platform, store, signal, onConfirmed } = options;
     // The platform's own number, which differs from the revision in force once the platform was restored.
-    let known: Revision | undefined;
-    let publishedRevision: Revision | undefined;
+    let known = store.current && platformNumberOf(store.current.revision);
+    let publishedRevision = store.current?.revision;
     return runWatchLoop(options, "rules", async () => {
         const askedAtMs = runtime.clock.nowMs();
         const published = await platform.watchRules(known, WATCH_WAIT_MS, signal);
--- a/packages/kernel/src/shared/rulesRevision.ts
+++ b/packages/kernel/src/shared/rulesRevision.ts
@@ -29,6 +29,13 @@
  */
 export const eraOfRevision = (revision: number): number => Math.floor(revision / ERA_SIZE);
 
+/**
+ * Returns the platform's number of a revision.
+ *
+ * @param revision - a revision
+ */
+export const platformNumberOf = (revision: number): Revision => branded<Revision>(revision % ERA_SIZE);
+
 /**
  * Formats a revision for operators.
  *
