test(direct): two guards of the quarantine of requests that no test had noticed

Four guards were taken out one at a time on a scratch copy. The account in the identity was noticed; that a status read is not sent on after its server ended, and that a sound answer told by another instance counts before the crash is heard of, were not: each has a test now, seen to fail without its guard. No code changes.

--- a/packages/direct/src/shared/__tests__/crashQuarantine.spec.ts
+++ b/packages/direct/src/shared/__tests__/crashQuarantine.spec.ts
@@ -233,3 +233,12 @@
     t.is(partsOf(`${"f".repeat(5_000)}:1,a:1`)[0]?.length, 16);
     t.true(partsOf(Array.from({ length: 900 }, (_, index) => `${index}:1`).join(",")).length <= 32);
 });
+
+test("a request that another instance saw sound is not accused by an older crash that is heard of later", async t => {
+    const fixture = new QuarantineFixture();
+    const request = ":request";
+    await fixture.clock.advance(CYCLE_MS);
+    fixture.quarantine.applyNews({ crashes: [], soundSuspects: new Map([[request, 0]]) });
+    fixture.crash([request], { crashedMs: 1_000, sentMs: 900, servedMs: 950 });
+    t.is(fixture.quarantine.reportCount, 0);
+});
--- a/packages/direct/src/shared/__tests__/repeatedRequests.spec.ts
+++ b/packages/direct/src/shared/__tests__/repeatedRequests.spec.ts
@@ -208,3 +208,13 @@
     await fleet.clock.advance(500);
     t.is(fleet.arrivalsAfter(BAD, fromMs - 1), 0);
 });
+
+test.serial("a status read whose server ended under it is not sent to another server", async t => {
+    using fleet = new DirectFleet(SMALL);
+    fleet.badParts.add(BAD);
+    await fleet.clock.advance(2_000);
+    const { reply } = fleet.sendPlain(0, BAD);
+    await fleet.clock.advance(1_000);
+    t.is(reply.status, 502);
+    t.is(fleet.arrivalsAfter(BAD, 0), 1);
+});
