fix(direct): send nothing more to a server that says in an answer that it leaves

Cause: entries learned of a leaving server from the store alone. A server that says so in its answers got requests until its entry in the store changed, and from an instance that the store does not reach for ever.

Change: LeavingServers remembers the processes that have said so, by identifier and start, from the head of any answer to the request that was sent, refusals included. Entries pass it on as news and hand it on with the published state; it ends with the process only. Servers that publish another start are new ones. Idle connections to servers that leave or have gone are closed; the hook that should have done that was called by nobody. The servers of the virtual fleet moved to a file of their own.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -129,7 +129,7 @@
     fleetSize: () => number,
     scope: ResourceScope,
 ) => {
-    const { runtime, settings, source } = options;
+    const { headers, runtime, settings, source } = options;
     const store = new PublishedStateStore({
         clock: runtime.clock,
         events: runtime.events,
@@ -141,6 +141,7 @@
         runtime,
         store,
         sinceOutageMs: () => Math.min(watcher.sinceOutageMs, store.sinceRestoredMs),
+        leavingHeader: headers.leaving,
     });
     const upstreams = scope.use(new ServerConnections(runtime.clock));
     return { store, watcher, directory, upstreams, settings };
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -142,7 +142,7 @@
                         });
                         return;
                     }
-                    this.release(server, connection, request.maxIdleConnections);
+                    this.release(server, connection, request.maxIdleConnections());
                     resolve({ kind: "complete" });
                 },
                 onResponseError: (_started, error) => {
--- a/packages/direct/src/shared/__tests__/crashQuarantine.spec.ts
+++ b/packages/direct/src/shared/__tests__/crashQuarantine.spec.ts
@@ -219,6 +219,7 @@
     const datagrams = encodePeerNews({
         ...fixture.quarantine.allNews(),
         limits: new Map(),
+        leaving: [],
     });
     t.true(datagrams.every(({ length }) => length <= 1_200));
 });
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -53,6 +53,7 @@
     refusingServer: "x-fault",
     promptParts: "x-parts",
     serverLimit: "x-limit",
+    leaving: "x-leaving",
     queuePriority: "x-rank",
 };
 
@@ -137,6 +138,7 @@
     dataCentre: HERE,
     slots: 8,
     state: "ready",
+    bornMs: undefined,
     ...changes,
 });
 
@@ -314,6 +316,7 @@
             runtime,
             store: this.store,
             sinceOutageMs: () => this.sinceOutageMs,
+            leavingHeader: NAMES.leaving,
         });
         this.context = new DirectContext({
             runtime,
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -10,13 +10,7 @@
     type RandomSource,
 } from "@magnolialock/kernel";
 import { VirtualClock } from "@magnolialock/test-support";
-import type {
-    ProbeResult,
-    ResponseHead,
-    UpstreamCall,
-    UpstreamConsumer,
-    UpstreamRequest,
-} from "../../types/call.ts";
+import type { ProbeResult, UpstreamCall, UpstreamConsumer, UpstreamRequest } from "../../types/call.ts";
 import type { ServiceSpec } from "../../types/publishedState.ts";
 import type { FleetView } from "../fleetAllotment.ts";
 import { PeerExchange } from "../peerExchange.ts";
@@ -30,190 +24,17 @@
     serverEntry,
     serviceSpec,
 } from "./directFixture.ts";
+import {
+    DATAGRAM_DELAY_MS,
+    type FleetArrival,
+    FleetAttempt,
+    type FleetNotice,
+    FleetServer,
+    type ServerWorld,
+} from "./fleetServer.ts";
 
-/** Time from the arrival of a request to the first event of its answer, in milliseconds. */
-const FIRST_EVENT_MS = 60;
-const EVENT_GAP_MS = 15;
-const EVENTS = 8;
-/** Time from a crash to the return of the server, in milliseconds. */
-const RESTART_MS = 3_000;
-/** Time that the store takes to tell all entries, in milliseconds. */
-const STORE_LAG_MS = 100;
-/** Time for which the other ranks of a group wait for a missing one before they refuse, in milliseconds. */
-const STALL_MS = 1_500;
-/** Time that a group takes to form once all its ranks are back, in milliseconds. */
-const FORM_MS = 600;
-const DATAGRAM_DELAY_MS = 1;
 const EXPERTS = { sets: 1, experts: 4, placesPerRank: 2, newPerPreparation: 1, copyMs: 10 };
 
-interface FleetGroup {
-    crashedMs: number;
-    openMs: number;
-}
-
-/** A model server; it loses everything when it crashes and returns with another identifier. */
-export class FleetServer {
-    public id: string;
-    public isUp = true;
-    /** Limit that the server names in its answers, in requests per second; undefined if it names none. */
-    public limitPerS: number | undefined;
-    public readonly running = new Set<FleetAttempt>();
-    private life = 1;
-
-    public constructor(
-        private readonly fleet: DirectFleet,
-        public readonly name: string,
-        public readonly address: Address,
-        public readonly group: FleetGroup | undefined,
-    ) {
-        this.id = `${name}-1`;
-    }
-
-    /** Ends the process of the server; it is back after some seconds. */
-    public crash(): void {
-        if (!this.isUp) {
-            return;
-        }
-        const { clock } = this.fleet;
-        this.isUp = false;
-        if (this.group) {
-            this.group.crashedMs = clock.nowMs();
-            this.group.openMs = clock.nowMs() + RESTART_MS + FORM_MS;
-        }
-        for (const attempt of [...this.running]) {
-            attempt.end("broken");
-        }
-        clock.setTimer(RESTART_MS, () => {
-            this.isUp = true;
-            const oldId = this.id;
-            this.id = this.fleet.options.keepsServerIds ? oldId : `${this.name}-${++this.life}`;
-            clock.setTimer(STORE_LAG_MS, () => this.fleet.publishServer(this, oldId));
-        });
-    }
-}
-
-/** One attempt at a server. */
-export class FleetAttempt implements UpstreamCall {
-    public readonly ended: UpstreamCall["ended"];
-    /** Whether the answer has begun. */
-    public hasBegun = false;
-    private readonly resolveEnd: (end: Awaited<UpstreamCall["ended"]>) => void;
-
-    public constructor(
-        private readonly fleet: DirectFleet,
-        public readonly server: FleetServer | undefined,
-        private readonly request: UpstreamRequest,
-        private readonly consumer: UpstreamConsumer,
-    ) {
-        let resolveEnd: (end: Awaited<UpstreamCall["ended"]>) => void = () => {};
-        this.ended = new Promise(resolve => resolveEnd = resolve);
-        this.resolveEnd = resolveEnd;
-        void this.run();
-    }
-
-    public header(name: string): string | undefined {
-        const { headers } = this.request;
-        const index = headers.findIndex((text, position) =>
-            position % 2 === 0 && text.toLowerCase() === name
-        );
-        return index < 0 ? undefined : headers[index + 1];
-    }
-
-    /** Identifiers of the prompt's parts; for a request without a prompt, what it asks for. */
-    public get parts(): readonly string[] {
-        return this.header(NAMES.promptParts)?.split(",").map(part => part.split(":")[0] as string)
-            ?? [this.request.path.slice(1, this.request.path.lastIndexOf("/"))];
-    }
-
-    public end(kind: "broken" | "notSent" | "complete"): void {
-        this.server?.running.delete(this);
-        this.resolveEnd(kind === "complete" ? { kind } : { kind, message: "reset" });
-    }
-
-    public abort(): void {
-        this.end("broken");
-    }
-
-    public pause(): void {}
-
-    public resume(): void {}
-
-    private async run(): Promise<void> {
-        const { fleet, server } = this;
-        if (!server?.isUp) {
-            await fleet.pause(DATAGRAM_DELAY_MS);
-            this.end("notSent");
-            return;
-        }
-        server.running.add(this);
-        fleet.arrivals.push({ atMs: fleet.clock.nowMs(), parts: this.parts, server: server.name });
-        await fleet.pause(FIRST_EVENT_MS);
-        if (await this.isRefusedByGroup()) {
-            return;
-        }
-        if (!server.running.has(this)) {
-            return;
-        }
-        if (this.parts.some(part => fleet.badParts.has(part))) {
-            fleet.crashes.push({ atMs: fleet.clock.nowMs(), server: server.name });
-            server.crash();
-            return;
-        }
-        if (fleet.options.isPlain) {
-            this.sendHead(200, { [NAMES.signature]: "signed" });
-            this.consumer.onData(Buffer.from("x"));
-            this.end("complete");
-            return;
-        }
-        await this.answer(server);
-    }
-
-    private async isRefusedByGroup(): Promise<boolean> {
-        const { fleet, server } = this;
-        const group = server?.group;
-        if (!group || fleet.clock.nowMs() >= group.openMs) {
-            return false;
-        }
-        await fleet.pause(Math.max(0, group.crashedMs + STALL_MS - fleet.clock.nowMs()));
-        if (server?.running.has(this)) {
-            this.sendHead(503, { [NAMES.notRun]: "1", [NAMES.refusingServer]: server.address });
-            this.end("complete");
-        }
-        return true;
-    }
-
-    private async answer(server: FleetServer): Promise<void> {
-        const { fleet } = this;
-        this.hasBegun = true;
-        this.sendHead(200, { [NAMES.signature]: "signed", "content-type": "text/event-stream" });
-        const first = Number(this.header(NAMES.lastEventId) ?? 0) + 1;
-        for (let event = first; event <= EVENTS && server.running.has(this); event++) {
-            this.consumer.onData(Buffer.from(`id: ${event}\ndata: x\n\n`));
-            await fleet.pause(EVENT_GAP_MS);
-            const { group } = server;
-            if (group && fleet.clock.nowMs() < group.openMs) {
-                await fleet.pause(Math.max(0, group.crashedMs + STALL_MS - fleet.clock.nowMs()));
-                this.end("broken");
-                return;
-            }
-        }
-        if (server.running.has(this)) {
-            this.end("complete");
-        }
-    }
-
-    private sendHead(status: number, headers: ResponseHead["headers"]): void {
-        this.consumer.onHead({
-            status,
-            headers: {
-                ...headers,
-                [NAMES.requestId]: this.header(NAMES.requestId),
-                [NAMES.serverLimit]: this.server?.limitPerS?.toString(),
-            },
-        });
-    }
-}
-
 /** One entry of the fleet. */
 export class FleetEntry extends DirectFixture {
     public readonly exchange: PeerExchange;
@@ -270,7 +91,7 @@
         request: UpstreamRequest,
         consumer: UpstreamConsumer,
     ): UpstreamCall {
-        return new FleetAttempt(this.owner, this.owner.serverAt(address), request, consumer);
+        return new FleetAttempt(this.owner, this.owner.serverAt(address), this.index, request, consumer);
     }
 
     /** Tells whether a connection to an address is accepted. */
@@ -302,17 +123,17 @@
 }
 
 /** Entries and model servers. */
-export class DirectFleet implements Disposable {
+export class DirectFleet implements Disposable, ServerWorld {
     public readonly clock = new VirtualClock();
     public readonly random: RandomSource;
     public readonly entries: FleetEntry[] = [];
     public readonly servers: FleetServer[] = [];
     /** Requests that reached a server. */
-    public readonly arrivals: {
-        readonly atMs: number;
-        readonly parts: readonly string[];
-        readonly server: string;
-    }[] = [];
+    public readonly arrivals: FleetArrival[] = [];
+    /** Requests that a server turned away with `Retry-After`. */
+    public readonly sheds: FleetNotice[] = [];
+    /** Answers in which a server said something about its leaving. */
+    public readonly leavingHeard: FleetNotice[] = [];
     /** Servers that crashed because of a part. */
     public readonly crashes: { readonly atMs: number; readonly server: string; }[] = [];
     /** Parts that crash each server that begins an answer on them. */
@@ -481,7 +302,8 @@
     }
 
     private publishedEntry(server: FleetServer): ReturnType<typeof serverEntry> {
-        return serverEntry(server.id, this.spec.name, { address: server.address });
+        const { address, bornMs, id } = server;
+        return serverEntry(id, this.spec.name, { address, bornMs });
     }
 
     private nameGroups(entry: FleetEntry): void {
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -26,6 +26,7 @@
     history: [],
     revisionBeforeReturn: branded<Revision>(0),
     ageMs: 0,
+    leaving: [],
 });
 
 /** A peer exchange whose datagrams are counted instead of sent. */
--- a/packages/direct/src/shared/__tests__/serverLimits.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverLimits.spec.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { readServerLimit } from "../serverLimitHeader.ts";
-import { DirectFleet, type DirectFleetOptions, type FleetServer } from "./directFleet.ts";
+import { DirectFleet, type DirectFleetOptions } from "./directFleet.ts";
+import type { FleetServer } from "./fleetServer.ts";
 
 const SPAN_MS = 4_000;
 const STABLE_WINDOW_MS = 3_000;
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -85,6 +85,7 @@
             runtime,
             store,
             sinceOutageMs: () => Math.min(this.watcher.sinceOutageMs, store.sinceRestoredMs),
+            leavingHeader: "x-leaving",
         });
         this.exchange = new PeerExchange({
             runtime,
@@ -207,8 +208,8 @@
 
 const noNews = {
     takeFresh: () => undefined,
-    allNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map() }),
-    sampleNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map() }),
+    allNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map(), leaving: [] }),
+    sampleNews: () => ({ crashes: [], soundSuspects: new Map(), limits: new Map(), leaving: [] }),
     applyNews: () => {},
     onFreshNews: () => {},
 };
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -292,7 +292,7 @@
             cursor: this.cursor,
             remainingMs: this.callerDeadlineMs - this.nowMs,
             maxIdleMs: this.isRepeatable ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS,
-            maxIdleConnections: this.context.maxIdleConnections(server),
+            maxIdleConnections: () => this.context.maxIdleConnections(server),
             signal: timeout.signal,
             onFirstByte: () => this.recordFirstByte(group),
             onBytes: () => group.recordBytes(),
--- a/packages/direct/src/shared/crashGuard.ts
+++ b/packages/direct/src/shared/crashGuard.ts
@@ -75,9 +75,8 @@
      */
     public async suspectsRequest(server: TrackedServer, sentMs: number): Promise<boolean> {
         const { quarantine, options } = this.context;
-        const { address, id, state } = server.entry;
-        const isLeaving = state === "draining" || options.directory.find(id) !== server;
-        if (isLeaving) {
+        const { address, id } = server.entry;
+        if (options.directory.isLeaving(server)) {
             return false;
         }
         const crashedMs = options.runtime.clock.nowMs();
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -125,7 +125,8 @@
             random,
             isTrialInstance: part => this.allotment.unitsOf(`trial of ${part}`, 1) > 0,
         });
-        this.news = new FleetNews(this.quarantine, this.limits);
+        this.news = new FleetNews(this.quarantine, this.limits, options.store.leaving);
+        options.directory.onLeft(({ entry }) => options.upstreams.closeIdle(entry.id));
     }
 
     /** Aborted when the process is about to end: requests that still run are answered then. */
@@ -197,12 +198,16 @@
     }
 
     /**
-     * Returns how many idle connections this instance keeps to a backend server. A server limits the total
-     * number of connections from all instances and resets those beyond it.
+     * Returns how many idle connections this instance keeps to a backend server: none to one that leaves. A server
+     * limits the total number of connections from all instances and resets those beyond it.
      *
      * @param server - the server
      */
-    public maxIdleConnections({ entry: { id, service } }: TrackedServer): number {
+    public maxIdleConnections(server: TrackedServer): number {
+        if (this.options.directory.isLeaving(server)) {
+            return 0;
+        }
+        const { id, service } = server.entry;
         const limit = this.options.store.configuration?.services.get(service)?.connectionLimit ?? 0;
         const total = Math.floor(limit * IDLE_CONNECTION_SHARE);
         return Math.min(MAX_IDLE_CONNECTIONS, this.allotment.unitsOf(`${id} connections`, total));
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -305,6 +305,24 @@
         "The limit that a backend server names is no decimal number; what was known before stays in force.",
 });
 
+/** A server wants no requests for a while. */
+export const serverRests = defineEvent({
+    number: 8064,
+    name: "direct.server.rests",
+    level: "info",
+    summary:
+        "A backend server has turned a request away and wants no further ones of this instance for a while.",
+});
+
+/** What a server says about itself cannot be read. */
+export const noticeUnreadable = defineEvent({
+    number: 8063,
+    name: "direct.server.notice-unreadable",
+    level: "warning",
+    summary:
+        "A header in which a backend server says that it leaves, or wants no requests, cannot be read; it counts for nothing.",
+});
+
 /** Another instance was found. */
 export const peerFound = defineEvent({
     number: 8040,
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -25,6 +25,7 @@
     type PeerNewsSchema,
 } from "@magnolialock/protocol";
 import type { PeerNews } from "../types/peerNews.ts";
+import type { PublishedServer } from "../types/publishedState.ts";
 
 /** Report of one instance. */
 export interface PeerReport {
@@ -75,6 +76,15 @@
  */
 export const reportKey = (name: string): number => hash32(name);
 
+/**
+ * Returns the key of one process of a backend server; a server that starts again under its identifier has
+ * another one.
+ *
+ * @param server - what the server published
+ */
+export const processKey = ({ bornMs, id }: PublishedServer): number =>
+    hash32(bornMs === undefined ? id : `${id} ${bornMs}`);
+
 /**
  * Encodes a report.
  *
@@ -113,7 +123,7 @@
 const LIMIT_SCALE = 1_000;
 
 const toMessage = (
-    { crashes, limits, soundSuspects }: PeerNews,
+    { crashes, leaving, limits, soundSuspects }: PeerNews,
 ): MessageInitShape<typeof PeerNewsSchema> => ({
     crashes: crashes.map(({ ageMs, id, sentBeforeMs, servedBeforeMs, server, suspects }) => ({
         id,
@@ -127,12 +137,14 @@
     limitedServers: [...limits.keys()],
     limitsPer1000S: [...limits.values()].map(({ perS }) => Math.round((perS ?? 0) * LIMIT_SCALE)),
     limitAgesMs: [...limits.values()].map(({ ageMs }) => toAge(ageMs)),
+    leavingServers: [...leaving],
 });
 
 const fromMessage = (
-    { crashes, limitAgesMs, limitedServers, limitsPer1000S, soundSuspects }: NewsMessage,
+    { crashes, leavingServers, limitAgesMs, limitedServers, limitsPer1000S, soundSuspects }: NewsMessage,
 ): PeerNews => ({
     crashes,
+    leaving: leavingServers,
     soundSuspects: new Map(soundSuspects.map(({ ageMs, suspect }) => [suspect, ageMs])),
     limits: new Map(limitedServers.flatMap((server, index) => {
         const limit = limitsPer1000S[index];
@@ -143,27 +155,29 @@
     })),
 });
 
+/** Number of single news. */
+const newsSize = ({ crashes, leaving, limits, soundSuspects }: PeerNews): number =>
+    crashes.length + leaving.length + limits.size + soundSuspects.size;
+
 /** Halves of news that do not fit into one datagram. */
-const halve = ({ crashes, limits, soundSuspects }: PeerNews): PeerNews[] => {
-    const sound = [...soundSuspects];
-    const limited = [...limits];
-    const crashCount = Math.ceil(crashes.length / 2);
-    const soundCount = Math.floor(sound.length / 2);
-    const limitCount = crashes.length + sound.length > 1
-        ? Math.floor(limited.length / 2)
-        : Math.ceil(limited.length / 2);
-    return [
-        {
-            crashes: crashes.slice(0, crashCount),
-            soundSuspects: new Map(sound.slice(0, soundCount)),
-            limits: new Map(limited.slice(0, limitCount)),
-        },
-        {
-            crashes: crashes.slice(crashCount),
-            soundSuspects: new Map(sound.slice(soundCount)),
-            limits: new Map(limited.slice(limitCount)),
-        },
-    ];
+const halve = (news: PeerNews): PeerNews[] => {
+    const half = Math.ceil(newsSize(news) / 2);
+    const sizes = [news.crashes.length, news.soundSuspects.size, news.limits.size, news.leaving.length];
+    return [[0, half], [half, newsSize(news)]].map(([from = 0, to = 0]) => {
+        // The four lists count as one after the other.
+        const slices = sizes.map((size, index) => {
+            const before = sizes.slice(0, index).reduce((sum, length) => sum + length, 0);
+            return [from - before, to - before].map(end => Math.min(size, Math.max(0, end)));
+        });
+        const sliceOf = <T>(items: Iterable<T>, index: number): T[] =>
+            [...items].slice(...slices[index] ?? []);
+        return {
+            crashes: sliceOf(news.crashes, 0),
+            soundSuspects: new Map(sliceOf(news.soundSuspects, 1)),
+            limits: new Map(sliceOf(news.limits, 2)),
+            leaving: sliceOf(news.leaving, 3),
+        };
+    });
 };
 
 /** Report of no instance, for datagrams that hold news only. */
@@ -190,7 +204,7 @@
  * @returns the datagrams, each of at most {@link MAX_DATAGRAM_BYTES}
  */
 export const encodePeerNews = (news: PeerNews): Uint8Array[] => {
-    const size = news.crashes.length + news.soundSuspects.size + news.limits.size;
+    const size = newsSize(news);
     if (size === 0) {
         return [];
     }
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -19,9 +19,10 @@
 } from "@magnolialock/kernel";
 import { LRUCache } from "lru-cache";
 import type {
+    FullState,
     ItemChange,
     ItemContent,
-    PublishedItem,
+    MergedVersion,
     PublishedServer,
     PublishedState,
     StateVersion,
@@ -35,6 +36,7 @@
     missingDropped,
     storeRestored,
 } from "./directEvents.ts";
+import { LeavingServers } from "./leavingServers.ts";
 import { outDataCentresAmong, serversAmong } from "./publishedContents.ts";
 import { compareVersions, NO_VERSION } from "./stateVersion.ts";
 import { WriteHistory } from "./writeHistory.ts";
@@ -57,15 +59,6 @@
     readonly content: ItemContent;
 }
 
-/** A full state from the platform or, with more details, from another instance. */
-type FullState =
-    & StateVersion
-    & { readonly items: readonly (PublishedItem & Partial<Pick<StateVersion, "era">>)[]; }
-    & Partial<Pick<PublishedState, "removed" | "missing" | "history" | "revisionBeforeReturn">>;
-
-/** A write or, without a text, a removal. */
-type MergedVersion = StateVersion & Partial<Pick<PublishedItem, "key" | "text">>;
-
 /** Maximum number of removals that are remembered. */
 const MAX_REMOVED = 2_048;
 /**
@@ -78,6 +71,8 @@
 
 /** Holds all published items and their decoded content. */
 export class PublishedStateStore implements Disposable {
+    /** Backend servers that have said that they leave, whatever the platform says of them. */
+    public readonly leaving = new LeavingServers();
     private readonly options: PublishedStateStoreOptions;
     private readonly items = new Map<string, KnownItem>();
     private readonly removed = new LRUCache<string, StateVersion>({ max: MAX_REMOVED });
@@ -183,6 +178,7 @@
             history: this.history.export(),
             revisionBeforeReturn: this.lastRevisionBeforeReturn,
             ageMs: this.ageMs,
+            leaving: this.leaving.all(),
         };
     }
 
@@ -195,6 +191,7 @@
      */
     public replace(state: FullState, source: UpdateSource): boolean {
         const isOlder = compareVersions(state, this.knownVersion) < 0;
+        this.leaving.merge(state.leaving ?? []);
         if (isOlder) {
             this.mergeConfiguration(state);
         }
@@ -221,6 +218,7 @@
         this.history = new WriteHistory();
         this.knownVersion = NO_VERSION;
         this.lastRevisionBeforeReturn = NO_VERSION.revision;
+        this.leaving.merge(state.leaving);
         this.merge(state, "peer");
         this.knownSinceMs = this.options.clock.nowMs() - state.ageMs;
         if (ownConfiguration) {
@@ -473,8 +471,8 @@
             ? known.content
             : this.options.decode(item.key, item.text);
         if (content.kind === "unreadable") {
-            const { key, revision } = item;
-            this.options.events.emit(itemUnreadable, { key, revision, error: content.message });
+            const { message: error } = content;
+            this.options.events.emit(itemUnreadable, { key: item.key, revision: item.revision, error });
         }
         if (known?.content.kind === "configuration") {
             // The item stays the one in force, as it is handed to other instances.
@@ -516,14 +514,8 @@
             }
             this.activeConfiguration = activateConfiguration(content.configuration);
             const { routes, version } = content.configuration;
-            const { era, revision } = this;
-            this.options.events.emit(configurationApplied, {
-                version,
-                era,
-                revision,
-                routes: routes.length,
-                source,
-            });
+            const applied = { version, ...this.knownVersion, routes: routes.length, source };
+            this.options.events.emit(configurationApplied, applied);
         }
     }
 
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -72,8 +72,8 @@
     readonly remainingMs: number;
     /** Longest time for which a reused connection may have been idle, in milliseconds. */
     readonly maxIdleMs: number;
-    /** Maximum number of idle connections that are kept to the server. */
-    readonly maxIdleConnections: number;
+    /** Returns the maximum number of idle connections that are kept to the server. */
+    readonly maxIdleConnections: () => number;
     /** Aborts the attempt. */
     readonly signal: AbortSignal;
     /** Called at the first byte of a valid response; for a stream, at its first complete event. */
@@ -180,6 +180,7 @@
         const isMisdirected = this.headClass.kind === "notRun" && this.headClass.isMisdirected;
         if (!isMisdirected) {
             context.limits.record(this.options.server, head);
+            context.options.directory.recordAnswer(this.options.server, head);
         }
         const isEventStream = responseHeader(head, "content-type")?.startsWith("text/event-stream") ?? false;
         this.isStream = this.headClass.kind === "own" && route.answer === "stream" && head.status === HTTP_OK
--- a/packages/direct/src/shared/serverDirectory.ts
+++ b/packages/direct/src/shared/serverDirectory.ts
@@ -5,9 +5,13 @@
  */
 
 import type { BackendServerId, DataCentreId, Runtime, ServiceName } from "@magnolialock/kernel";
+import type { ResponseHead } from "../types/call.ts";
 import type { PublishedServer } from "../types/publishedState.ts";
-import { serverAdded, serverKept, serverLeaving } from "./directEvents.ts";
+import { noticeUnreadable, serverAdded, serverKept, serverLeaving } from "./directEvents.ts";
+import type { LeavingOrigin } from "./leavingServers.ts";
+import { processKey } from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
+import { readLeaving } from "./serverNotices.ts";
 import { TrackedServer } from "./trackedServer.ts";
 
 /** Options of a {@link ServerDirectory}. */
@@ -18,6 +22,8 @@
     readonly store: PublishedStateStore;
     /** Returns the time since the end of the platform's last outage, in milliseconds; 0 during one. */
     readonly sinceOutageMs: () => number;
+    /** Name of the header in which servers say that they leave, in lower case. */
+    readonly leavingHeader: string;
 }
 
 /**
@@ -25,17 +31,51 @@
  * themselves again by then; entries still missing belong to servers that have really gone.
  */
 const OUTAGE_GRACE_MS = 2_000;
+/** Time between two log lines about headers that cannot be read, in milliseconds. */
+const UNREADABLE_LOG_PERIOD_MS = 10_000;
 
 /** Tracks all backend servers. */
 export class ServerDirectory {
     private readonly options: ServerDirectoryOptions;
     private readonly known = new Map<BackendServerId, TrackedServer>();
     private outDataCentres: ReadonlySet<DataCentreId> = new Set();
+    private leftListener: (server: TrackedServer) => void = () => {};
+    private nextUnreadableLogMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - runtime and store */
     public constructor(options: ServerDirectoryOptions) {
         this.options = options;
         options.store.onChange(() => this.reconcile());
+        options.store.leaving.onLeaving((key, origin) => this.handleLeaving(key, origin));
+    }
+
+    /**
+     * Registers the listener that is called when a server gets no new requests any more: it drains, says that it leaves,
+     * or has gone.
+     *
+     * @param listener - the listener
+     */
+    public onLeft(listener: (server: TrackedServer) => void): void {
+        this.leftListener = listener;
+    }
+
+    /**
+     * Records what a response says about the leaving of its server.
+     *
+     * @param server - the server
+     * @param head - head of a response that the server itself has made
+     */
+    public recordAnswer(server: TrackedServer, head: ResponseHead): void {
+        const { leavingHeader, runtime, store } = this.options;
+        const notice = readLeaving(head, leavingHeader);
+        if (notice.kind === "leaving") {
+            store.leaving.add(server.entry);
+        }
+        else if (notice.kind === "unreadable" && runtime.clock.nowMs() >= this.nextUnreadableLogMs) {
+            this.nextUnreadableLogMs = runtime.clock.nowMs() + UNREADABLE_LOG_PERIOD_MS;
+            const { text } = notice;
+            runtime.events.emit(noticeUnreadable, { server: server.entry.id, header: leavingHeader, text });
+        }
     }
 
     /**
@@ -69,9 +109,34 @@
         return this.known.get(id);
     }
 
+    /**
+     * Tells whether a server drains, has said that it leaves, or has gone.
+     *
+     * @param server - the server
+     */
+    public isLeaving(server: TrackedServer): boolean {
+        return server.entry.state === "draining" || this.options.store.leaving.has(server.entry)
+            || this.known.get(server.entry.id) !== server;
+    }
+
     private mayServe(server: TrackedServer): boolean {
-        return server.entry.state === "ready" && !server.isAddressReused
-            && !this.outDataCentres.has(server.entry.dataCentre);
+        return !server.isAddressReused && !this.outDataCentres.has(server.entry.dataCentre)
+            && !this.isLeaving(server);
+    }
+
+    private handleLeaving(key: number, origin: LeavingOrigin): void {
+        const { runtime, store } = this.options;
+        for (const server of this.known.values()) {
+            if (processKey(server.entry) === key) {
+                runtime.events.emit(serverLeaving, {
+                    server: server.entry.id,
+                    reason: "it says so in an answer",
+                    origin,
+                    revision: store.revision,
+                });
+                this.leftListener(server);
+            }
+        }
     }
 
     private reconcile(): void {
@@ -105,10 +170,12 @@
 
     private putServer(entry: PublishedServer): void {
         const { runtime, store } = this.options;
-        const { id, service, address, dataCentre, state } = entry;
+        const { id, service, address, bornMs, dataCentre, state } = entry;
         const server = this.known.get(id);
-        if (!server || server.entry.address !== address) {
-            server?.close();
+        if (!server || server.entry.address !== address || server.entry.bornMs !== bornMs) {
+            if (server) {
+                this.leftListener(server);
+            }
             this.known.set(id, new TrackedServer(runtime, entry));
             runtime.events.emit(serverAdded, {
                 server: id,
@@ -122,6 +189,7 @@
         }
         if (server.entry.state !== state && state === "draining") {
             runtime.events.emit(serverLeaving, { server: id, reason: state, revision: store.revision });
+            this.leftListener(server);
         }
         server.entry = entry;
     }
@@ -137,7 +205,7 @@
 
     private removeServer(server: TrackedServer, reason: string): void {
         const { runtime, store } = this.options;
-        server.close();
+        this.leftListener(server);
         this.known.delete(server.entry.id);
         runtime.events.emit(serverLeaving, { server: server.entry.id, reason, revision: store.revision });
     }
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -178,6 +178,7 @@
             history: [],
             revisionBeforeReturn: branded<Revision>(0),
             ageMs: 0,
+            leaving: [],
             ...state,
             era,
             items: state.items.map(item => ({ ...item, era: item.era ?? era })),
--- a/packages/direct/src/shared/trackedServer.ts
+++ b/packages/direct/src/shared/trackedServer.ts
@@ -37,7 +37,6 @@
     public readonly health: PeerHealth;
     /** Limits the requests that this instance starts there per second. */
     public readonly startRate: StartRateLimit;
-    private readonly onClose = new Set<() => void>();
     private meanLatencyMs: number | undefined;
 
     /**
@@ -70,19 +69,4 @@
         const meanMs = this.meanLatencyMs ?? latencyMs;
         this.meanLatencyMs = meanMs + LATENCY_WEIGHT * (latencyMs - meanMs);
     }
-
-    /**
-     * Registers a callback for when the server is removed.
-     *
-     * @param cleanup - the callback; it runs once
-     */
-    public whenClosed(cleanup: () => void): void {
-        this.onClose.add(cleanup);
-    }
-
-    /** Runs the registered callbacks; running requests continue. */
-    public close(): void {
-        this.onClose.forEach(cleanup => cleanup());
-        this.onClose.clear();
-    }
 }
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -87,8 +87,8 @@
     readonly body: Buffer;
     /** Longest time for which a reused connection may have been idle, in milliseconds; 0 opens a new one. */
     readonly maxIdleMs: number;
-    /** Maximum number of idle connections that are kept to the server. */
-    readonly maxIdleConnections: number;
+    /** Returns the maximum number of idle connections that are kept to the server; asked once the response has ended. */
+    readonly maxIdleConnections: () => number;
 }
 
 /** Receives the response of a backend server. */
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -28,6 +28,8 @@
     readonly promptParts: string;
     /** On responses: requests per second that the server takes from all instances together. */
     readonly serverLimit: string;
+    /** On responses: `1` if the server leaves and wants no further requests. */
+    readonly leaving: string;
     /** Priority in a model server's queue, 0 to {@link MAX_QUEUE_PRIORITY}; 0 is the most urgent. */
     readonly queuePriority: string;
 }
--- a/packages/direct/src/types/peerNews.ts
+++ b/packages/direct/src/types/peerNews.ts
@@ -44,6 +44,8 @@
 export interface PeerNews extends CrashNews {
     /** Limits of backend servers, by their key in reports. */
     readonly limits: ReadonlyMap<number, LimitNotice>;
+    /** Processes of backend servers that have said that they leave, by key. */
+    readonly leaving: readonly number[];
 }
 
 /** Gives and takes news. */
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -153,6 +153,11 @@
     readonly slots: number;
     /** Whether it accepts new requests. */
     readonly state: "ready" | "draining";
+    /**
+     * Start of its process, in milliseconds since the Unix epoch: a server may start again under its identifier.
+     * Undefined if it does not publish that.
+     */
+    readonly bornMs: number | undefined;
 }
 
 /** Decoded content of a published item. */
@@ -232,8 +237,19 @@
     readonly revisionBeforeReturn: Revision;
     /** Time for which the knowledge goes back without a gap, in milliseconds. */
     readonly ageMs: number;
+    /** Keys of the processes of backend servers that have said that they leave. */
+    readonly leaving: readonly number[];
 }
 
+/** A write or, without a text, a removal. */
+export type MergedVersion = StateVersion & Partial<Pick<PublishedItem, "key" | "text">>;
+
+/** A full state from the platform or, with more details, from another instance. */
+export type FullState =
+    & StateVersion
+    & { readonly items: readonly (PublishedItem & Partial<Pick<StateVersion, "era">>)[]; }
+    & Partial<Pick<PublishedState, "removed" | "missing" | "history" | "revisionBeforeReturn" | "leaving">>;
+
 /**
  * Result of a watch; `historyLost` means that the changes after the given revision are not available. The era is
  * undefined if the platform names none.
