fix(direct): a server that asks for a pause gets nothing more until its end

Cause: nobody read Retry-After in a server's refusal. The server looked idle, so it was chosen again and again, and callers were told to return after a quarter of a second, whatever the servers had said.

Change: ServerLimits keeps pauses beside limits: no attempt, retry or resumed stream goes there, and its slots do not count. If all servers of a service rest, requests are refused at once, also those that wait for a slot; started streams wait. refusalDelay.ts decides when refused callers return, not before the first server takes requests again. Pauses are not passed on.

--- a/packages/direct/src/node/__tests__/serverNotices.spec.ts
+++ b/packages/direct/src/node/__tests__/serverNotices.spec.ts
@@ -8,6 +8,7 @@
 import { startEntry } from "./entryFixture.ts";
 
 const clock = createSystemClock();
+const REST_MS = 1_000;
 
 const pause = (durationMs: number): Promise<void> =>
     new Promise(resolve => clock.setTimer(durationMs, () => resolve()));
@@ -98,3 +99,26 @@
     }
     t.is(leaver.requests, 1);
 });
+
+test.serial("a server that names a pause gets no request until its end, and callers hear of it", async t => {
+    await using server = new NoticeServer();
+    const { entry, callers } = await startEntry(await server.listen());
+    await using _entry = entry;
+    server.answer = { status: 503, headers: { "retry-after": String(REST_MS / 1_000) } };
+    const startMs = performance.now();
+    const first = await ask(callers, "first");
+    const toldMs = performance.now();
+    t.is(first.status, 503);
+    t.true(first.retryAfterS * 1_000 >= REST_MS - (toldMs - startMs));
+    for (let index = 0; index < 10; index++) {
+        const { retryAfterS, status } = await ask(callers, `during-${index}`);
+        t.is(status, 503);
+        t.true(retryAfterS * 1_000 >= REST_MS - (performance.now() - startMs));
+        await pause(50);
+    }
+    t.is(server.requests, 1);
+    server.answer = { status: 200, headers: {} };
+    await pause(REST_MS);
+    t.is((await ask(callers, "after")).status, 200);
+    t.is(server.requests, 2);
+});
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -289,6 +289,7 @@
         configurationVersion: () => store.configuration?.configuration.version ?? 0,
         openedConnections: () => upstreams.opened,
         limitedServers: () => context.limits.size,
+        restingServers: () => context.limits.restingCount,
         quarantinedParts: () => context.quarantine.parts.length,
         quarantinedRequests: () => context.quarantine.requests.length,
     });
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -27,6 +27,8 @@
     readonly openedConnections: () => number;
     /** Number of backend servers that name a limit. */
     readonly limitedServers: () => number;
+    /** Number of backend servers that have asked this instance for a pause. */
+    readonly restingServers: () => number;
     /** Number of prompt parts in quarantine. */
     readonly quarantinedParts: () => number;
     /** Number of whole requests in quarantine. */
@@ -84,6 +86,7 @@
         readers.openedConnections,
     );
     gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
+    gauge("magnolialock_resting_servers", "Backend servers that asked for a pause", readers.restingServers);
     gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
     gauge("magnolialock_quarantined_requests", "Whole requests in quarantine", readers.quarantinedRequests);
 };
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -12,14 +12,13 @@
 import type { QueuedCall } from "./admissionQueue.ts";
 import { toCallerHead } from "./callHeaders.ts";
 import { CallLog, type CallProgress } from "./callLog.ts";
-import { chooseServer } from "./chooseServer.ts";
 import { CrashGuard, refusalReason } from "./crashGuard.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
 import { serverEjected } from "./directEvents.ts";
 import type { GroupHealth } from "./groupHealth.ts";
 import { sendLocalReply } from "./localReply.ts";
 import { toQueuedCall } from "./queuedCall.ts";
-import { serverRetryAfterMs } from "./retryDelay.ts";
+import { type RefusalCause, refusalDelayMs } from "./refusalDelay.ts";
 import { type AttemptOutcome, createStreamCursor, runAttempt, type StreamCursor } from "./runAttempt.ts";
 import { streamStallLimitMs } from "./streamStallLimit.ts";
 import type { TrackedServer } from "./trackedServer.ts";
@@ -48,8 +47,8 @@
 const FIRST_ATTEMPT_TIME_SHARE = 0.4;
 /** Time before the stall limit of the caller at which a stalled stream is aborted, in milliseconds. */
 const STALL_MARGIN_MS = 150;
-/** Polling interval of a stream that waits for its group to recover, in milliseconds. */
-const GROUP_POLL_MS = 50;
+/** Polling interval of a stream that waits for a server that takes it, in milliseconds. */
+const SERVER_POLL_MS = 50;
 
 /** Runs one admitted request. */
 export class CallTask {
@@ -150,7 +149,12 @@
         if (refused) {
             return refused;
         }
-        if (!this.admitted.spec?.engine) {
+        const { engine } = this.admitted.spec ?? {};
+        const { limits } = this.context;
+        if (limits.pauseMs(engine ? groups.usable(candidates) : candidates) > 0) {
+            return this.waitOrStop("all backend servers have asked for a pause", signal);
+        }
+        if (!engine) {
             return this.attemptOnServer(candidates, signal);
         }
         if (candidates.length === 0 || groups.usable(candidates).length > 0) {
@@ -158,7 +162,9 @@
         }
         const probed = groups.takeProbe(candidates);
         this.isGroupDown ||= !probed;
-        return probed ? this.attemptWithSlot(probed, signal) : this.waitForGroup(signal);
+        return probed
+            ? this.attemptWithSlot(probed, signal)
+            : this.waitOrStop("the group of model servers is down", signal);
     }
 
     private candidates(): TrackedServer[] {
@@ -221,7 +227,7 @@
         if (refused) {
             return refused;
         }
-        const server = this.selectServer(servers);
+        const server = this.context.chooseServer(servers, this.tried, this.admitted.spec);
         if (!server) {
             this.limitWaitMs = this.context.limits.retryAfterMs(servers, this.callerDeadlineMs - this.nowMs);
             return { kind: "stop", reason: "no backend server can take the request now" };
@@ -255,19 +261,6 @@
         this.guard.recordUnderWay();
     }
 
-    private selectServer(servers: readonly TrackedServer[]): TrackedServer | undefined {
-        const { runtime, settings } = this.context.options;
-        const choice = {
-            dataCentre: settings.dataCentre,
-            random: runtime.random,
-            maxStartsPerS: (server: TrackedServer) => this.context.maxStartsPerS(server),
-            isWithinLimit: (server: TrackedServer) => this.context.limits.allows(server),
-            isLimitCheckDue: (server: TrackedServer) => this.context.limits.isCheckDue(server),
-            tried: this.tried,
-        };
-        return chooseServer(servers, choice, this.admitted.spec?.engine === undefined);
-    }
-
     private async sendAttempt(server: TrackedServer, signal: AbortSignal): Promise<AttemptOutcome> {
         const { clock, events } = this.context.options.runtime;
         const { account, route, service } = this.admitted;
@@ -340,6 +333,9 @@
                 if (refusingServer !== undefined && this.admitted.spec?.engine) {
                     return this.handleGroupDown(server, refusingServer);
                 }
+                if (this.context.limits.pauseMs(this.candidates()) > 0) {
+                    this.state.admissionQueue.cancelWaiters();
+                }
                 return this.retryOrStop("the backend server is full");
             })
             .with({ kind: "broken" }, ({ message }) => {
@@ -402,19 +398,18 @@
     }
 
     /**
-     * Lets a started stream wait for its group until shortly before its caller gives up; other requests are
-     * refused.
+     * Lets a started stream wait for servers that take it until shortly before its caller gives up; other requests
+     * are refused.
      */
-    private async waitForGroup(signal: AbortSignal): Promise<NextStep> {
+    private async waitOrStop(reason: string, signal: AbortSignal): Promise<NextStep> {
         const { route } = this.admitted;
-        const reason = "the group of model servers is down";
         const waitLimitMs = this.cursor.lastEventMs + streamStallLimitMs(route) - STALL_MARGIN_MS;
         const mayResume = this.cursor.isHeadSent && this.isRepeatable
             && this.progress.sentAttempts < route.maxAttempts;
         if (!mayResume || this.nowMs >= waitLimitMs) {
             return { kind: "stop", reason };
         }
-        await sleep(this.context.options.runtime.clock, GROUP_POLL_MS, signal).catch(() => {});
+        await sleep(this.context.options.runtime.clock, SERVER_POLL_MS, signal).catch(() => {});
         return { kind: "again" };
     }
 
@@ -432,21 +427,28 @@
             this.log.failed(unknownOutcomeStatus, reason);
             return;
         }
-        const retryAfterMs = this.retryAfterMs(Math.max(0, this.callerDeadlineMs - this.nowMs));
+        const { limits, options: { runtime: { random } } } = this.context;
+        const retryAfterMs = refusalDelayMs(this.refusalCause, {
+            ...this.state,
+            limits,
+            random,
+            candidates: this.candidates(),
+            remainingMs: Math.max(0, this.callerDeadlineMs - this.nowMs),
+        });
         sendLocalReply(this.reply, { status: HTTP_UNAVAILABLE, reason, retryAfterMs });
         this.log.refused(HTTP_UNAVAILABLE, reason, retryAfterMs);
     }
 
-    private retryAfterMs(remainingMs: number): number {
-        const { admissionQueue, groups } = this.state;
+    private get refusalCause(): RefusalCause {
         if (this.quarantineMs !== undefined) {
-            return this.quarantineMs;
+            return { kind: "quarantine", forMs: this.quarantineMs };
         }
         if (this.isGroupDown || this.isRefusedByQueue) {
-            return (this.isGroupDown ? groups : admissionQueue).retryAfterMs(remainingMs);
+            return { kind: this.isGroupDown ? "groupDown" : "queue" };
         }
-        return this.limitWaitMs
-            ?? serverRetryAfterMs(this.context.options.runtime.random, this.tried.size > 0, remainingMs);
+        return this.limitWaitMs === undefined
+            ? { kind: "servers", wereAsked: this.tried.size > 0 }
+            : { kind: "limits", waitMs: this.limitWaitMs };
     }
 
     private recordAnswered(status: number): void {
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -9,9 +9,11 @@
 import type { UpstreamClient } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings, SafetyBounds } from "../types/directSettings.ts";
+import type { ServiceSpec } from "../types/publishedState.ts";
 import { AdmissionQueue } from "./admissionQueue.ts";
 import { CallerRetryDetector } from "./callerRetryDetector.ts";
 import type { CallMetrics } from "./callMetrics.ts";
+import { chooseServer } from "./chooseServer.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import { CrashQuarantine } from "./crashQuarantine.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
@@ -180,6 +182,31 @@
         }
     }
 
+    /**
+     * Selects the server for an attempt.
+     *
+     * @param servers - servers that accept new requests
+     * @param tried - servers that earlier attempts of the request used
+     * @param spec - their service; undefined if the configuration does not have it
+     * @returns the server; undefined if none may get the request
+     */
+    public chooseServer(
+        servers: readonly TrackedServer[],
+        tried: ReadonlySet<TrackedServer>,
+        spec: ServiceSpec | undefined,
+    ): TrackedServer | undefined {
+        const { runtime, settings } = this.options;
+        const choice = {
+            dataCentre: settings.dataCentre,
+            random: runtime.random,
+            maxStartsPerS: (server: TrackedServer) => this.maxStartsPerS(server),
+            isWithinLimit: (server: TrackedServer) => this.limits.allows(server),
+            isLimitCheckDue: (server: TrackedServer) => this.limits.isCheckDue(server),
+            tried,
+        };
+        return chooseServer(servers, choice, spec?.engine === undefined);
+    }
+
     /**
      * Returns how many requests this instance may start at a backend server per second. The limit applies at
      * all times, because a server may turn cold before any instance knows.
@@ -228,8 +255,11 @@
         });
     }
 
-    /** Slots of a server that the requests which its limit lets through can occupy. */
+    /** Slots of a server that the requests which its limit lets through can occupy; none while it rests. */
     private usableSlots(server: TrackedServer): number {
+        if (this.limits.pauseMs([server]) > 0) {
+            return 0;
+        }
         const { service, slots } = server.entry;
         const limitPerS = this.limits.limitOf(server);
         const meanRunS = this.service(service).admissionQueue.meanDurationMs / MS_PER_SECOND;
--- a/packages/direct/src/shared/serverLimits.ts
+++ b/packages/direct/src/shared/serverLimits.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps the requests of all instances within the limits that backend servers name.
+ * Keeps the requests of all instances within the limits that backend servers name, and those of this instance away
+ * from a server that has asked it for a pause.
  *
  * A server in need names the requests per second that it takes from all instances together. An equal share for
  * each instance would be too small to be of use, and the first request of each would already exceed the limit
@@ -7,6 +8,9 @@
  * the others send it nothing. Instances tell each other at once when a limit begins, changes or ends; the
  * holders' requests show its end soon.
  *
+ * A pause binds only the instance that was told: a server that is full for a moment is asked by the others as
+ * before, and uses the slots that become free.
+ *
  * @packageDocumentation
  */
 
@@ -14,8 +18,16 @@
 import { LRUCache } from "lru-cache";
 import type { ResponseHead } from "../types/call.ts";
 import type { LimitNotice, PeerNews } from "../types/peerNews.ts";
-import { serverLimitEnded, serverLimitNamed, serverLimitUnreadable } from "./directEvents.ts";
+import {
+    noticeUnreadable,
+    serverLimitEnded,
+    serverLimitNamed,
+    serverLimitUnreadable,
+    serverRests,
+} from "./directEvents.ts";
+import { processKey } from "./peerReport.ts";
 import { readServerLimit } from "./serverLimitHeader.ts";
+import { readRest, RETRY_AFTER_HEADER } from "./serverNotices.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Options of {@link ServerLimits}. */
@@ -73,6 +85,8 @@
 const UNREADABLE_LOG_PERIOD_MS = 10_000;
 /** Callers honour `Retry-After` only up to this share of their remaining time. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
+/** Range of the random addition to a pause that callers are told, in milliseconds: they return one by one. */
+const REST_JITTER_MS = 500;
 /** Notices in a sample. */
 const SAMPLE_SIZE = 5;
 const MS_PER_SECOND = 1_000;
@@ -81,6 +95,8 @@
 export class ServerLimits {
     private readonly options: ServerLimitsOptions;
     private readonly states = new LRUCache<number, LimitState>({ max: MAX_SERVERS });
+    /** Ends of the pauses that servers have asked for, in milliseconds, by key of the process. */
+    private readonly restsUntilMs = new LRUCache<number, number>({ max: MAX_SERVERS });
     private readonly fresh = new Set<number>();
     private nextUnreadableLogMs = Number.NEGATIVE_INFINITY;
     private listener: () => void = () => {};
@@ -105,20 +121,63 @@
         return this.states.peek(server.reportKey)?.perS;
     }
 
+    /** Number of servers that have asked this instance for a pause. */
+    public get restingCount(): number {
+        const nowMs = this.options.clock.nowMs();
+        return [...this.restsUntilMs.values()].filter(untilMs => untilMs > nowMs).length;
+    }
+
     /**
-     * Records what a response says about the limit of its server.
+     * Records what a response says about the limit of its server, and about a pause that it asks for.
      *
      * @param server - the server
      * @param head - head of a response that the server itself has made
      */
     public record(server: TrackedServer, head: ResponseHead): void {
+        this.recordRest(server, head);
+        this.recordLimit(server, head);
+    }
+
+    private recordRest({ entry }: TrackedServer, head: ResponseHead): void {
+        const { clock, events } = this.options;
+        const notice = readRest(head);
+        if (notice.kind === "unreadable") {
+            this.logUnreadable(() => {
+                events.emit(noticeUnreadable, {
+                    server: entry.id,
+                    header: RETRY_AFTER_HEADER,
+                    text: notice.text,
+                });
+            });
+        }
+        if (notice.kind !== "rest") {
+            return;
+        }
+        const key = processKey(entry);
+        const knownUntilMs = this.restsUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
+        const untilMs = clock.nowMs() + notice.forMs;
+        // Answers may overtake each other: a shorter pause does not end a longer one.
+        if (untilMs > knownUntilMs) {
+            this.restsUntilMs.set(key, untilMs);
+            events.emit(serverRests, { server: entry.id, forMs: Math.round(notice.forMs) });
+        }
+    }
+
+    private logUnreadable(log: () => void): void {
+        const nowMs = this.options.clock.nowMs();
+        if (nowMs >= this.nextUnreadableLogMs) {
+            this.nextUnreadableLogMs = nowMs + UNREADABLE_LOG_PERIOD_MS;
+            log();
+        }
+    }
+
+    private recordLimit(server: TrackedServer, head: ResponseHead): void {
         const { clock, events, header } = this.options;
         const named = readServerLimit(head, header);
         if (named.kind === "unreadable") {
-            if (clock.nowMs() >= this.nextUnreadableLogMs) {
-                this.nextUnreadableLogMs = clock.nowMs() + UNREADABLE_LOG_PERIOD_MS;
+            this.logUnreadable(() => {
                 events.emit(serverLimitUnreadable, { server: server.entry.id, text: named.text });
-            }
+            });
             return;
         }
         const perS = named.kind === "limit" ? Math.max(MIN_LIMIT_PER_S, named.perS) : undefined;
@@ -168,34 +227,71 @@
      * @returns time in milliseconds; infinite if other instances hold the limit
      */
     public waitMs(server: TrackedServer): number {
-        const state = this.states.get(server.reportKey);
-        if (state?.perS === undefined) {
-            return 0;
-        }
-        const rate = this.accrue(server, state);
-        if (state.tokens >= 1) {
-            return 0;
-        }
-        return rate === 0 ? Number.POSITIVE_INFINITY : (1 - state.tokens) / rate * MS_PER_SECOND;
+        return Math.max(this.restMs(server), this.limitWaitMs(server));
+    }
+
+    /**
+     * Returns the time until the first of some servers takes requests of this instance again.
+     *
+     * @param servers - the servers
+     * @returns time in milliseconds; 0 if there are none, or if one of them has not asked for a pause
+     */
+    public pauseMs(servers: readonly TrackedServer[]): number {
+        return servers.length === 0 ? 0 : Math.min(...servers.map(server => this.restMs(server)));
     }
 
     /**
-     * Computes when a caller that was refused because of the limits should retry; another instance may take it then.
+     * Computes when a caller that was refused because of the limits or pauses should retry; another instance may take
+     * it then.
      *
      * @param servers - servers that might have taken the request
      * @param remainingMs - remaining time of the caller, in milliseconds
-     * @returns the delay with jitter, in milliseconds; undefined if none of them names a limit
+     * @returns the delay with jitter, in milliseconds; undefined if none of them names a limit or asks for a pause
      */
     public retryAfterMs(servers: readonly TrackedServer[], remainingMs: number): number | undefined {
-        const limited = servers.filter(server => this.limitOf(server) !== undefined);
+        const delays = [this.limitDelayMs(servers), this.restDelayMs(servers)]
+            .filter(delayMs => delayMs !== undefined);
+        return delays.length === 0
+            ? undefined
+            : Math.min(...delays, remainingMs * MAX_RETRY_AFTER_SHARE);
+    }
+
+    private restDelayMs(servers: readonly TrackedServer[]): number | undefined {
+        const rests = servers.map(server => this.restMs(server)).filter(restMs => restMs > 0);
+        return rests.length === 0
+            ? undefined
+            : Math.min(...rests) + this.options.random.nextFloat() * REST_JITTER_MS;
+    }
+
+    private limitDelayMs(servers: readonly TrackedServer[]): number | undefined {
+        const limited = servers.filter(server =>
+            this.limitOf(server) !== undefined && this.restMs(server) === 0
+        );
         if (limited.length === 0) {
             return undefined;
         }
         const sumPerS = limited.reduce((sum, server) => sum + (this.limitOf(server) ?? 0), 0);
         const fleetWaitMs = MS_PER_SECOND / sumPerS;
-        const ownWaitMs = Math.min(...limited.map(server => this.waitMs(server)));
+        const ownWaitMs = Math.min(...limited.map(server => this.limitWaitMs(server)));
         const waitMs = Number.isFinite(ownWaitMs) ? Math.max(ownWaitMs, fleetWaitMs) : fleetWaitMs;
-        return Math.min(waitMs * (1 + this.options.random.nextFloat()), remainingMs * MAX_RETRY_AFTER_SHARE);
+        return waitMs * (1 + this.options.random.nextFloat());
+    }
+
+    private restMs({ entry }: TrackedServer): number {
+        const untilMs = this.restsUntilMs.size === 0 ? undefined : this.restsUntilMs.get(processKey(entry));
+        return untilMs === undefined ? 0 : Math.max(0, untilMs - this.options.clock.nowMs());
+    }
+
+    private limitWaitMs(server: TrackedServer): number {
+        const state = this.states.get(server.reportKey);
+        if (state?.perS === undefined) {
+            return 0;
+        }
+        const rate = this.accrue(server, state);
+        if (state.tokens >= 1) {
+            return 0;
+        }
+        return rate === 0 ? Number.POSITIVE_INFINITY : (1 - state.tokens) / rate * MS_PER_SECOND;
     }
 
     /** {@inheritDoc NewsSource.takeFresh} */
