fix(direct): a refusal without an identifier proves nothing on a connection that was in use

Cause: a rejection with status 421 and no identifier was taken for that of another server at the address, on any connection.

Change: such a rejection counts on a new connection only; another server at the address can be met on no other one. A head with two different identifiers belongs to no request. Ruled out: refusals 503 and 429 and answers with the earlier identifier or none were refused before, by their identifier.

--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -80,6 +80,7 @@
     const routes = [
         route("whole", { timeoutMs: 1_500 }),
         route("once", { timeoutMs: 1_500, repeat: "never", maxAttempts: 1 }),
+        route("once-tried", { timeoutMs: 1_500, repeat: "never", maxAttempts: 2 }),
         route("stream", { timeoutMs: 1_500, answer: "stream", repeat: "resume", targetGapMs: 120 }),
         route("once-stream", { timeoutMs: 1_500, answer: "stream", repeat: "never", maxAttempts: 1 }),
         route("good", { timeoutMs: 1_500 }),
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -41,6 +41,8 @@
     public readonly client: Client;
     /** Time at which it became idle, in milliseconds. */
     public idleSinceMs = 0;
+    /** Whether a request was sent over it before the current one. */
+    public isReused = false;
     /** Whether it was closed and must not be reused. */
     public isClosed = false;
     /**
@@ -130,7 +132,8 @@
                 onResponseStart: (_started, status, headers) => {
                     isCloseDelimited = headers["content-length"] === undefined
                         && headers["transfer-encoding"] === undefined;
-                    consumer.onHead({ status, headers, isCloseDelimited });
+                    const isOnReusedConnection = connection.isReused;
+                    consumer.onHead({ status, headers, isCloseDelimited, isOnReusedConnection });
                 },
                 onResponseData: (_started, bytes) => consumer.onData(bytes),
                 onResponseEnd: () => {
@@ -235,6 +238,7 @@
 
     private release(server: string, connection: ServerConnection, maxIdleConnections: number): void {
         connection.idleSinceMs = this.clock.nowMs();
+        connection.isReused = true;
         const idle = this.idle.get(server) ?? [];
         this.idle.set(server, idle);
         idle.push(connection);
--- a/packages/direct/src/shared/classifyResponseHead.ts
+++ b/packages/direct/src/shared/classifyResponseHead.ts
@@ -26,6 +26,11 @@
 
 const HTTP_MISDIRECTED = 421;
 
+const hasOneIdentifier = ({ headers }: ResponseHead, { requestId }: CallHeaderNames): boolean => {
+    const value = headers[requestId];
+    return typeof value === "string" || new Set(value).size <= 1;
+};
+
 /**
  * Validates the head of a response.
  *
@@ -40,8 +45,10 @@
 ): ResponseHeadClass => {
     const responseId = responseHeader(head, names.requestId);
     const isMisdirected = head.status === HTTP_MISDIRECTED;
-    // A different server now at the address rejects the request unread, without repeating its identifier.
-    const isOwn = responseId === requestId || isMisdirected && responseId === undefined;
+    // A different server now at the address rejects the request unread, without repeating its identifier. It can only
+    // be met on a new connection; on another one an earlier refusal may have been sent again.
+    const isAnonymousRejection = isMisdirected && responseId === undefined && !head.isOnReusedConnection;
+    const isOwn = responseId === requestId && hasOneIdentifier(head, names) || isAnonymousRejection;
     if (!isOwn && !isFaultSeeded("direct.skip-answer-id")) {
         return {
             kind: "foreign",
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -37,6 +37,10 @@
      * then.
      */
     readonly isCloseDelimited?: boolean;
+    /**
+     * Whether an earlier request was sent over the connection, so that the head may be a repetition of its answer.
+     */
+    readonly isOnReusedConnection?: boolean;
 }
 
 /** Reply to a caller. */
