fix(direct): no promise in a server's answer that does not say that the request was not run

Cause: a server's 408, 429 or 503 without the word that it has not run a request was passed on unchanged. Callers take these statuses for the promise that it has not run, and send a booking again that has.

Change: for requests that must not be repeated such an answer counts as broken: 502, which promises nothing.

Result: three new cases of atMostOnce failed before (the status was passed on), and pass.

--- a/packages/direct/src/shared/__tests__/atMostOnce.spec.ts
+++ b/packages/direct/src/shared/__tests__/atMostOnce.spec.ts
@@ -68,3 +68,15 @@
     fixture.send("status");
     t.true((await fixture.latestAttempt()).request.maxIdleMs >= 1_000);
 });
+
+for (const status of [408, 429, 503]) {
+    test.serial(`a booking answered ${status} without the word that it was not run is not reported as not run`, async t => {
+        const fixture = new DirectFixture();
+        fixture.addServers(ORDERS, "a", "bb");
+        const { done, reply } = fixture.send("booking");
+        (await fixture.latestAttempt()).respond(status);
+        await fixture.runUntilSettled(done);
+        t.is(reply.status, 502);
+        t.is(fixture.attempts.length, 1);
+    });
+}
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -104,6 +104,8 @@
     | { readonly kind: "broken"; readonly message: string; };
 
 const HTTP_OK = 200;
+/** Statuses that callers take for the promise that the request has not run, whoever sends them. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Events after which an answer is under way: a server that cannot write it ends at its first tokens. */
 const EVENTS_UNDER_WAY = 4;
 
@@ -258,7 +260,7 @@
     }
 }
 
-const outcomeOf = (handler: ResponseHandler): AttemptOutcome => {
+const outcomeOf = (handler: ResponseHandler, route: RouteRule): AttemptOutcome => {
     const { head, headClass } = handler;
     if (!head || !headClass || headClass.kind === "foreign" || handler.rejectReason !== undefined) {
         return { kind: "broken", message: handler.rejectReason ?? "the answer has no head" };
@@ -266,6 +268,12 @@
     if (headClass.kind === "notRun") {
         return headClass;
     }
+    if (route.repeat === "never" && NOT_RUN_STATUSES.has(head.status)) {
+        return {
+            kind: "broken",
+            message: `status ${head.status} without the word that the request was not run`,
+        };
+    }
     if (!handler.isStream) {
         handler.recordVerifiedEnd();
         return { kind: "whole", head, body: handler.body };
@@ -313,7 +321,7 @@
     try {
         const end = await upstream.ended;
         if (end.kind === "complete" || end.kind === "broken" && handler.rejectReason !== undefined) {
-            return outcomeOf(handler);
+            return outcomeOf(handler, route);
         }
         return end;
     }
