fix(platform): odd entries among those of the servers cost nobody a request

Cause: the decoder took for servers what no request can be sent to: port 0, addresses that name no single host, identifiers that are no header text, a fraction of a slot. An entry with 1e15 slots counted as free capacity of its service, which ended admission for all of it.

Ruled out: deep nesting, numbers beyond all bounds, duplicate keys and __proto__ harmed nothing before.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -181,6 +181,30 @@
     void watcher.run();
 };
 
+/** What the metrics of an entry read; some of it is created after them. */
+interface MetricsSources {
+    readonly store: PublishedStateStore;
+    readonly upstreams: ServerConnections;
+    readonly context: () => DirectContext;
+    readonly running: () => number;
+    readonly alivePeers: () => number;
+}
+
+const createEntryMetrics = ({ context, store, upstreams, ...counts }: MetricsSources): PromMetrics =>
+    createPromMetrics({
+        ...counts,
+        era: () => store.era,
+        revision: () => store.revision,
+        storeReturns: () => store.returns,
+        missingItems: () => store.missingCount,
+        configurationVersion: () => store.configuration?.configuration.version ?? 0,
+        openedConnections: () => upstreams.opened,
+        limitedServers: () => context().limits.size,
+        restingServers: () => context().limits.restingCount,
+        quarantinedParts: () => context().quarantine.parts.length,
+        quarantinedRequests: () => context().quarantine.requests.length,
+    });
+
 /** Sources of the readiness, state and metrics endpoints. */
 interface OperatorEndpoints extends DirectEntryOptions {
     readonly isReady: () => boolean;
@@ -279,19 +303,12 @@
     );
     let isStopping = false;
     const isReady = (): boolean => !isStopping && exchange.hasJoined;
-    const metrics = createPromMetrics({
+    const metrics = createEntryMetrics({
+        store,
+        upstreams,
+        context: () => context,
         running: () => listener.running,
         alivePeers: () => exchange.aliveCount,
-        era: () => store.era,
-        revision: () => store.revision,
-        storeReturns: () => store.returns,
-        missingItems: () => store.missingCount,
-        configurationVersion: () => store.configuration?.configuration.version ?? 0,
-        openedConnections: () => upstreams.opened,
-        limitedServers: () => context.limits.size,
-        restingServers: () => context.limits.restingCount,
-        quarantinedParts: () => context.quarantine.parts.length,
-        quarantinedRequests: () => context.quarantine.requests.length,
     });
     const context: DirectContext = new DirectContext({
         runtime,
--- a/packages/kernel/src/node/address.ts
+++ b/packages/kernel/src/node/address.ts
@@ -38,6 +38,23 @@
     return isHost && Number(port) <= MAX_PORT;
 };
 
+/** Ranges of addresses that name no single host. */
+const NO_HOST_RANGES: ReadonlySet<string> = new Set(["unspecified", "multicast", "broadcast"]);
+
+/**
+ * Tells whether a text is an address that a connection can be opened to.
+ *
+ * @param text - the text
+ * @returns true for what {@link isAddress} accepts, but for port 0 and addresses that name no single host
+ */
+export const isReachableAddress = (text: string): boolean => {
+    if (!isAddress(text)) {
+        return false;
+    }
+    const { host, port } = splitAddress(branded<Address>(text));
+    return port > 0 && !NO_HOST_RANGES.has(ipaddr.parse(host).range());
+};
+
 /**
  * Parses an address.
  *
