fix(kernel): an error that escapes its task no longer ends the process

Cause: no program handled uncaught exceptions and unhandled rejections, so one unexpected error cut off all requests of its process (reports of other operators).

Change: guardProcess logs such errors (event 101, at most one line a second, with the count of the others) and lets the process go on; entries and agents of both paths use it. A failing start still ends the program.

Result: a program whose timer and task fail exits with code 1 without the guard and runs on with it. 160 malformed messages on the ports of a running entry end nothing; that held before as well, by its decoders.

--- a/packages/agent/src/node/agentMain.ts
+++ b/packages/agent/src/node/agentMain.ts
@@ -10,6 +10,7 @@
     branded,
     createProcessRuntime,
     ExitCode,
+    guardProcess,
     resolveConfig,
     runProgram,
     waitForStopSignal,
@@ -22,6 +23,7 @@
 const main = async (): Promise<number> => {
     const settings = await resolveConfig(agentProgram, process.argv.slice(2));
     await using runtime = createProcessRuntime({ instance: settings.instance, statsd: settings.statsd });
+    using _guard = guardProcess(runtime);
     const started: { agent?: Agent; } = {};
     await using feed = startConfigurationFeed({
         ...settings,
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -11,6 +11,7 @@
     createProcessRuntime,
     type DataCentreId,
     ExitCode,
+    guardProcess,
     type InstanceId,
     resolveConfig,
     ResourceScope,
@@ -26,6 +27,7 @@
 const main = async (): Promise<number> => {
     const settings = await resolveConfig(entryProgram, process.argv.slice(2));
     await using runtime = createProcessRuntime({ instance: settings.instance, statsd: settings.statsd });
+    using _guard = guardProcess(runtime);
     await using feed = startConfigurationFeed({ ...settings, runtime, role: "entry" });
     const entry = createEntry({
         runtime,
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./node/datagramSocket.ts";
 export * from "./node/debugSink.ts";
 export * from "./node/jsonLogSink.ts";
+export * from "./node/processGuard.ts";
 export * from "./node/processRuntime.ts";
 export * from "./node/settings.ts";
 export * from "./node/statsdMetrics.ts";
