fix(direct): decode what other processes hand over before it is believed

Cause: states of other instances, groups and server lists were taken from JSON as they came, and the fleet size that a report claims without a bound. A process of another release, or a damaged one, could put half-read items into force, or leave every instance without a share of any limit for a minute.

Change: schemas for published states, groups and server lists; an entry of a list that cannot be read costs itself only. At most 4,096 instances are believed. Answers that are not objects, and states beyond 16 MB, are errors.

A report that claims four billion instances made the fleet as large before, 4,096 now.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -21,6 +21,7 @@
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { request } from "undici";
+import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     directPaused,
@@ -29,7 +30,7 @@
     directStopping,
     directUnexpected,
 } from "../shared/directEvents.ts";
-import { GroupDirectory, type ReadServerGroup, type ServerGroup } from "../shared/groupDirectory.ts";
+import { GroupDirectory, type ReadServerGroup } from "../shared/groupDirectory.ts";
 import { PeerExchange } from "../shared/peerExchange.ts";
 import { PlatformWatcher } from "../shared/platformWatcher.ts";
 import { PublishedStateStore } from "../shared/publishedStateStore.ts";
@@ -40,7 +41,6 @@
 import type { DirectSettings } from "../types/directSettings.ts";
 import {
     type PublishedSource,
-    type PublishedState,
     SERVER_GROUP_PATH,
     SERVICE_SERVERS_PATH,
     type ServiceServers,
@@ -84,6 +84,8 @@
 /** Path at which other instances fetch the published state. */
 const STATE_PATH = "/state";
 const METRICS_PATH = "/metrics";
+/** Largest published state that is taken from another instance, in bytes: that of the largest fleet is far smaller. */
+const MAX_STATE_BYTES = 16 * 1024 * 1024;
 /** Largest answer about the group of a server, in bytes. */
 const MAX_GROUP_BYTES = 4_096;
 const HTTP_OK = 200;
@@ -104,9 +106,9 @@
 /** Time for the answers to requests that are ended by the stop to leave, in milliseconds. */
 const LAST_ANSWERS_MS = 100;
 
-const fetchState = async (peer: Address, signal: AbortSignal): Promise<PublishedState> => {
+const fetchState = async (peer: Address, signal: AbortSignal): Promise<unknown> => {
     const response = await request(`http://${peer}${STATE_PATH}`, { signal });
-    return await response.body.json() as PublishedState;
+    return JSON.parse((await readBounded(response.body, MAX_STATE_BYTES)).toString());
 };
 
 /** Creates the reader of groups: rank agents listen on the port that is the entries' for their peers. */
@@ -119,7 +121,7 @@
         if (response.statusCode !== HTTP_OK) {
             throw new ProtocolError(`the rank agent answered with status ${response.statusCode}`);
         }
-        return JSON.parse(body.toString()) as ServerGroup;
+        return decodeServerGroup(JSON.parse(body.toString()));
     };
 };
 
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -18,7 +18,6 @@
 } from "@magnolialock/kernel";
 import type { DirectSettings } from "../types/directSettings.ts";
 import type { NewsSource } from "../types/peerNews.ts";
-import type { PublishedState } from "../types/publishedState.ts";
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
 import { peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
 import type { FleetView } from "./fleetAllotment.ts";
@@ -54,8 +53,9 @@
      *
      * @param peer - address of the instance
      * @param signal - cancels the call
+     * @returns the state, not decoded
      */
-    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<PublishedState>;
+    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<unknown>;
     /** Called after the state of another instance was taken over. */
     readonly onFetched: () => void;
 }
@@ -85,6 +85,8 @@
 const FLEET_MEMBER_LIFETIME_MS = 60_000;
 /** Share of the fleet that an instance must know by name before it counts as settled. */
 const SETTLED_SHARE = 0.85;
+/** Largest fleet size that is believed: a wrong one would leave every instance without a share of any limit. */
+const MAX_FLEET_SIZE = 4_096;
 /** Smallest fleet size to assume: an instance that has not heard from any other may still be one of many. */
 const MIN_FLEET_SIZE = 8;
 /**
@@ -155,7 +157,7 @@
             let size = MIN_FLEET_SIZE;
             for (const { isAlive, report } of this.peers.values()) {
                 others.push(report.instance);
-                size = Math.max(size, isAlive ? report.heardInstances : 0);
+                size = Math.max(size, isAlive ? Math.min(MAX_FLEET_SIZE, report.heardInstances) : 0);
             }
             const known = others.length + 1;
             const isOld = this.options.runtime.clock.nowMs() - this.startedMs >= FLEET_MEMBER_LIFETIME_MS;
@@ -336,7 +338,12 @@
         }
     }
 
-    private encodeReport(includesMembers: boolean): Uint8Array {
+    /**
+     * Encodes the report of this instance.
+     *
+     * @param includesMembers - whether it names other instances
+     */
+    public encodeReport(includesMembers: boolean): Uint8Array {
         const { random } = this.options.runtime;
         const { settings, directory, services, store } = this.options;
         const running = new Map<number, number>();
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -5,15 +5,8 @@
  * @packageDocumentation
  */
 
-import {
-    type Address,
-    branded,
-    errorMessage,
-    type Revision,
-    shuffled,
-    timeoutSignal,
-} from "@magnolialock/kernel";
-import type { PublishedState } from "../types/publishedState.ts";
+import { type Address, errorMessage, shuffled, timeoutSignal } from "@magnolialock/kernel";
+import { decodePublishedState } from "./decodePeerAnswers.ts";
 import type { DirectRuntime } from "./directContext.ts";
 import { peerFetchFailed, stateFetched } from "./directEvents.ts";
 import type { PeerReport } from "./peerReport.ts";
@@ -45,8 +38,9 @@
      *
      * @param peer - address of the instance
      * @param signal - cancels the call
+     * @returns the state, not decoded
      */
-    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<PublishedState>;
+    readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<unknown>;
     /** Called after the state of another instance was taken over. */
     readonly onFetched: () => void;
 }
@@ -140,7 +134,7 @@
         const known = store.version;
         using timeout = timeoutSignal(runtime.clock, FETCH_TIMEOUT_MS, signal);
         try {
-            const state = this.complete(await fetchState(peer, timeout.signal));
+            const state = decodePublishedState(await fetchState(peer, timeout.signal), store.era);
             const isLonger = state.ageMs > store.ageMs + LONGER_KNOWLEDGE_MS;
             const isInherited = isLonger && compareVersions(state, store.version) >= 0;
             if (isInherited) {
@@ -167,24 +161,6 @@
         }
     }
 
-    /** Adds what states of earlier releases lack. */
-    private complete(
-        state: Partial<PublishedState> & Pick<PublishedState, "revision" | "items">,
-    ): PublishedState {
-        const era = state.era ?? this.options.store.era;
-        return {
-            removed: [],
-            missing: [],
-            history: [],
-            revisionBeforeReturn: branded<Revision>(0),
-            ageMs: 0,
-            leaving: [],
-            ...state,
-            era,
-            items: state.items.map(item => ({ ...item, era: item.era ?? era })),
-        };
-    }
-
     /** Tells whether the platform should soon deliver what another instance already knows. */
     private isPlatformExpected({ report }: ReportingPeer): boolean {
         const { clock } = this.options.runtime;
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -22,6 +22,7 @@
 } from "@magnolialock/kernel";
 import type { RandomSource } from "@magnolialock/kernel";
 import { request } from "undici";
+import { decodeServiceServers } from "../shared/decodeServiceServers.ts";
 import { rankListFailed } from "../shared/rankEvents.ts";
 import type { HoldOrder, RankPeer } from "../shared/switchRound.ts";
 import type { HoldCall, HoldReply, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
@@ -253,7 +254,7 @@
         for (const entry of shuffled(random, settings.entries)) {
             try {
                 const url = `http://${entry}${SERVICE_SERVERS_PATH}${encodeURIComponent(settings.service)}`;
-                const view = await this.call<ServiceServers>(url, undefined, LIST_TIMEOUT_MS);
+                const view = decodeServiceServers(await this.call<unknown>(url, undefined, LIST_TIMEOUT_MS));
                 if (view.servers.length > 0) {
                     return view;
                 }
@@ -288,6 +289,9 @@
         if (response.statusCode !== 200) {
             throw new ProtocolError(`${url} answered with status ${response.statusCode}`);
         }
+        if (typeof body !== "object" || !body) {
+            throw new ProtocolError(`${url} answered without an object`);
+        }
         return body as T;
     }
 
