fix(agent): an earlier answer of the backend server is not taken for that to the next call

Cause: the agent did not look at the identifier in an answer.

Change: an answer with another identifier is a broken one, whose call may have run. To a server that does not repeat identifiers each call gets a connection of its own; the stand-ins repeat them. undici's Agent opened a connection for each call after the first was closed, so a Pool is used: there is one server.

Result: four cases over real sockets, earlier answer and refusal, with and without repeated identifiers: all failed before ("of first" delivered to the second call; a running call said not to have started), all pass.

--- a/packages/agent/src/node/__tests__/httpBackend.spec.ts
+++ b/packages/agent/src/node/__tests__/httpBackend.spec.ts
@@ -1,4 +1,4 @@
-import { type Address, branded } from "@magnolialock/kernel";
+import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type RequestListener, type ServerResponse } from "node:http";
@@ -11,6 +11,8 @@
 } from "../../types/backend.ts";
 import { createHttpBackend } from "../httpBackend.ts";
 
+const clock = createSystemClock();
+
 const requestOf = (fields: Partial<BackendRequest> = {}): BackendRequest => ({
     requestId: "r1",
     method: "POST",
@@ -165,3 +167,89 @@
     }, request);
     t.is(seen, `{"prompt":"p","resume_from_token":2,"resumed_text":"a b"} k1 r1`);
 });
+
+/** Server that repeats its earlier answer while the second request of a connection runs. */
+const startRepeatingServer = async (t: ExecutionContext, repeatsIds: boolean, isRefusal: boolean) => {
+    const runs: string[] = [];
+    const headOf = (id: string, text: string, isNotStarted: boolean): string =>
+        `HTTP/1.1 ${isNotStarted ? "503 Service Unavailable" : "200 OK"}\r\n`
+        + (repeatsIds ? `x-request-id: ${id}\r\n` : "")
+        + (isNotStarted ? "x-not-started: 1\r\n" : "")
+        + `content-length: ${text.length}\r\n\r\n${text}`;
+    const server = createSocketServer(socket => {
+        let received = "";
+        let earlier: string | undefined;
+        socket.on("error", () => {});
+        socket.on("data", bytes => {
+            received += bytes.toString();
+            if (!received.endsWith("{}")) {
+                return;
+            }
+            const id = /x-request-id: (\S+)/i.exec(received)?.[1] ?? "";
+            received = "";
+            runs.push(id);
+            if (earlier !== undefined) {
+                socket.write(headOf(earlier, isRefusal ? "" : `of ${earlier}`, isRefusal));
+            }
+            earlier = id;
+            clock.setTimer(50, () => socket.write(headOf(id, `of ${id}`, false)));
+        });
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    return { runs, address: branded<Address>(`127.0.0.1:${(server.address() as AddressInfo).port}`) };
+};
+
+for (const repeatsIds of [true, false]) {
+    for (const isRefusal of [true, false]) {
+        const name = `${isRefusal ? "refusal" : "answer"} of a server that ${
+            repeatsIds ? "repeats" : "ignores"
+        } identifiers`;
+        test(`an earlier ${name}, written once more, is not taken for that to the next call`, async t => {
+            const { address, runs } = await startRepeatingServer(t, repeatsIds, isRefusal);
+            await using backend = createHttpBackend({ address, maxConnections: 1 });
+            const bodies: string[] = [];
+            const errors: unknown[] = [];
+            for (const requestId of ["first", "second", "third"]) {
+                let text = "";
+                try {
+                    const request = requestOf({ requestId, isModel: false });
+                    for await (const event of backend.run(request, new AbortController().signal)) {
+                        text += event.kind === "body" ? Buffer.from(event.bytes).toString() : "";
+                    }
+                    bodies.push(`${requestId}: ${text}`);
+                }
+                catch (error) {
+                    errors.push(error);
+                }
+            }
+            t.deepEqual(runs, ["first", "second", "third"]);
+            t.false(
+                errors.some(error => error instanceof BackendRefusedError),
+                "a call that runs is said not to have started",
+            );
+            t.true(bodies.every(body => /^(\w+): of \1$/.test(body)), bodies.join());
+            t.is(bodies.length + errors.length, 3);
+        });
+    }
+}
+
+test("connections to a server that repeats identifiers are kept", async t => {
+    const ports = new Set<number | undefined>();
+    const server = createServer((incoming, response) => {
+        ports.add(incoming.socket.remotePort);
+        response.setHeader("x-request-id", String(incoming.headers["x-request-id"]));
+        response.end("x");
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => void server.close());
+    const { port } = server.address() as AddressInfo;
+    await using backend = createHttpBackend({ address: branded<Address>(`127.0.0.1:${port}`) });
+    for (let call = 0; call < 6; call++) {
+        for await (const _event of backend.run(requestOf({ isModel: false }), new AbortController().signal)) {
+            // Reads the answer to its end.
+        }
+    }
+    // One for the first call, and two that are used in turn: one may not be free yet as the next call comes.
+    t.true(ports.size <= 3, `${ports.size} connections`);
+});
--- a/packages/agent/src/node/httpBackend.ts
+++ b/packages/agent/src/node/httpBackend.ts
@@ -6,7 +6,7 @@
 
 import { type Address, errorMessage, isAborted, ProtocolError } from "@magnolialock/kernel";
 import { createParser } from "eventsource-parser";
-import { Agent, type Dispatcher, errors } from "undici";
+import { type Dispatcher, errors, Pool } from "undici";
 import { z } from "zod";
 import {
     type Backend,
@@ -28,6 +28,9 @@
 const DEFAULT_MAX_CONNECTIONS = 1_024;
 const CONNECT_TIMEOUT_MS = 2_000;
 const FIRST_ERROR_STATUS = 400;
+const REQUEST_ID_HEADER = "x-request-id";
+/** Identifier of the reads of the load. */
+const LOAD_REQUEST_ID = "load";
 /** Header with which a backend server states that a refused call did not start. */
 const NOT_STARTED_HEADER = "x-not-started";
 
@@ -147,6 +150,54 @@
     yield { kind: "end", finishReason: "" };
 }
 
+/** Discards the rest of an answer that belongs to another call, with its connection. */
+const discard = ({ body }: Dispatcher.ResponseData): void => {
+    body.on("error", () => {}).destroy();
+};
+
+/**
+ * Tells an answer from an earlier one that the server sends once more while the next call runs: by the identifier, if
+ * the server repeats it. To any other server each call gets a connection of its own.
+ */
+class CallIdentifiers {
+    private isRepeated = false;
+
+    /** Options of the next call. */
+    public get connectionOptions(): { readonly reset?: boolean; } {
+        return this.isRepeated ? {} : { reset: true };
+    }
+
+    /**
+     * Checks the answer to a call.
+     *
+     * @param response - the answer
+     * @param requestId - identifier of the call
+     * @throws BackendBrokenError if it belongs to another call: the server may still run this one
+     */
+    public assertOwn(response: Dispatcher.ResponseData, requestId: string): void {
+        const id = response.headers[REQUEST_ID_HEADER];
+        if (id === undefined ? this.isRepeated : id !== requestId) {
+            discard(response);
+            throw new BackendBrokenError(`the answer belongs to call ${id ?? "without an identifier"}`);
+        }
+        this.isRepeated ||= id !== undefined;
+    }
+
+    /**
+     * Checks the answer to a read of the load; an earlier one without an identifier does no harm.
+     *
+     * @param response - the answer
+     * @throws ProtocolError if it belongs to a call
+     */
+    public assertLoad(response: Dispatcher.ResponseData): void {
+        const id = response.headers[REQUEST_ID_HEADER];
+        if (id !== undefined && id !== LOAD_REQUEST_ID) {
+            discard(response);
+            throw new ProtocolError("the backend server answered a read of its load with that to a call");
+        }
+    }
+}
+
 /**
  * Creates a client of a backend server.
  *
@@ -154,27 +205,27 @@
  * @returns the client; disposing it closes its connections
  */
 export const createHttpBackend = (options: HttpBackendOptions): Backend & AsyncDisposable => {
-    const dispatcher = new Agent({
+    const pool = new Pool(`http://${options.address}`, {
         connections: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
         pipelining: 1,
         connect: { timeout: CONNECT_TIMEOUT_MS },
         headersTimeout: 0,
         bodyTimeout: 0,
     });
-    const origin = `http://${options.address}`;
+    const identifiers = new CallIdentifiers();
 
     const send = async (request: BackendRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> => {
         try {
             const hasBody = request.method !== "GET" && request.method !== "HEAD";
-            return await dispatcher.request({
-                origin,
+            return await pool.request({
                 path: request.path,
                 method: request.method as Dispatcher.HttpMethod,
                 headers: [
                     ...request.headers.filter(([name]) => !HOP_BY_HOP_HEADERS.has(name)).flat(),
-                    "x-request-id",
+                    REQUEST_ID_HEADER,
                     request.requestId,
                 ],
+                ...identifiers.connectionOptions,
                 body: hasBody ? resumableBody(request) : undefined,
                 signal,
             });
@@ -193,6 +244,7 @@
 
     async function* run(request: BackendRequest, signal: AbortSignal): AsyncGenerator<BackendEvent> {
         const response = await send(request, signal);
+        identifiers.assertOwn(response, request.requestId);
         if (response.headers[NOT_STARTED_HEADER] !== undefined) {
             await response.body.dump();
             throw new BackendRefusedError(`the backend server refused with status ${response.statusCode}`);
@@ -212,7 +264,14 @@
     }
 
     const readLoad = async (signal: AbortSignal): Promise<BackendLoad> => {
-        const response = await dispatcher.request({ origin, path: "/load", method: "GET", signal });
+        const response = await pool.request({
+            path: "/load",
+            method: "GET",
+            headers: { [REQUEST_ID_HEADER]: LOAD_REQUEST_ID },
+            ...identifiers.connectionOptions,
+            signal,
+        });
+        identifiers.assertLoad(response);
         const load = loadReport.parse(await response.body.json());
         return {
             running: load.running,
@@ -222,5 +281,5 @@
         };
     };
 
-    return { run, readLoad, [Symbol.asyncDispose]: () => dispatcher.close() };
+    return { run, readLoad, [Symbol.asyncDispose]: () => pool.close() };
 };
--- a/packages/lab/src/node/standIns/engineServer.ts
+++ b/packages/lab/src/node/standIns/engineServer.ts
@@ -56,6 +56,10 @@
 ): Hono => {
     const app = new Hono();
     addOrderRoutes(app, orders);
+    app.use(async (context, next) => {
+        context.header("x-request-id", context.req.header("x-request-id"));
+        await next();
+    });
     app.get("/load", context =>
         context.json({
             running: engine.reportedRunning,
--- a/packages/lab/src/node/standIns/plainServer.ts
+++ b/packages/lab/src/node/standIns/plainServer.ts
@@ -15,6 +15,10 @@
  */
 export const createPlainServer = (service: SimulatedPlainService): Hono => {
     const app = new Hono();
+    app.use(async (context, next) => {
+        context.header("x-request-id", context.req.header("x-request-id"));
+        await next();
+    });
     app.get("/load", context => context.json({ running: service.running, waiting: 0 }));
     app.get("/stand-in/runs", context => {
         const counts = new Map<string, number>();
@@ -32,8 +36,9 @@
     });
     app.all("*", async context => {
         const url = new URL(context.req.url);
+        const requestId = context.req.header("x-request-id") ?? "";
         const body = await service.call({
-            requestId: context.req.header("x-request-id") ?? "",
+            requestId,
             method: context.req.method,
             path: `${url.pathname}${url.search}`,
             body: await context.req.text(),
