fix(agent): a call whose answer stalls gives its slot back

Cause: the agent set no limit to a running call.

Change: a call ends with its caller's time; one that runs to completion 10 s later, as an unknown outcome.

--- a/packages/agent/src/shared/backendCall.ts
+++ b/packages/agent/src/shared/backendCall.ts
@@ -4,13 +4,18 @@
  * @packageDocumentation
  */
 
-import { AbortedError } from "@magnolialock/kernel";
+import { AbortedError, type Timer } from "@magnolialock/kernel";
 import type { RunRequest } from "@magnolialock/protocol";
 import { BackendBrokenError, type BackendEvent, type BackendRequest } from "../types/backend.ts";
 import type { AgentContext } from "./agentContext.ts";
 import type { CallMeter } from "./callMeter.ts";
 
 const FIRST_ERROR_STATUS = 500;
+/**
+ * Time after that of its caller for which a call that runs to completion may go on, in milliseconds: a server that has
+ * stalled would hold its slot for ever, also if it sends a byte now and then.
+ */
+const COMPLETION_GRACE_MS = 10_000;
 const IDEMPOTENCY_HEADER = "idempotency-key";
 
 /**
@@ -52,6 +57,7 @@
     private readonly events: AsyncGenerator<BackendEvent>;
     private readonly meter: CallMeter;
     private readonly cancel = (): void => this.controller.abort(new AbortedError("the call was ended"));
+    private readonly timeout: Timer;
     private nextEvent: Promise<IteratorResult<BackendEvent>>;
     private status = 0;
     private isComplete = false;
@@ -71,6 +77,11 @@
         const isModel = context.isModelService(request.service);
         callerSignal?.addEventListener("abort", this.cancel, { once: true });
         context.callCancellers.add(this.cancel);
+        const limitMs = request.remainingMs + (callerSignal ? 0 : COMPLETION_GRACE_MS);
+        this.timeout = context.runtime.clock.setTimer(
+            limitMs,
+            () => this.controller.abort(new AbortedError("the time for the call is over")),
+        );
         this.meter = context.calls.start({ priority: request.priority, isModel });
         this.events = streamBackend(context, toBackendRequest(request, isModel), this.controller.signal);
         // Starts the call now, not at the consumer's first read: the checks that allowed it hold only now.
@@ -106,6 +117,7 @@
 
     /** Ends the measurement and, if the answer is not complete, cancels the call. */
     public [Symbol.dispose](): void {
+        this.timeout.cancel();
         this.callerSignal?.removeEventListener("abort", this.cancel);
         this.context.callCancellers.delete(this.cancel);
         this.meter.finish(this.isComplete && this.status < FIRST_ERROR_STATUS);
