fix(direct): a group that sends bytes but no events counts as silent

Cause: single bytes of a stalled stream counted as a sign of life of its group, so requests went on going there.

Change: events of streams count, bytes of other answers as before.

--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -288,7 +288,7 @@
             maxIdleConnections: () => this.context.maxIdleConnections(server),
             signal: timeout.signal,
             onFirstByte: () => this.recordFirstByte(group),
-            onBytes: () => group.recordBytes(),
+            onProgress: () => group.recordProgress(),
             onUnderWay: () => this.recordUnderWay(),
         });
         group.end();
--- a/packages/direct/src/shared/groupHealth.ts
+++ b/packages/direct/src/shared/groupHealth.ts
@@ -48,7 +48,7 @@
 const MAX_REPORT_AGE_MS = 1_500;
 
 /**
- * Time without any byte from a group that runs requests of this instance, after which other groups are
+ * Time without any event from a group that runs requests of this instance, after which other groups are
  * preferred, in milliseconds. A rank that is missing stalls its group for longer than that before it refuses;
  * a pass, or a switch of maps, takes less.
  */
@@ -61,7 +61,7 @@
     private lastUpMs = Number.NEGATIVE_INFINITY;
     private nextProbeMs = 0;
     private running = 0;
-    private lastBytesMs = Number.NEGATIVE_INFINITY;
+    private lastProgressMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - clock, log and service */
     public constructor(options: GroupHealthOptions) {
@@ -80,13 +80,13 @@
 
     /** Whether the group runs requests of this instance and has sent nothing for a while: it may have stalled. */
     public get isSilent(): boolean {
-        return this.running > 0 && this.options.clock.nowMs() - this.lastBytesMs > SILENCE_MS;
+        return this.running > 0 && this.options.clock.nowMs() - this.lastProgressMs > SILENCE_MS;
     }
 
     /** Records that a request was sent to the group. */
     public begin(): void {
         if (this.running === 0) {
-            this.recordBytes();
+            this.recordProgress();
         }
         this.running++;
     }
@@ -96,9 +96,9 @@
         this.running--;
     }
 
-    /** Records that bytes of a response arrived from the group. */
-    public recordBytes(): void {
-        this.lastBytesMs = this.options.clock.nowMs();
+    /** Records that an event of a stream arrived from the group; a stalled stream may still send single bytes. */
+    public recordProgress(): void {
+        this.lastProgressMs = this.options.clock.nowMs();
     }
 
     /**
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -78,8 +78,8 @@
     readonly signal: AbortSignal;
     /** Called at the first byte of a valid response; for a stream, at its first complete event. */
     readonly onFirstByte: () => void;
-    /** Called whenever bytes of the response arrive. */
-    readonly onBytes: () => void;
+    /** Called whenever an event of a stream, or bytes of another response, have arrived. */
+    readonly onProgress: () => void;
     /** Called once the answer has gone on for a few events, or is complete. */
     readonly onUnderWay: () => void;
 }
@@ -193,7 +193,6 @@
     }
 
     public onData(bytes: Buffer): void {
-        this.options.onBytes();
         if (this.rejectReason !== undefined) {
             return;
         }
@@ -201,6 +200,7 @@
             this.forwardEvents(bytes);
             return;
         }
+        this.options.onProgress();
         this.bufferedChunks.push(bytes);
         this.bufferedBytes += bytes.length;
         this.options.context.responseBuffers.set(this, this.bufferedBytes);
@@ -216,6 +216,7 @@
         const { context, cursor, reply } = this.options;
         for (const event of this.splitter.push(bytes)) {
             this.recordFirstByte();
+            this.options.onProgress();
             const { id } = event;
             const isInOrder = id === undefined || cursor.lastEventId === undefined
                 || id === cursor.lastEventId + 1;
