feat(direct): callers who return wait for their group instead of being refused again

Cause: a group of model servers that lacks a rank is down for three to five seconds. Callers honour a third of their time (2.7 s) and return once; those who returned while the group still re-formed were refused again and had no further try.

A request that was refused as a probe is not sent again, for the retry budget's sake. The waiting part of a request moved to serverWait.ts.

--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { isFaultSeeded, sleep, timeoutSignal } from "@magnolialock/kernel";
+import { isFaultSeeded, timeoutSignal } from "@magnolialock/kernel";
 import { match } from "ts-pattern";
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { CallerReply, IncomingCall, ResponseHead } from "../types/call.ts";
@@ -20,7 +20,7 @@
 import { toQueuedCall } from "./queuedCall.ts";
 import { type RefusalCause, refusalDelayMs } from "./refusalDelay.ts";
 import { type AttemptOutcome, createStreamCursor, runAttempt, type StreamCursor } from "./runAttempt.ts";
-import { streamStallLimitMs } from "./streamStallLimit.ts";
+import { ServerWait } from "./serverWait.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 const HTTP_OK = 200;
@@ -45,17 +45,13 @@
  * at another server. Streams are not retried for this reason.
  */
 const FIRST_ATTEMPT_TIME_SHARE = 0.4;
-/** Time before the stall limit of the caller at which a stalled stream is aborted, in milliseconds. */
-const STALL_MARGIN_MS = 150;
-/** Polling interval of a stream that waits for a server that takes it, in milliseconds. */
-const SERVER_POLL_MS = 50;
-
 /** Runs one admitted request. */
 export class CallTask {
     private readonly state: ServiceState;
     private readonly progress: CallProgress;
     private readonly log: CallLog;
     private readonly guard: CrashGuard;
+    private readonly wait: ServerWait;
     private readonly tried = new Set<TrackedServer>();
     private readonly deadlineMs: number;
     private readonly callerDeadlineMs: number;
@@ -98,6 +94,12 @@
         };
         this.log = new CallLog(context, call, admitted, this.progress);
         this.guard = new CrashGuard(context, call, admitted);
+        this.wait = new ServerWait({
+            context,
+            admitted,
+            progress: this.progress,
+            queuedCall: () => this.queuedCall(),
+        });
     }
 
     private get cursor(): StreamCursor {
@@ -152,7 +154,7 @@
         const { engine } = this.admitted.spec ?? {};
         const { limits } = this.context;
         if (limits.pauseMs(engine ? groups.usable(candidates) : candidates) > 0) {
-            return this.waitOrStop("all backend servers have asked for a pause", signal);
+            return this.wait.orStop("all backend servers have asked for a pause", signal);
         }
         if (!engine) {
             return this.attemptOnServer(candidates, signal);
@@ -160,11 +162,13 @@
         if (candidates.length === 0 || groups.usable(candidates).length > 0) {
             return this.attemptWithSlot(undefined, signal);
         }
-        const probed = groups.takeProbe(candidates);
+        // A request that was refused as a probe is not sent again: its repeats would use up the retry budget. A caller
+        // who has returned has no further try, so new requests are the probes.
+        const isNew = this.progress.sentAttempts === 0 && !this.queuedCall().isReturning;
+        const mayProbe = this.cursor.isHeadSent || isNew;
+        const probed = mayProbe ? groups.takeProbe(candidates) : undefined;
         this.isGroupDown ||= !probed;
-        return probed
-            ? this.attemptWithSlot(probed, signal)
-            : this.waitOrStop("the group of model servers is down", signal);
+        return probed ? this.attemptWithSlot(probed, signal) : this.wait.forGroup(candidates, signal);
     }
 
     private candidates(): TrackedServer[] {
@@ -397,22 +401,6 @@
             : { kind: "stop", reason: `${reason}; no retries left` };
     }
 
-    /**
-     * Lets a started stream wait for servers that take it until shortly before its caller gives up; other requests
-     * are refused.
-     */
-    private async waitOrStop(reason: string, signal: AbortSignal): Promise<NextStep> {
-        const { route } = this.admitted;
-        const waitLimitMs = this.cursor.lastEventMs + streamStallLimitMs(route) - STALL_MARGIN_MS;
-        const mayResume = this.cursor.isHeadSent && this.isRepeatable
-            && this.progress.sentAttempts < route.maxAttempts;
-        if (!mayResume || this.nowMs >= waitLimitMs) {
-            return { kind: "stop", reason };
-        }
-        await sleep(this.context.options.runtime.clock, SERVER_POLL_MS, signal).catch(() => {});
-        return { kind: "again" };
-    }
-
     private fail(reason: string, unknownOutcomeStatus: number): void {
         if (this.cursor.isHeadSent) {
             this.reply.abort();
--- a/packages/direct/src/shared/serviceGroups.ts
+++ b/packages/direct/src/shared/serviceGroups.ts
@@ -79,6 +79,15 @@
         return undefined;
     }
 
+    /**
+     * Returns the shortest time for which one of the groups is down, in milliseconds; 0 if one is up.
+     *
+     * @param servers - servers of the service
+     */
+    public downForMs(servers: readonly TrackedServer[]): number {
+        return Math.min(...servers.map(({ groupName }) => this.named(groupName).downForMs));
+    }
+
     /**
      * Computes when a caller that was refused because all groups are down should retry.
      *
