feat(direct): callers do not wait for a group that cannot be back in their time

Change: a caller waits only if its patience reaches past the shortest outage, 2 s after the first refusal; else it is refused at once.

--- a/packages/direct/src/shared/__tests__/groupWait.spec.ts
+++ b/packages/direct/src/shared/__tests__/groupWait.spec.ts
@@ -20,6 +20,7 @@
     const returning = { isReturning: true, sinceServerAddedMs: NEVER };
     t.is(groupWaitMs({ ...returning, downForMs: 2_500, patienceMs: 1_600 }), 1_600);
     t.is(groupWaitMs({ ...returning, downForMs: 5_000, patienceMs: 1_600 }), 500);
+    t.is(groupWaitMs({ ...returning, downForMs: 100, patienceMs: 1_600 }), 0, "it cannot be served in time");
     t.is(groupWaitMs({ ...returning, downForMs: 7_000, patienceMs: 1_600 }), 0);
     t.is(groupWaitMs({ ...returning, downForMs: 2_500, patienceMs: -1 }), 0);
 });
--- a/packages/direct/src/shared/groupWait.ts
+++ b/packages/direct/src/shared/groupWait.ts
@@ -24,6 +24,11 @@
 
 /** Time that a group takes to serve once its last rank has published itself, in milliseconds. */
 const REFORM_MS = 1_200;
+/**
+ * Time for which a group is down at least, from its first refusal, in milliseconds: a rank that ended has to start again,
+ * and then the group has to form.
+ */
+const SHORTEST_OUTAGE_MS = 2_000;
 /**
  * Time after which a group that lacks a rank is not expected back soon, in milliseconds: a process that starts again is
  * back sooner, a link that is cut takes any time.
@@ -40,6 +45,7 @@
     const { downForMs, isReturning, patienceMs, sinceServerAddedMs } = inputs;
     const hasRankReturned = sinceServerAddedMs < Math.min(REFORM_MS, downForMs);
     const reformingMs = hasRankReturned ? REFORM_MS - sinceServerAddedMs : 0;
-    const returningMs = isReturning ? Math.max(0, LONG_OUTAGE_MS - downForMs) : 0;
+    const isHopeful = isReturning && downForMs + patienceMs >= SHORTEST_OUTAGE_MS;
+    const returningMs = isHopeful ? Math.max(0, LONG_OUTAGE_MS - downForMs) : 0;
     return Math.max(0, Math.min(patienceMs, Math.max(reformingMs, returningMs)));
 };
