test(direct): guards of leaving, pauses, waits and late reads that no test had noticed

Cause: guards were taken out one at a time.

One stays unnoticed: that a request which another server has refused is no probe; another guard covers the same requests.

--- a/packages/direct/src/shared/__tests__/eraOrder.spec.ts
+++ b/packages/direct/src/shared/__tests__/eraOrder.spec.ts
@@ -197,3 +197,23 @@
     await runtime.clock.advance(10_000);
     t.true(reads >= 5 && reads <= 11, `${reads} reads`);
 });
+
+test("a state that was read before an item was written does not remove the item", t => {
+    const { store } = createStore();
+    const itemAt = (key: string, revision: number) => ({
+        key,
+        text: key,
+        revision: branded<Revision>(revision),
+    });
+    const state = (revision: number, ...items: readonly ReturnType<typeof itemAt>[]) => ({
+        ...readAt(1, revision, {}),
+        items,
+    });
+    // The pages of one read are no snapshot: a later page may hold what was written after the first.
+    store.replace(state(5, itemAt("early", 4), itemAt("late", 7)), "platform");
+    t.deepEqual([...store.outDataCentres()].sort(), ["early", "late"]);
+    store.replace(state(6, itemAt("early", 4)), "peer");
+    t.deepEqual([...store.outDataCentres()].sort(), ["early", "late"]);
+    store.replace(state(8, itemAt("early", 4)), "peer");
+    t.deepEqual([...store.outDataCentres()], ["early"]);
+});
--- a/packages/direct/src/shared/__tests__/groupDown.spec.ts
+++ b/packages/direct/src/shared/__tests__/groupDown.spec.ts
@@ -88,3 +88,63 @@
     t.is(reply.state, "broken");
     t.true(fixture.clock.nowMs() <= 2_000);
 });
+
+/** Remaining time of a caller who has returned after a refusal, in milliseconds. */
+const RETURNING = { [NAMES.remainingMs]: "5300" };
+
+test.serial("a caller who has returned is no probe, waits for the group, and is refused once that is of no use", async t => {
+    const fixture = await downFixture();
+    await fixture.clock.advance(2_300);
+    const { done, reply } = fixture.send("draft", RETURNING);
+    await fixture.clock.advance(1_500);
+    t.is(reply.state, "open");
+    await fixture.runUntilSettled(done);
+    t.is(reply.status, 503);
+    t.is(fixture.attempts.length, 1, "it was sent to a group that is down");
+    t.true(fixture.clock.nowMs() <= 2_300 + 1_700);
+});
+
+test.serial("a caller who has returned is served as soon as the group is up", async t => {
+    const fixture = await downFixture();
+    await fixture.clock.advance(2_300);
+    const returned = fixture.send("draft", RETURNING);
+    const probe = fixture.send("draft");
+    (await fixture.latestAttempt()).startStream().sendEvents(1, 1);
+    t.is(fixture.attempts.length, 2);
+    await fixture.clock.advance(60);
+    t.is(fixture.attempts.length, 3);
+    fixture.attempts[2]?.startStream().sendEvents(1, 2).complete();
+    fixture.attempts[1]?.sendEvents(2, 2).complete();
+    await Promise.all([returned.done, probe.done]);
+    t.is(returned.reply.state, "ended");
+});
+
+test.serial("a request that was refused as a probe is not sent again", async t => {
+    const fixture = await downFixture();
+    await fixture.clock.advance(900);
+    fixture.addServers(DRAFTS, "dddd");
+    await fixture.clock.advance(100);
+    const { done, reply } = fixture.send("draft");
+    (await fixture.latestAttempt()).refuse({ [NAMES.refusingServer]: "missing" });
+    await fixture.runUntilSettled(done);
+    t.is(reply.status, 503);
+    t.is(fixture.attempts.length, 2);
+});
+
+test.serial("new requests wait for a short while once a server has published itself anew", async t => {
+    const fixture = await downFixture();
+    await fixture.clock.advance(1_000);
+    fixture.addServers(DRAFTS, "dddd");
+    const probe = fixture.send("draft");
+    const waiting = fixture.send("draft");
+    const attempt = await fixture.latestAttempt();
+    await fixture.clock.advance(300);
+    t.is(waiting.reply.state, "open");
+    attempt.startStream().sendEvents(1, 1);
+    await fixture.clock.advance(60);
+    t.is(fixture.attempts.length, 3);
+    fixture.attempts[2]?.startStream().sendEvents(1, 1).complete();
+    attempt.complete();
+    await Promise.all([probe.done, waiting.done]);
+    t.is(waiting.reply.state, "ended");
+});
--- a/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
@@ -11,7 +11,7 @@
 const LARGE: DirectFleetOptions = { instances: 99, servers: 192, groups: 3, dataCentres: 5 };
 
 /** Time after the first answer of a leaving server within which all instances know of it, in milliseconds. */
-const FLEET_KNOWS_MS = 1_000;
+const FLEET_KNOWS_MS = 500;
 /** Time that an instance which starts takes to learn what the others know, in milliseconds. */
 const JOIN_MS = 2_000;
 
@@ -52,7 +52,10 @@
         await fleet.sendFor(4_000, perS, draw(fleet));
         t.true(fleet.leavingHeard.length >= leaving.length);
         t.is(arrivalsAfterWord(fleet), 0);
-        t.is(arrivalsAt(fleet, leaving, startMs + FLEET_KNOWS_MS), 0);
+        for (const server of leaving) {
+            const firstMs = fleet.leavingHeard.find(({ serverId }) => serverId === server.id)?.atMs ?? startMs;
+            t.is(arrivalsAt(fleet, [server], firstMs + FLEET_KNOWS_MS), 0);
+        }
         t.true(fleet.begunShare(startMs, fleet.clock.nowMs() - 500) >= 0.99);
     });
 }
@@ -204,6 +207,21 @@
     }
 });
 
+test.serial("a server that starts again under its identifier is a new one", async t => {
+    const fixture = new DirectFixture();
+    const publish = (bornMs: number): void =>
+        fixture.publish("a", { kind: "server", server: serverEntry("a", ORDERS, { bornMs }) });
+    publish(1);
+    const first = fixture.send("booking");
+    (await fixture.latestAttempt()).respond(421, "", { [NAMES.requestId]: undefined });
+    await fixture.runUntilSettled(first.done);
+    t.is(fixture.directory.candidates(ORDERS).length, 0);
+    publish(1);
+    t.is(fixture.directory.candidates(ORDERS).length, 0);
+    publish(2);
+    t.is(fixture.directory.candidates(ORDERS).length, 1);
+});
+
 test("servers of different identifiers or starts are told apart", t => {
     const { store } = new DirectFixture();
     const entry = serverEntry("a", ORDERS, { bornMs: 5 });
--- a/packages/direct/src/shared/__tests__/serverRests.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverRests.spec.ts
@@ -157,18 +157,39 @@
 test.serial("requests that wait for a slot are refused once all servers have asked for a pause", async t => {
     const fixture = new DirectFixture();
     fixture.addServers(DRAFTS, "a");
-    const calls = Array.from({ length: 30 }, () => fixture.send("draft"));
+    const running = Array.from({ length: 20 }, () => fixture.send("draft"));
     await fixture.clock.advance(0);
-    t.true(fixture.attempts.length < calls.length);
+    const { length } = fixture.attempts;
+    t.true(length < running.length);
+    await fixture.clock.advance(390);
+    const waiting = Array.from({ length: 10 }, () => fixture.send("draft"));
+    // The limit of the queue is read again then, and none is left.
+    await fixture.clock.advance(20);
     fixture.attempts[0]?.refuse({ "retry-after": "2" });
     await fixture.clock.advance(1);
-    const refused = calls.filter(({ reply }) => reply.status === 503);
-    t.is(refused.length, calls.length - fixture.attempts.length + 1);
-    for (const { reply } of refused) {
+    t.is(fixture.attempts.length, length);
+    for (const { reply } of waiting) {
+        t.is(reply.status, 503);
         t.true(Number(reply.header("retry-after")) >= 1.999);
     }
 });
 
+test.serial("slots of a server that has asked for a pause do not count as free", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(DRAFTS, "a", "bb");
+    fixture.send("draft");
+    const first = await fixture.latestAttempt();
+    first.refuse({ "retry-after": "5" });
+    await fixture.clock.advance(500);
+    const before = fixture.attempts.length;
+    Array.from({ length: 40 }, () => fixture.send("draft"));
+    await fixture.clock.advance(0);
+    const sent = fixture.attempts.slice(before);
+    t.false(sent.some(({ server }) => server === first.server));
+    // One server has eight slots.
+    t.true(sent.length <= 10, `${sent.length} requests were sent to one server`);
+});
+
 test("pauses are read as seconds or as a date, and bounded", t => {
     const read = (value: string | readonly string[], date?: string): string => {
         const notice = readRest({ status: 503, headers: { "retry-after": value, date } });
