--- a/packages/cli/src/node/timeline/readLogs.ts
+++ b/packages/cli/src/node/timeline/readLogs.ts
@@ -54,10 +54,20 @@
         instance,
         number: event,
         name,
-        fields: Object.fromEntries(fields.map(([field, value]) => [field, String(value)])),
+        fields: Object.fromEntries(fields.map(([field, value]) => [field, fieldText(value)])),
     };
 };
 
+const fieldText = (value: unknown): string => {
+    try {
+        return String(value);
+    }
+    catch {
+        // Converting a deeply nested value overflows the stack; no process of the system logs one.
+        return "(unreadable)";
+    }
+};
+
 const readStream = async (stream: Readable, onEntry: (entry: TimelineEntry) => void): Promise<void> => {
     for await (const line of createInterface({ input: stream, crlfDelay: Number.POSITIVE_INFINITY })) {
         const entry = parseLogLine(line);
--- a/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
@@ -53,7 +53,8 @@
         t.true(fleet.leavingHeard.length >= leaving.length);
         t.is(arrivalsAfterWord(fleet), 0);
         for (const server of leaving) {
-            const firstMs = fleet.leavingHeard.find(({ serverId }) => serverId === server.id)?.atMs ?? startMs;
+            const firstMs = fleet.leavingHeard.find(({ serverId }) => serverId === server.id)?.atMs
+                ?? startMs;
             t.is(arrivalsAt(fleet, [server], firstMs + FLEET_KNOWS_MS), 0);
         }
         t.true(fleet.begunShare(startMs, fleet.clock.nowMs() - 500) >= 0.99);
