fix(direct): a server that has just started does not end the wait for its group

Cause: a server whose group is not known yet counted as a group that is down for 0 ms, so callers who had returned were refused again just as the missing rank came back. The virtual fleet names groups at once, so no test saw it. And the key of a server's process was hashed for each candidate of each request once any server had left.

Change: only groups that are down say for how long; servers are tracked with their process key.

--- a/packages/direct/src/shared/__tests__/groupDown.spec.ts
+++ b/packages/direct/src/shared/__tests__/groupDown.spec.ts
@@ -148,3 +148,24 @@
     await Promise.all([probe.done, waiting.done]);
     t.is(waiting.reply.state, "ended");
 });
+
+test.serial("a server that has just started, and whose group is not known, does not end the wait", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(DRAFTS, ...IDS);
+    for (const server of fixture.directory.all()) {
+        server.groupName = "g1";
+    }
+    const first = fixture.send("draft");
+    (await fixture.latestAttempt()).refuse({ [NAMES.refusingServer]: "missing" });
+    await fixture.runUntilSettled(first.done);
+    await fixture.clock.advance(2_300);
+    fixture.addServers(DRAFTS, "dddd");
+    const returned = fixture.send("draft", RETURNING);
+    await fixture.clock.advance(500);
+    t.is(returned.reply.state, "open");
+    fixture.context.service(DRAFTS).groups.named("g1").markUp();
+    await fixture.clock.advance(60);
+    fixture.attempts.at(-1)?.startStream().sendEvents(1, 2).complete();
+    await returned.done;
+    t.is(returned.reply.state, "ended");
+});
--- a/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
+++ b/packages/direct/src/shared/__tests__/serverLeaving.spec.ts
@@ -1,6 +1,7 @@
 import { type BackendServerId, branded } from "@magnolialock/kernel";
 import test from "ava";
 import type { ResponseHead } from "../../types/call.ts";
+import { processKey } from "../peerReport.ts";
 import { readLeaving } from "../serverNotices.ts";
 import { DirectFixture, DRAFTS, NAMES, ORDERS, serverEntry } from "./directFixture.ts";
 import { DirectFleet, type DirectFleetOptions } from "./directFleet.ts";
@@ -191,7 +192,7 @@
         attempt.respond(Number(status), "", { ...headers, [NAMES.leaving]: "1" });
         await fixture.runUntilSettled(done);
         const [server] = [...fixture.directory.all()];
-        t.false(fixture.store.leaving.has(server?.entry ?? serverEntry("a", ORDERS)));
+        t.false(fixture.store.leaving.has(server?.processKey ?? 0));
     });
 }
 
@@ -224,22 +225,22 @@
 });
 
 test("servers of different identifiers or starts are told apart", t => {
-    const { store } = new DirectFixture();
     const entry = serverEntry("a", ORDERS, { bornMs: 5 });
-    store.leaving.add(entry);
-    t.true(store.leaving.has(entry));
-    t.false(store.leaving.has({ ...entry, bornMs: 6 }));
-    t.false(store.leaving.has({ ...entry, id: branded<BackendServerId>("b") }));
+    const keys = [entry, { ...entry, bornMs: 6 }, { ...entry, bornMs: undefined }, {
+        ...entry,
+        id: branded<BackendServerId>("b"),
+    }].map(processKey);
+    t.is(new Set(keys).size, keys.length);
 });
 
 test("the servers that leave are handed over with the published state", t => {
     const giver = new DirectFixture();
     const taker = new DirectFixture();
-    const entry = serverEntry("a", ORDERS);
-    giver.store.leaving.add(entry);
+    const key = processKey(serverEntry("a", ORDERS));
+    giver.store.leaving.add(key);
     taker.store.replace(giver.store.export(), "peer");
-    t.true(taker.store.leaving.has(entry));
+    t.true(taker.store.leaving.has(key));
     const heir = new DirectFixture();
     heir.store.inherit(giver.store.export());
-    t.true(heir.store.leaving.has(entry));
+    t.true(heir.store.leaving.has(key));
 });
--- a/packages/direct/src/shared/leavingServers.ts
+++ b/packages/direct/src/shared/leavingServers.ts
@@ -10,8 +10,6 @@
 
 import { LRUCache } from "lru-cache";
 import type { PeerNews } from "../types/peerNews.ts";
-import type { PublishedServer } from "../types/publishedState.ts";
-import { processKey } from "./peerReport.ts";
 
 /** Who said that a server leaves. */
 export type LeavingOrigin = "answer" | "peer";
@@ -35,19 +33,19 @@
     /**
      * Tells whether a server has said that it leaves.
      *
-     * @param server - what it published
+     * @param key - key of its process
      */
-    public has(server: PublishedServer): boolean {
-        return this.keys.size > 0 && this.keys.has(processKey(server));
+    public has(key: number): boolean {
+        return this.keys.has(key);
     }
 
     /**
      * Records that a server has said in an answer that it leaves.
      *
-     * @param server - what it published
+     * @param key - key of its process
      */
-    public add(server: PublishedServer): void {
-        this.insert(processKey(server), "answer");
+    public add(key: number): void {
+        this.insert(key, "answer");
     }
 
     /** Keys of all processes that leave. */
--- a/packages/direct/src/shared/serverDirectory.ts
+++ b/packages/direct/src/shared/serverDirectory.ts
@@ -9,7 +9,6 @@
 import type { PublishedServer } from "../types/publishedState.ts";
 import { noticeUnreadable, serverAdded, serverKept, serverLeaving } from "./directEvents.ts";
 import type { LeavingOrigin } from "./leavingServers.ts";
-import { processKey } from "./peerReport.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { readLeaving } from "./serverNotices.ts";
 import { TrackedServer } from "./trackedServer.ts";
@@ -70,7 +69,7 @@
         const { leavingHeader, runtime, store } = this.options;
         const notice = readLeaving(head, leavingHeader);
         if (notice.kind === "leaving") {
-            store.leaving.add(server.entry);
+            store.leaving.add(server.processKey);
         }
         else if (notice.kind === "unreadable" && runtime.clock.nowMs() >= this.nextUnreadableLogMs) {
             this.nextUnreadableLogMs = runtime.clock.nowMs() + UNREADABLE_LOG_PERIOD_MS;
@@ -126,7 +125,7 @@
      * @param server - the server
      */
     public isLeaving(server: TrackedServer): boolean {
-        return server.entry.state === "draining" || this.options.store.leaving.has(server.entry)
+        return server.entry.state === "draining" || this.options.store.leaving.has(server.processKey)
             || this.known.get(server.entry.id) !== server;
     }
 
@@ -138,7 +137,7 @@
     private handleLeaving(key: number, origin: LeavingOrigin): void {
         const { runtime, store } = this.options;
         for (const server of this.known.values()) {
-            if (processKey(server.entry) === key) {
+            if (server.processKey === key) {
                 runtime.events.emit(serverLeaving, {
                     server: server.entry.id,
                     reason: "it says so in an answer",
--- a/packages/direct/src/shared/serverLimits.ts
+++ b/packages/direct/src/shared/serverLimits.ts
@@ -25,7 +25,6 @@
     serverLimitUnreadable,
     serverRests,
 } from "./directEvents.ts";
-import { processKey } from "./peerReport.ts";
 import { readServerLimit } from "./serverLimitHeader.ts";
 import { readRest, RETRY_AFTER_HEADER } from "./serverNotices.ts";
 import type { TrackedServer } from "./trackedServer.ts";
@@ -138,7 +137,7 @@
         this.recordLimit(server, head);
     }
 
-    private recordRest({ entry }: TrackedServer, head: ResponseHead): void {
+    private recordRest({ entry, processKey }: TrackedServer, head: ResponseHead): void {
         const { clock, events } = this.options;
         const notice = readRest(head);
         if (notice.kind === "unreadable") {
@@ -153,12 +152,11 @@
         if (notice.kind !== "rest") {
             return;
         }
-        const key = processKey(entry);
-        const knownUntilMs = this.restsUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
+        const knownUntilMs = this.restsUntilMs.get(processKey) ?? Number.NEGATIVE_INFINITY;
         const untilMs = clock.nowMs() + notice.forMs;
         // Answers may overtake each other: a shorter pause does not end a longer one.
         if (untilMs > knownUntilMs) {
-            this.restsUntilMs.set(key, untilMs);
+            this.restsUntilMs.set(processKey, untilMs);
             events.emit(serverRests, { server: entry.id, forMs: Math.round(notice.forMs) });
         }
     }
@@ -277,8 +275,8 @@
         return waitMs * (1 + this.options.random.nextFloat());
     }
 
-    private restMs({ entry }: TrackedServer): number {
-        const untilMs = this.restsUntilMs.size === 0 ? undefined : this.restsUntilMs.get(processKey(entry));
+    private restMs({ processKey }: TrackedServer): number {
+        const untilMs = this.restsUntilMs.get(processKey);
         return untilMs === undefined ? 0 : Math.max(0, untilMs - this.options.clock.nowMs());
     }
 
--- a/packages/direct/src/shared/serviceGroups.ts
+++ b/packages/direct/src/shared/serviceGroups.ts
@@ -80,12 +80,14 @@
     }
 
     /**
-     * Returns the shortest time for which one of the groups is down, in milliseconds; 0 if one is up.
+     * Returns the shortest time for which one of the groups is down, in milliseconds; 0 if none is. Servers whose group
+     * is not known, such as those that have just started, say nothing about it.
      *
      * @param servers - servers of the service
      */
     public downForMs(servers: readonly TrackedServer[]): number {
-        return Math.min(...servers.map(({ groupName }) => this.named(groupName).downForMs));
+        const groups = servers.map(({ groupName }) => this.named(groupName)).filter(({ isDown }) => isDown);
+        return groups.length === 0 ? 0 : Math.min(...groups.map(({ downForMs }) => downForMs));
     }
 
     /**
--- a/packages/direct/src/shared/trackedServer.ts
+++ b/packages/direct/src/shared/trackedServer.ts
@@ -8,7 +8,7 @@
 import { PeerHealth } from "@magnolialock/entry/src/shared/peerHealth.ts";
 import type { Runtime } from "@magnolialock/kernel";
 import type { PublishedServer } from "../types/publishedState.ts";
-import { reportKey } from "./peerReport.ts";
+import { processKey, reportKey } from "./peerReport.ts";
 import { StartRateLimit } from "./startRateLimit.ts";
 
 /**
@@ -33,6 +33,8 @@
     public groupName: string | undefined;
     /** Key of the server in the reports between instances. */
     public readonly reportKey: number;
+    /** Key of its process; a server that starts again under its identifier is tracked anew. */
+    public readonly processKey: number;
     /** Failures of this instance's own requests, and the number that it runs. */
     public readonly health: PeerHealth;
     /** Limits the requests that this instance starts there per second. */
@@ -46,6 +48,7 @@
     public constructor(runtime: Pick<Runtime, "clock">, entry: PublishedServer) {
         this.entry = entry;
         this.reportKey = reportKey(entry.id);
+        this.processKey = processKey(entry);
         this.health = new PeerHealth(runtime.clock);
         this.startRate = new StartRateLimit(runtime.clock);
     }
