test(direct): one server that writes raw bytes for the tests that need one

Cause: three tests of answers that no HTTP server sends repeated the same listening server.

Change: RawServer; the tests keep what their servers write.

--- a/packages/direct/src/node/__tests__/closeDelimited.spec.ts
+++ b/packages/direct/src/node/__tests__/closeDelimited.spec.ts
@@ -1,9 +1,9 @@
-import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import { type Address, createSystemClock } from "@magnolialock/kernel";
 import test from "ava";
-import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { NAMES } from "../../shared/__tests__/directFixture.ts";
 import { responseHead, startEntry } from "./entryFixture.ts";
+import { RawServer } from "./rawServer.ts";
 
 const clock = createSystemClock();
 /** Pause between what a server sends and the end of its connection, in milliseconds. */
@@ -20,29 +20,14 @@
     Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: x\n\n`).join("");
 
 /** Server whose streams have neither a length nor chunks; it gives its answers in turn. */
-class UnframedServer implements AsyncDisposable {
+class UnframedServer extends RawServer {
     /** Heads of the requests, oldest first. */
     public readonly requests: string[] = [];
-    private readonly sockets = new Set<Socket>();
-    private readonly server = createServer(socket => this.serve(socket));
-
-    public constructor(private readonly answers: Answer[]) {}
-
-    public async listen(): Promise<Address> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return branded<Address>(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
-    }
-
-    public async [Symbol.asyncDispose](): Promise<void> {
-        this.sockets.forEach(socket => socket.destroy());
-        this.server.close();
-        await once(this.server, "close");
+    public constructor(private readonly answers: Answer[]) {
+        super();
     }
 
-    private serve(socket: Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => {});
+    protected serve(socket: Socket): void {
         let received = "";
         socket.on("data", bytes => {
             received += bytes.toString("latin1");
--- a/packages/direct/src/node/__tests__/endlessBytes.spec.ts
+++ b/packages/direct/src/node/__tests__/endlessBytes.spec.ts
@@ -1,10 +1,10 @@
-import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import { type Address, createSystemClock } from "@magnolialock/kernel";
 import test from "ava";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { request } from "undici";
 import { NAMES } from "../../shared/__tests__/directFixture.ts";
 import { responseHead, startEntry } from "./entryFixture.ts";
+import { RawServer } from "./rawServer.ts";
 
 const clock = createSystemClock();
 const LINE = `x-filler: ${"x".repeat(1_000)}\r\n`;
@@ -53,32 +53,16 @@
 } as const satisfies Record<string, EndlessAnswer>;
 
 /** Server that answers `/good/` properly and everything else with bytes without end. */
-class EndlessServer implements AsyncDisposable {
+class EndlessServer extends RawServer {
     /** Bytes of the response of which most was sent. */
     public mostSentBytes = 0;
     /** Endless responses that have not been given up. */
     public open = 0;
-    private readonly sockets = new Set<Socket>();
-    private readonly server = createServer(socket => this.serve(socket));
-
-    public constructor(private readonly answer: EndlessAnswer) {}
-
-    public async listen(): Promise<Address> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return branded<Address>(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
-    }
-
-    public async [Symbol.asyncDispose](): Promise<void> {
-        this.sockets.forEach(socket => socket.destroy());
-        this.server.close();
-        await once(this.server, "close");
+    public constructor(private readonly answer: EndlessAnswer) {
+        super();
     }
 
-    private serve(socket: Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => {});
-        socket.once("close", () => this.sockets.delete(socket));
+    protected serve(socket: Socket): void {
         let received = "";
         socket.on("data", bytes => {
             received += bytes.toString("latin1");
--- a/packages/direct/src/node/__tests__/repeatedAnswers.spec.ts
+++ b/packages/direct/src/node/__tests__/repeatedAnswers.spec.ts
@@ -1,10 +1,10 @@
-import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import { type Address, createSystemClock } from "@magnolialock/kernel";
 import test from "ava";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { request } from "undici";
 import { NAMES } from "../../shared/__tests__/directFixture.ts";
 import { responseHead, startEntry } from "./entryFixture.ts";
+import { RawServer } from "./rawServer.ts";
 
 const clock = createSystemClock();
 /** Time that a server needs for a request, in milliseconds. */
@@ -39,32 +39,16 @@
 } as const satisfies Record<string, (earlier: string) => string>;
 
 /** Serves the first request of a connection well, and repeats an earlier answer during the second. */
-class RepeatingServer implements AsyncDisposable {
+class RepeatingServer extends RawServer {
     /** Identifiers of the requests that it has run. */
     public readonly runs: string[] = [];
     /** Requests on a connection after which the earlier answer is written again. */
     public repeated = 0;
-    private readonly sockets = new Set<Socket>();
-    private readonly server = createServer(socket => this.serve(socket));
-
-    public constructor(private readonly repeat: ((earlier: string) => string) | undefined) {}
-
-    public async listen(): Promise<Address> {
-        this.server.listen(0, "127.0.0.1");
-        await once(this.server, "listening");
-        return branded<Address>(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
-    }
-
-    public async [Symbol.asyncDispose](): Promise<void> {
-        this.sockets.forEach(socket => socket.destroy());
-        this.server.close();
-        await once(this.server, "close");
+    public constructor(private readonly repeat: ((earlier: string) => string) | undefined) {
+        super();
     }
 
-    private serve(socket: Socket): void {
-        this.sockets.add(socket);
-        socket.on("error", () => {});
-        socket.once("close", () => this.sockets.delete(socket));
+    protected serve(socket: Socket): void {
         let received = "";
         let earlier: string | undefined;
         socket.on("data", bytes => {
