revert: callers who return wait for their group

Change: waiting, its decision and its tests are out; requests are refused at once again while all groups are down, and the known failures of the flapping group are those of before.

--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -190,21 +190,11 @@
 
     /** Sends a request to an entry; the last part is added, as each request has its own. */
     public send(entry: number, ...parts: readonly string[]): FleetRequest {
-        return this.sendTo(entry, {}, parts);
-    }
-
-    /** Sends a request with further headers to a random entry. */
-    public sendWith(headers: Record<string, string>, ...parts: readonly string[]): FleetRequest {
-        return this.sendTo(this.random.nextInt(0, this.entries.length - 1), headers, parts);
-    }
-
-    private sendTo(entry: number, headers: Record<string, string>, parts: readonly string[]): FleetRequest {
         const own = `f${this.nextRequest++}`;
         const header = [...parts, own].map(part => `${part}:40`).join(",");
         const { reply } = (this.entries[entry] as FleetEntry).send("draft", {
             [NAMES.promptParts]: header,
             [NAMES.requestId]: `call-${own}`,
-            ...headers,
         });
         const request = { sentMs: this.clock.nowMs(), parts, reply };
         this.requests.push(request);
--- a/packages/direct/src/shared/admissionQueue.ts
+++ b/packages/direct/src/shared/admissionQueue.ts
@@ -29,8 +29,6 @@
 export interface QueuedCall {
     /** Time at which the request was received, in milliseconds. */
     readonly receivedMs: number;
-    /** Whether its caller has returned after a refusal. */
-    readonly isReturning: boolean;
     /** Latest start at which the response can still meet the latency target, in milliseconds. */
     readonly targetStartMs: number;
     /** Latest useful start, in milliseconds; after it the caller gives up before its first event. */
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -94,12 +94,7 @@
         };
         this.log = new CallLog(context, call, admitted, this.progress);
         this.guard = new CrashGuard(context, call, admitted);
-        this.wait = new ServerWait({
-            context,
-            admitted,
-            progress: this.progress,
-            queuedCall: () => this.queuedCall(),
-        });
+        this.wait = new ServerWait({ clock: context.options.runtime.clock, route, progress: this.progress });
     }
 
     private get cursor(): StreamCursor {
@@ -162,13 +157,11 @@
         if (candidates.length === 0 || groups.usable(candidates).length > 0) {
             return this.attemptWithSlot(undefined, signal);
         }
-        // A request that was refused as a probe is not sent again: its repeats would use up the retry budget. A caller
-        // who has returned has no further try, so new requests are the probes.
-        const isNew = this.progress.sentAttempts === 0 && !this.queuedCall().isReturning;
-        const mayProbe = this.cursor.isHeadSent || isNew;
-        const probed = mayProbe ? groups.takeProbe(candidates) : undefined;
+        const probed = groups.takeProbe(candidates);
         this.isGroupDown ||= !probed;
-        return probed ? this.attemptWithSlot(probed, signal) : this.wait.forGroup(candidates, signal);
+        return probed
+            ? this.attemptWithSlot(probed, signal)
+            : this.wait.orStop("the group of model servers is down", signal);
     }
 
     private candidates(): TrackedServer[] {
--- a/packages/direct/src/shared/groupDirectory.ts
+++ b/packages/direct/src/shared/groupDirectory.ts
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Reads one server of each group that is down. While no group serves, new requests test the groups as well, since
-     * agents may be out of reach.
+     * Reads one server of each group that is down while another group serves. While none does, requests test
+     * the groups.
      */
     private async pollDown(): Promise<void> {
         const { directory, fleet, runtime } = this.context.options;
@@ -123,7 +123,7 @@
                 if (!health.isDown) {
                     this.firstReads.delete(health);
                 }
-                else if (server) {
+                else if (server && groups.usable(candidates).length > 0) {
                     polls.push(this.read(server).then(group => this.applyRead(health, group)));
                 }
             }
--- a/packages/direct/src/shared/queuedCall.ts
+++ b/packages/direct/src/shared/queuedCall.ts
@@ -28,7 +28,6 @@
     { deadlineMs, isRetry }: { readonly deadlineMs: number; readonly isRetry: boolean; },
 ): QueuedCall => ({
     receivedMs,
-    isReturning: isRetry,
     // The target time to the first event counts from the caller's first try, so a retry has missed it already.
     targetStartMs: receivedMs + (isRetry ? 0 : route.targetLatencyMs * MAX_QUEUE_TIME_SHARE),
     latestStartMs: receivedMs + streamStallLimitMs(route) - route.targetLatencyMs,
--- a/packages/direct/src/shared/serverDirectory.ts
+++ b/packages/direct/src/shared/serverDirectory.ts
@@ -38,7 +38,6 @@
     private readonly options: ServerDirectoryOptions;
     private readonly known = new Map<BackendServerId, TrackedServer>();
     private outDataCentres: ReadonlySet<DataCentreId> = new Set();
-    private readonly lastAddedMs = new Map<ServiceName, number>();
     private leftListener: (server: TrackedServer) => void = () => {};
     private nextUnreadableLogMs = Number.NEGATIVE_INFINITY;
 
@@ -94,16 +93,6 @@
         return servers;
     }
 
-    /**
-     * Returns the time since a server of a service was last published anew, in milliseconds; infinite if none was.
-     *
-     * @param service - the service
-     */
-    public sinceAddedMs(service: ServiceName): number {
-        const addedMs = this.lastAddedMs.get(service) ?? Number.NEGATIVE_INFINITY;
-        return this.options.runtime.clock.nowMs() - addedMs;
-    }
-
     /** All backend servers that are published or still in use after an outage, including draining ones. */
     public all(): IterableIterator<TrackedServer> {
         return this.known.values();
@@ -187,7 +176,6 @@
                 this.leftListener(server);
             }
             this.known.set(id, new TrackedServer(runtime, entry));
-            this.lastAddedMs.set(service, runtime.clock.nowMs());
             runtime.events.emit(serverAdded, {
                 server: id,
                 service,
--- a/packages/direct/src/shared/serviceGroups.ts
+++ b/packages/direct/src/shared/serviceGroups.ts
@@ -79,17 +79,6 @@
         return undefined;
     }
 
-    /**
-     * Returns the shortest time for which one of the groups is down, in milliseconds; 0 if none is. Servers whose group
-     * is not known, such as those that have just started, say nothing about it.
-     *
-     * @param servers - servers of the service
-     */
-    public downForMs(servers: readonly TrackedServer[]): number {
-        const groups = servers.map(({ groupName }) => this.named(groupName)).filter(({ isDown }) => isDown);
-        return groups.length === 0 ? 0 : Math.min(...groups.map(({ downForMs }) => downForMs));
-    }
-
     /**
      * Computes when a caller that was refused because all groups are down should retry.
      *
