--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -90,7 +90,7 @@
         this.record(`${key} begins, ${request.method} ${request.url}, tenant ${request.headers["x-tenant"]}`);
         response.once("close", () => {
             run.isComplete = response.writableFinished;
-            this.record(`${key} ${run.isComplete ? "is answered in full" : "is cut off by its caller"}`);
+            this.record(`${key} ${run.isComplete ? "has its answer written in full" : "is cut off by its caller"}`);
         });
         await this.answer({ request, response, run, headers: this.headers(id), body: Buffer.concat(chunks) });
     }
