review: case 4 kills one entry of seven

Cause: the script killed the only entry, which is more than the share of machines that the site names. Change: seven entries in three zones; one is killed.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -15,6 +15,16 @@
 } from "../lib/platform.mjs";
 import { Replica, sendStream } from "../lib/replica.mjs";
 
+/** Seven entries in three zones, as on the site; one of them is killed. */
+const NAMES = [
+    "frontend-a-1",
+    "frontend-a-2",
+    "frontend-a-3",
+    "frontend-b-1",
+    "frontend-b-2",
+    "frontend-c-1",
+    "frontend-c-2",
+];
 const EVENTS = 28;
 const GAP_MS = 60;
 
@@ -45,11 +55,16 @@
 
     const programs = await new Programs(record).open();
     onEnd(() => programs.close());
-    const hosts = [newHost()];
+    const hosts = NAMES.map(newHost);
     const ports = await drawPorts(hosts[0]);
-    const settings = await entrySettings("frontend-a-1", { hosts, index: 0, ports, store: store.address });
-    const entry = await programs.start("entry", "frontend-a-1", settings);
-    await until("the entry is ready", () => isReady(hosts[0], ports.readiness));
+    const entries = [];
+    for (const [index, name] of NAMES.entries()) {
+        const zone = `zone-${name.split("-")[1]}`;
+        const settings = await entrySettings(name, { hosts, index, ports, store: store.address, zone });
+        entries.push(await programs.start("entry", name, settings));
+    }
+    const [entry] = entries;
+    await Promise.all(hosts.map(host => until("the entries are ready", () => isReady(host, ports.readiness))));
 
     const channel = await Channel.open(hosts[0], ports.frontend);
     onEnd(() => channel.close());
