--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -8,8 +8,7 @@
     EventLog,
     type Revision,
 } from "@magnolialock/kernel";
-import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { findFreePort } from "@magnolialock/test-support";
 import {
     configuration,
     NAMES,
@@ -45,14 +44,7 @@
     },
 });
 
-const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
+const freeAddress = async (): Promise<Address> => branded<Address>(`127.0.0.1:${await findFreePort()}`);
 
 /**
  * Starts an entry whose services have the given servers.
--- a/packages/lab/src/node/__tests__/realSockets.spec.ts
+++ b/packages/lab/src/node/__tests__/realSockets.spec.ts
@@ -22,9 +22,9 @@
     SimulatedPlatform,
     tokenText,
 } from "@magnolialock/lab";
+import { findFreePort } from "@magnolialock/test-support";
 import test from "ava";
 import { connect } from "node:http2";
-import { createServer } from "node:net";
 import { createEngineServer } from "../standIns/engineServer.ts";
 import { createPlatformServer } from "../standIns/platformServer.ts";
 
@@ -43,13 +43,7 @@
 const MAX_ATTEMPTS = 40;
 const RETRY_MS = 500;
 
-const freeAddress = (): Promise<Address> =>
-    new Promise(resolve => {
-        const server = createServer().listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as { readonly port: number; };
-            server.close(() => resolve(branded<Address>(`127.0.0.1:${port}`)));
-        });
-    });
+const freeAddress = async (): Promise<Address> => branded<Address>(`127.0.0.1:${await findFreePort()}`);
 
 /** Starts a platform, an engine, an agent and an entry in this process, connected over real sockets. */
 const startRequestPath = async (scope: ResourceScope, protocol: "http1" | "http2"): Promise<string> => {
--- a/packages/rank/src/node/__tests__/rankPeers.spec.ts
+++ b/packages/rank/src/node/__tests__/rankPeers.spec.ts
@@ -8,10 +8,9 @@
     type GroupName,
     ResourceScope,
 } from "@magnolialock/kernel";
+import { findFreePort } from "@magnolialock/test-support";
 import test from "ava";
 import { Hono } from "hono";
-import { once } from "node:events";
-import { createServer } from "node:net";
 import type { RankStatus } from "../../types/rankMessages.ts";
 import type { GroupMembership } from "../../types/rankServer.ts";
 import { COMPRESSED_ENCODING, decodeJson, encodeJson } from "../compressedJson.ts";
@@ -61,15 +60,6 @@
     }
 }
 
-const findFreePort = async (): Promise<number> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as { readonly port: number; };
-    server.close();
-    await once(server, "close");
-    return port;
-};
-
 /** The agents of two groups, and the peers as the agent of rank 0 of the first group sees them. */
 const startFixture = async (scope: ResourceScope) => {
     const port = await findFreePort();
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+export * from "./node/freePort.ts";
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
 export * from "./shared/processClock.ts";
--- /dev/null
+++ b/packages/test-support/src/node/freePort.ts
@@ -0,0 +1,54 @@
+/**
+ * Free ports for processes under test that are told their port before they listen on it.
+ *
+ * @packageDocumentation
+ */
+
+import { randomInt } from "node:crypto";
+import { once } from "node:events";
+import { createServer } from "node:net";
+
+/**
+ * Ports below those that operating systems hand out by themselves, so that no outgoing connection and no listener
+ * on port 0 takes one before it is used.
+ */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+const MAX_TRIES = 100;
+
+const returned = new Set<number>();
+
+const isFree = async (port: number, host: string): Promise<boolean> => {
+    const server = createServer();
+    server.listen(port, host);
+    try {
+        await once(server, "listening");
+    }
+    catch (error) {
+        if ((error as NodeJS.ErrnoException).code === "EADDRINUSE") {
+            return false;
+        }
+        throw error;
+    }
+    server.close();
+    await once(server, "close");
+    return true;
+};
+
+/**
+ * Finds a TCP port on which nothing listens. It returns no port twice within a process.
+ *
+ * @param host - address to listen on
+ * @returns the port
+ * @throws if no free port was found
+ */
+export const findFreePort = async (host = "127.0.0.1"): Promise<number> => {
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+        const port = FIRST_PORT + randomInt(PORT_COUNT);
+        if (!returned.has(port) && await isFree(port, host)) {
+            returned.add(port);
+            return port;
+        }
+    }
+    throw new Error(`no free port on ${host} in ${MAX_TRIES} tries`);
+};
