feat(direct): logs tell how a stop lost a request

Cause: a request that a stop loses leaves no line: an answer whose last bytes do not leave counts as answered, one whose connection this instance closes counts as left by its caller (both debug, sampled), and a stop that hangs in its clean-up logs nothing before SIGKILL. Change: direct.answer.unsent (8035), direct.call.left-at-stop (8036), direct.process.closing (8009) and the duration of a stop. No change of logic. Measured: the tests of packages/direct on real sockets, of responses and of streams pass.

--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -19,6 +19,8 @@
     readonly address: Address;
     /** Serves one request; resolves when it has ended and never rejects. */
     readonly serve: (call: IncomingCall, reply: CallerReply) => Promise<void>;
+    /** Called for a request whose connection ended before all bytes of its answer had left. */
+    readonly onUnsent: (call: IncomingCall) => void;
 }
 
 /** Limits until a configuration is known. */
@@ -185,16 +187,22 @@
             reply.sendWhole({ status: HTTP_TOO_LARGE, headers: {} }, Buffer.alloc(0));
             return;
         }
+        const call: IncomingCall = {
+            method: request.method ?? "GET",
+            path: request.url ?? "/",
+            headers: joinRepeatedHeaders(request),
+            rawHeaders: request.rawHeaders,
+            body,
+            receivedMs,
+        };
+        response.once("close", () => {
+            if (response.writableEnded && !response.writableFinished) {
+                options.onUnsent(call);
+            }
+        });
         running++;
         try {
-            await options.serve({
-                method: request.method ?? "GET",
-                path: request.url ?? "/",
-                headers: joinRepeatedHeaders(request),
-                rawHeaders: request.rawHeaders,
-                body,
-                receivedMs,
-            }, reply);
+            await options.serve(call, reply);
         }
         finally {
             running--;
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -24,8 +24,10 @@
 import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
+    answerUnsent,
     directPaused,
     directStarted,
+    directStopClosing,
     directStopped,
     directStopping,
     directUnexpected,
@@ -270,7 +272,9 @@
     scope: ResourceScope,
 ): Promise<void> => {
     const { clock, events } = context.options.runtime;
-    const deadlineMs = clock.nowMs() + context.bounds.graceMs - SHUTDOWN_MARGIN_MS;
+    const startMs = clock.nowMs();
+    const deadlineMs = startMs + context.bounds.graceMs - SHUTDOWN_MARGIN_MS;
+    context.isStopping = true;
     listener.beginStop();
     events.emit(directStopping, { running: listener.running, graceMs: context.bounds.graceMs });
     await sleep(clock, DEREGISTRATION_MS);
@@ -283,8 +287,9 @@
         context.endRequests();
         await sleep(clock, LAST_ANSWERS_MS);
     }
+    events.emit(directStopClosing, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
     await scope[Symbol.asyncDispose]();
-    events.emit(directStopped, { unfinished });
+    events.emit(directStopped, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
 };
 
 /**
@@ -342,6 +347,7 @@
             clock,
             address: settings.callers,
             serve: (call, reply) => serveSafely(context, call, reply),
+            onUnsent: call => events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
         }),
     );
     await openOperatorEndpoints({ ...options, isReady, store, metrics }, scope);
--- a/packages/direct/src/shared/callLog.ts
+++ b/packages/direct/src/shared/callLog.ts
@@ -7,7 +7,14 @@
 import type { AdmittedCall } from "../types/admittedCall.ts";
 import type { IncomingCall } from "../types/call.ts";
 import type { DirectContext } from "./directContext.ts";
-import { attemptFailed, callAnswered, callFailed, callLeft, callRefused } from "./directEvents.ts";
+import {
+    attemptFailed,
+    callAnswered,
+    callFailed,
+    callLeft,
+    callLeftAtStop,
+    callRefused,
+} from "./directEvents.ts";
 import { sharedPromptParts } from "./promptParts.ts";
 import { requestIdentity } from "./requestIdentity.ts";
 import type { AttemptOutcome, StreamCursor } from "./runAttempt.ts";
@@ -82,7 +89,8 @@
 
     /** Records that the caller disconnected. */
     public left(): void {
-        this.context.options.runtime.events.emit(callLeft, this.fields(0));
+        const event = this.context.isStopping ? callLeftAtStop : callLeft;
+        this.context.options.runtime.events.emit(event, this.fields(0));
         this.count("left", 0);
     }
 
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -104,6 +104,8 @@
     public readonly news: FleetNews;
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
+    /** Whether the process was told to stop. */
+    public isStopping = false;
     private readonly ending = new AbortController();
     private readonly services = new Map<ServiceName, ServiceState>();
     private readonly allotment: FleetAllotment;
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -22,6 +22,14 @@
     summary: "The direct entry reports not ready and finishes the running requests.",
 });
 
+/** The requests of a planned stop have ended. */
+export const directStopClosing = defineEvent({
+    number: 8009,
+    name: "direct.process.closing",
+    level: "info",
+    summary: "No request runs any more, or the grace period is over; the direct entry closes its ports.",
+});
+
 /** The process has ended. */
 export const directStopped = defineEvent({
     number: 8003,
@@ -237,6 +245,22 @@
     summary: "A caller disconnected before its response was complete; the running attempt was aborted.",
 });
 
+/** The last bytes of an answer did not leave. */
+export const answerUnsent = defineEvent({
+    number: 8035,
+    name: "direct.answer.unsent",
+    level: "info",
+    summary: "The connection of a caller ended before all bytes of an answer that counts as given had left.",
+});
+
+/** A caller's connection ended during the stop of this instance. */
+export const callLeftAtStop = defineEvent({
+    number: 8036,
+    name: "direct.call.left-at-stop",
+    level: "info",
+    summary: "The connection of a caller ended without a complete response while this instance stops.",
+});
+
 /** An attempt ended without a complete response. */
 export const attemptFailed = defineEvent({
     number: 8034,
