fix(entry): closing a server waits for no idle connection and cuts off no response

Cause: the disposal of `listenHttp` called `server.close()`. Node.js keeps connections on which no complete head has been received (up to the header timeout) and, for HTTP/2, every session; a response that never ends held it up without a bound. It also counts a connection as idle once its response has been handed over, and destroys it: a slow reader's answer was cut off. A pipelined request behind a response with `Connection: close` was passed on and never answered. Readiness, peers and metrics of direct entries are closed in the same way, so their stop hung until SIGKILL.

Change: the server follows its connections and their unfinished responses. Disposing it stops listening, closes at once what has no response to give (idle, no byte, half a head, half a body), sends `Connection: close` (HTTP/2: GOAWAY) and handles no request behind it, waits for running responses until they have left, for at most `closeTimeoutMs` (1,000 by default), and destroys the rest.

--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -4,11 +4,17 @@
  * @packageDocumentation
  */
 
-import { serve, type ServerType } from "@hono/node-server";
-import { type Address, splitAddress } from "@magnolialock/kernel";
+import { getRequestListener } from "@hono/node-server";
+import { type Address, createSystemClock, splitAddress } from "@magnolialock/kernel";
 import type { Hono } from "hono";
-import { createServer as createHttpServer } from "node:http";
-import { createServer as createHttp2Server } from "node:http2";
+import { once } from "node:events";
+import { createServer as createHttpServer, type Server } from "node:http";
+import { createServer as createHttp2Server, type Http2Server } from "node:http2";
+import { Server as NetServer } from "node:net";
+import { Http1Connections, Http2Connections, type OpenConnections } from "./openConnections.ts";
+
+/** Handler of the requests of a server. */
+type RequestListener = ReturnType<typeof getRequestListener>;
 
 /** Options of {@link listenHttp}. */
 export interface HttpServerOptions {
@@ -18,6 +24,8 @@
     readonly address: Address;
     /** Protocol; HTTP/2 runs without TLS, with prior knowledge. */
     readonly protocol: "http1" | "http2";
+    /** Time for running responses to end when the server is disposed, in milliseconds. */
+    readonly closeTimeoutMs?: number;
 }
 
 /** Maximum total size of the headers of a request, in bytes. */
@@ -29,37 +37,59 @@
 /** Time after which idle connections are closed, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
+/** Time for responses to end when a server is closed, by default, in milliseconds. */
+const DEFAULT_CLOSE_TIMEOUT_MS = 1_000;
+
+/** A server and its connections. */
+interface OpenServer {
+    readonly server: Server | Http2Server;
+    readonly connections: OpenConnections;
+}
+
+const createHttp1 = (listener: RequestListener): OpenServer => {
+    const connections = new Http1Connections();
+    const server = createHttpServer({
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    }, connections.wrap(listener));
+    connections.follow(server);
+    return { server, connections };
+};
+
+const createHttp2 = (listener: RequestListener): OpenServer => {
+    const connections = new Http2Connections();
+    const server = createHttp2Server(listener);
+    connections.follow(server);
+    return { server, connections };
+};
+
+const closeServer = async ({ server, connections }: OpenServer, closeTimeoutMs: number): Promise<void> => {
+    const closed = once(server, "close");
+    // `close()` of an HTTP server also closes connections whose response has been handed over but has not left.
+    NetServer.prototype.close.call(server);
+    connections.closeGracefully();
+    const timer = createSystemClock().setTimer(closeTimeoutMs, () => connections.destroyAll());
+    await closed;
+    timer.cancel();
+    // Releases the timer with which an HTTP server checks its connections.
+    server.close();
+};
+
 /**
  * Starts an HTTP server for an application.
  *
  * @param options - application, address and protocol
- * @returns the server; disposing it refuses new connections and waits for open ones to end
+ * @returns the server; disposing it refuses new connections, closes those without a response to give at once,
+ * lets running responses end within `closeTimeoutMs`, and then closes what is left
  */
-export const listenHttp = (options: HttpServerOptions): Promise<AsyncDisposable> =>
-    new Promise((resolve, reject) => {
-        const { host, port } = splitAddress(options.address);
-        const common = { fetch: options.app.fetch, hostname: host, port };
-        const onListening = (): void =>
-            resolve({
-                [Symbol.asyncDispose]: () =>
-                    new Promise(onClosed => {
-                        server.close(() => onClosed());
-                        if ("closeIdleConnections" in server) {
-                            server.closeIdleConnections();
-                        }
-                    }),
-            });
-        const server: ServerType = options.protocol === "http1"
-            ? serve({
-                ...common,
-                createServer: createHttpServer,
-                serverOptions: {
-                    maxHeaderSize: MAX_HEADER_BYTES,
-                    headersTimeout: HEADERS_TIMEOUT_MS,
-                    requestTimeout: REQUEST_TIMEOUT_MS,
-                    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-                },
-            }, onListening)
-            : serve({ ...common, createServer: createHttp2Server }, onListening);
-        server.once("error", reject);
-    });
+export const listenHttp = async (options: HttpServerOptions): Promise<AsyncDisposable> => {
+    const { host, port } = splitAddress(options.address);
+    const listener = getRequestListener(options.app.fetch, { hostname: host });
+    const open = options.protocol === "http1" ? createHttp1(listener) : createHttp2(listener);
+    open.server.listen(port, host);
+    await once(open.server, "listening");
+    const closeTimeoutMs = options.closeTimeoutMs ?? DEFAULT_CLOSE_TIMEOUT_MS;
+    return { [Symbol.asyncDispose]: () => closeServer(open, closeTimeoutMs) };
+};
