fix(direct): a stop does not wait for silent connections at the internal ports

Cause: after the grace a stop closed the ports for readiness, peers and metrics first, and waited for each connection on which no complete request had been read. Meanwhile requests on kept channels of callers were still taken and passed on, with no deadline left, until SIGKILL ended them all without a log line. Change: these ports give running responses 50 ms at the end of a stop (closeTimeoutMs of listenHttp).

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -105,6 +105,8 @@
  */
 const SHUTDOWN_MARGIN_MS = 400;
 const STOP_POLL_MS = 25;
+/** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
+const INTERNAL_CLOSE_TIMEOUT_MS = 50;
 /** Time for the answers to requests that are ended by the stop to leave, in milliseconds. */
 const LAST_ANSWERS_MS = 100;
 
@@ -224,6 +226,9 @@
     return { servers, experts: spec?.engine?.experts };
 };
 
+const listenInternal = (app: Hono, address: Address): Promise<AsyncDisposable> =>
+    listenHttp({ app, address, protocol: "http1", closeTimeoutMs: INTERNAL_CLOSE_TIMEOUT_MS });
+
 /**
  * Serves readiness, the published state for other instances, the servers of a service for rank agents, and
  * metrics.
@@ -234,21 +239,21 @@
         readinessPath,
         context => context.body("", isReady() ? HTTP_OK : HTTP_UNAVAILABLE),
     );
-    scope.use(await listenHttp({ app: readiness, address: settings.readiness, protocol: "http1" }));
+    scope.use(await listenInternal(readiness, settings.readiness));
     const state = new Hono()
         .get(STATE_PATH, context => context.json(store.export()))
         .get(
             SERVICE_SERVERS_ROUTE,
             context => context.json(serviceServers(store, context.req.param("service") ?? "")),
         );
-    scope.use(await listenHttp({ app: state, address: settings.peers, protocol: "http1" }));
+    scope.use(await listenInternal(state, settings.peers));
     if (settings.metrics) {
         const app = new Hono().get(
             METRICS_PATH,
             async context =>
                 context.text(await metrics.text(), HTTP_OK, { "content-type": metrics.contentType }),
         );
-        scope.use(await listenHttp({ app, address: settings.metrics, protocol: "http1" }));
+        scope.use(await listenInternal(app, settings.metrics));
     }
 };
 
