fix(direct): an answer counts as running until its last bytes have left

Callers saw answers cut off in a planned stop, and the log had no line on them. Cause: a request ended with the call of end(). A stop therefore closed connections as idle at 3.5 s (Node.js does so for each response on which end() was called), or ended the process, while bytes of answers still waited in it for slow readers. A connection closed with unread bytes of its caller was also reset, and a channel whose answer began before the signal was kept open after the other idle ones had been closed, so that it carried requests until the end. Change: a connection counts its requests from their heads to the last byte of their answers; it is closed once it carries none, by a half-close that reads on for a while; the callers' listener is closed before the other components. A body that is still arriving counts, too. A body over the limit is answered instead of closing the connection under the answer.

--- /dev/null
+++ b/packages/direct/src/node/callerConnection.ts
@@ -0,0 +1,79 @@
+/**
+ * Connection of a caller: counts the answers that have not left yet, and closes without discarding them.
+ *
+ * @packageDocumentation
+ */
+
+import type { Clock } from "@magnolialock/kernel";
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/**
+ * Time after the last byte was sent for which a closing connection goes on reading, in milliseconds. The
+ * operating system resets a connection that is closed with unread bytes, and discards what the caller has not
+ * received yet.
+ */
+const LINGER_MS = 1_000;
+
+/** One connection of a caller. */
+export class CallerConnection {
+    private openRequests = 0;
+    private hasBegunClose = false;
+
+    /**
+     * @param socket - its socket
+     * @param clock - source of time
+     */
+    public constructor(private readonly socket: Socket, private readonly clock: Clock) {
+        // Node's HTTP server calls it after an answer with `Connection: close`.
+        socket.destroySoon = () => this.close();
+    }
+
+    /** Number of requests whose head was read and whose answer has not left completely. */
+    public get pending(): number {
+        return this.openRequests;
+    }
+
+    /** Whether it is closing or closed: no further request on it gets an answer. */
+    public get isClosing(): boolean {
+        return this.hasBegunClose || this.socket.destroyed;
+    }
+
+    /**
+     * Counts a request until all bytes of its answer have left, or the connection has ended.
+     *
+     * @param response - response to the request
+     * @param onEnd - called at that moment, with whether all bytes of an answer have left
+     */
+    public track(response: ServerResponse, onEnd: (hasLeft: boolean) => void): void {
+        this.openRequests++;
+        const end = (): void => {
+            response.off("finish", end);
+            response.off("close", end);
+            this.openRequests--;
+            // Node.js also emits `finish` when the socket was destroyed before the last write.
+            onEnd(response.writableEnded && !this.socket.destroyed);
+        };
+        response.once("finish", end);
+        response.once("close", end);
+    }
+
+    /** Closes the connection once what was written has left, and reads on for a while after that. */
+    public close(): void {
+        if (this.isClosing) {
+            return;
+        }
+        this.hasBegunClose = true;
+        this.socket.end(() => {
+            if (!this.socket.destroyed) {
+                const timer = this.clock.setTimer(LINGER_MS, () => this.socket.destroy());
+                this.socket.once("close", () => timer.cancel());
+            }
+        });
+    }
+
+    /** Closes the connection at once; bytes that have not left are lost. */
+    public destroy(): void {
+        this.socket.destroy();
+    }
+}
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -5,11 +5,14 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, splitAddress } from "@magnolialock/kernel";
+import { type Address, type Clock, sleep, splitAddress } from "@magnolialock/kernel";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { CallerReply, IncomingCall, ResponseHead } from "../types/call.ts";
+import { Server as TcpServer, type Socket } from "node:net";
+import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
+import { CallerConnection } from "./callerConnection.ts";
+import { HttpReply } from "./httpReply.ts";
 
 /** Options of {@link openCallerListener}. */
 export interface CallerListenerOptions {
@@ -38,10 +41,13 @@
 /** Maximum size of headers that the parser accepts, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 const HTTP_TOO_LARGE = 413;
+/** Time for callers to close their connections at the end of a stop before they are destroyed, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 150;
+const CLOSE_POLL_MS = 10;
 
 /** Listener of a direct entry for callers. */
 export interface CallerListener extends AsyncDisposable {
-    /** Number of requests that were received and have not ended. */
+    /** Number of requests whose head was received and whose answer has not left completely. */
     readonly running: number;
     /**
      * Applies the limits of a configuration.
@@ -51,107 +57,156 @@
     applyLimits(limits: CallerLimits): void;
     /** Closes each connection after its next response. */
     beginStop(): void;
-    /** Stops accepting connections and closes idle ones. */
+    /** Stops accepting connections, and closes each one as soon as it carries no request. */
     closeIdle(): void;
 }
 
-/** Reply on a response of Node's HTTP server. */
-class HttpReply implements CallerReply {
-    public readonly disconnected: AbortSignal;
-    private readonly controller = new AbortController();
-    private isFinished = false;
-    private isCloseDelimited = false;
-
-    public constructor(
-        private readonly response: ServerResponse,
-        private readonly isStopping: () => boolean,
-    ) {
-        this.disconnected = this.controller.signal;
-        response.sendDate = false;
-        response.once("close", () => {
-            if (!this.isFinished) {
-                this.controller.abort();
+type RequestBody =
+    | { readonly kind: "whole"; readonly bytes: Buffer; }
+    | { readonly kind: "tooLarge"; }
+    /** The caller closed its connection within the body. */
+    | { readonly kind: "incomplete"; };
+
+const readBody = async (request: IncomingMessage, maxBytes: number): Promise<RequestBody> => {
+    const { "content-length": length, "transfer-encoding": encoding } = request.headers;
+    if (length === undefined && encoding === undefined) {
+        return { kind: "whole", bytes: Buffer.alloc(0) };
+    }
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    try {
+        // The connection still carries the answer to a body that is too large.
+        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+            bytes += chunk.length;
+            if (bytes > maxBytes) {
+                return { kind: "tooLarge" };
             }
-        });
-        // The caller disconnected during a write. The `close` event follows and aborts the request.
-        response.on("error", () => {});
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return { kind: "incomplete" };
+    }
+    return { kind: "whole", bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) };
+};
+
+const joinRepeatedHeaders = (request: IncomingMessage): Record<string, string | undefined> => {
+    const headers: Record<string, string | undefined> = {};
+    for (const [name, value] of Object.entries(request.headers)) {
+        headers[name] = Array.isArray(value) ? value.join(",") : value;
     }
+    return headers;
+};
 
-    public sendWhole(head: ResponseHead, body: Buffer): void {
-        this.isFinished = true;
-        const length = head.isCloseDelimited ? {} : { "content-length": String(body.length) };
-        this.writeHead({ ...head, headers: { ...head.headers, ...length } });
-        this.response.end(body);
+/** Listener on Node's HTTP server. */
+class HttpCallerListener implements CallerListener {
+    private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly server: Server;
+    private limits = DEFAULT_LIMITS;
+    private isStopping = false;
+    private isClosingIdle = false;
+
+    public constructor(private readonly options: CallerListenerOptions) {
+        this.server = createServer(
+            { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+            (request, response) => {
+                void this.handleRequest(request, response);
+            },
+        );
+        this.server.on("connection", (socket: Socket) => {
+            this.connections.set(socket, new CallerConnection(socket, options.clock));
+            socket.once("close", () => this.connections.delete(socket));
+        });
+        this.server.requestTimeout = 0;
+        this.applyLimits(DEFAULT_LIMITS);
     }
 
-    public startStream(head: ResponseHead): void {
-        this.writeHead(head);
+    public get running(): number {
+        return [...this.connections.values()].reduce((sum, { pending }) => sum + pending, 0);
     }
 
-    public write(bytes: Buffer): boolean {
-        return this.response.write(bytes);
+    public async listen(): Promise<void> {
+        const { host, port } = splitAddress(this.options.address);
+        this.server.listen(port, host);
+        await once(this.server, "listening");
     }
 
-    public onDrain(listener: () => void): void {
-        this.response.once("drain", listener);
+    public applyLimits(limits: CallerLimits): void {
+        this.limits = limits;
+        this.server.headersTimeout = limits.headerTimeoutMs + TIMEOUT_MARGIN_MS;
+        this.server.keepAliveTimeout = limits.idleTimeoutMs + TIMEOUT_MARGIN_MS;
     }
 
-    public end(): void {
-        this.isFinished = true;
-        this.response.end();
+    public beginStop(): void {
+        this.isStopping = true;
     }
 
-    public abort(): void {
-        this.isFinished = true;
-        if (this.isCloseDelimited) {
-            // A normal close is how such a response ends when it is complete.
-            this.response.socket?.resetAndDestroy();
+    public closeIdle(): void {
+        this.isClosingIdle = true;
+        // `close` of the HTTP server would also destroy connections whose last answer has not left.
+        TcpServer.prototype.close.call(this.server);
+        for (const connection of this.connections.values()) {
+            this.closeIfIdle(connection);
         }
-        this.response.destroy();
     }
 
-    private writeHead(head: ResponseHead): void {
-        if (head.isCloseDelimited) {
-            // A `Content-Length` or a last chunk would mark the body as complete, which the backend server
-            // has not done.
-            this.isCloseDelimited = true;
-            this.response.useChunkedEncodingByDefault = false;
-            this.response.shouldKeepAlive = false;
+    public async [Symbol.asyncDispose](): Promise<void> {
+        const { clock } = this.options;
+        this.closeIdle();
+        const deadlineMs = clock.nowMs() + CLOSE_TIMEOUT_MS;
+        while (this.connections.size > 0 && clock.nowMs() < deadlineMs) {
+            await sleep(clock, CLOSE_POLL_MS);
         }
-        if (this.isStopping()) {
-            this.response.setHeader("connection", "close");
+        for (const connection of this.connections.values()) {
+            connection.destroy();
         }
-        this.response.writeHead(head.status, head.headers as Record<string, string | string[]>);
     }
-}
 
-/** Reads a complete body; returns undefined if it is too large. */
-const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) {
-            return undefined;
+    private closeIfIdle(connection: CallerConnection): void {
+        if (this.isClosingIdle && connection.pending === 0) {
+            connection.close();
         }
-        chunks.push(chunk);
     }
-    return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-};
 
-const joinRepeatedHeaders = (request: IncomingMessage): Record<string, string | undefined> => {
-    const headers: Record<string, string | undefined> = {};
-    for (const [name, value] of Object.entries(request.headers)) {
-        headers[name] = Array.isArray(value) ? value.join(",") : value;
+    private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const receivedMs = this.options.clock.nowMs();
+        const connection = this.connections.get(request.socket);
+        if (!connection || connection.isClosing) {
+            // The request crossed the close of its connection: no answer can be sent.
+            request.resume();
+            return;
+        }
+        let call: IncomingCall | undefined;
+        connection.track(response, hasLeft => {
+            if (call && response.writableEnded && !hasLeft) {
+                this.options.onUnsent(call);
+            }
+            this.closeIfIdle(connection);
+        });
+        const reply = new HttpReply(response, () => this.isStopping);
+        const body = await readBody(request, this.limits.bodyBytes);
+        switch (body.kind) {
+            case "tooLarge":
+                response.setHeader("connection", "close");
+                reply.sendWhole({ status: HTTP_TOO_LARGE, headers: {} }, Buffer.alloc(0));
+                return;
+            case "incomplete":
+                // There is no complete request, and nobody to respond to.
+                response.destroy();
+                return;
+            case "whole":
+                call = {
+                    method: request.method ?? "GET",
+                    path: request.url ?? "/",
+                    headers: joinRepeatedHeaders(request),
+                    rawHeaders: request.rawHeaders,
+                    body: body.bytes,
+                    receivedMs,
+                };
+                await this.options.serve(call, reply);
+        }
     }
-    return headers;
-};
-
-const listen = async (server: Server, address: Address): Promise<void> => {
-    const { host, port } = splitAddress(address);
-    server.listen(port, host);
-    await once(server, "listening");
-};
+}
 
 /**
  * Opens the listener for callers.
@@ -161,80 +216,7 @@
  * @throws if the address cannot be bound
  */
 export const openCallerListener = async (options: CallerListenerOptions): Promise<CallerListener> => {
-    const { clock } = options;
-    let limits = DEFAULT_LIMITS;
-    let isStopping = false;
-    let running = 0;
-
-    const handleRequest = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const reply = new HttpReply(response, () => isStopping);
-        const receivedMs = clock.nowMs();
-        let body: Buffer | undefined;
-        try {
-            body = request.headers["content-length"] === undefined
-                    && request.headers["transfer-encoding"] === undefined
-                ? Buffer.alloc(0)
-                : await readBody(request, limits.bodyBytes);
-        }
-        catch {
-            // The caller closed its connection within the body: there is no complete request, and nobody to
-            // respond to.
-            response.destroy();
-            return;
-        }
-        if (!body) {
-            response.setHeader("connection", "close");
-            reply.sendWhole({ status: HTTP_TOO_LARGE, headers: {} }, Buffer.alloc(0));
-            return;
-        }
-        const call: IncomingCall = {
-            method: request.method ?? "GET",
-            path: request.url ?? "/",
-            headers: joinRepeatedHeaders(request),
-            rawHeaders: request.rawHeaders,
-            body,
-            receivedMs,
-        };
-        response.once("close", () => {
-            if (response.writableEnded && !response.writableFinished) {
-                options.onUnsent(call);
-            }
-        });
-        running++;
-        try {
-            await options.serve(call, reply);
-        }
-        finally {
-            running--;
-        }
-    };
-
-    const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (request, response) => {
-        void handleRequest(request, response);
-    });
-    const applyLimits = (next: CallerLimits): void => {
-        limits = next;
-        server.headersTimeout = next.headerTimeoutMs + TIMEOUT_MARGIN_MS;
-        server.keepAliveTimeout = next.idleTimeoutMs + TIMEOUT_MARGIN_MS;
-    };
-    applyLimits(DEFAULT_LIMITS);
-    server.requestTimeout = 0;
-    await listen(server, options.address);
-    return {
-        get running() {
-            return running;
-        },
-        applyLimits,
-        beginStop: () => {
-            isStopping = true;
-        },
-        closeIdle: () => {
-            server.close();
-            server.closeIdleConnections();
-        },
-        [Symbol.asyncDispose]: async () => {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
+    const listener = new HttpCallerListener(options);
+    await listener.listen();
+    return listener;
 };
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -107,8 +107,6 @@
 const STOP_POLL_MS = 25;
 /** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
 const INTERNAL_CLOSE_TIMEOUT_MS = 50;
-/** Time for the answers to requests that are ended by the stop to leave, in milliseconds. */
-const LAST_ANSWERS_MS = 100;
 
 const fetchState = async (peer: Address, signal: AbortSignal): Promise<unknown> => {
     const response = await request(`http://${peer}${STATE_PATH}`, { signal });
@@ -290,9 +288,10 @@
     const unfinished = listener.running;
     if (unfinished > 0) {
         context.endRequests();
-        await sleep(clock, LAST_ANSWERS_MS);
     }
     events.emit(directStopClosing, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
+    // Before the other components, so that no request is taken while they are closed.
+    await listener[Symbol.asyncDispose]();
     await scope[Symbol.asyncDispose]();
     events.emit(directStopped, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
 };
--- /dev/null
+++ b/packages/direct/src/node/httpReply.ts
@@ -0,0 +1,89 @@
+/**
+ * Reply to a caller on a response of Node's HTTP server.
+ *
+ * @packageDocumentation
+ */
+
+import type { ServerResponse } from "node:http";
+import type { CallerReply, ResponseHead } from "../types/call.ts";
+
+/** Reply on a response of Node's HTTP server. */
+export class HttpReply implements CallerReply {
+    /** {@inheritDoc CallerReply.disconnected} */
+    public readonly disconnected: AbortSignal;
+    private readonly controller = new AbortController();
+    private isFinished = false;
+    private isCloseDelimited = false;
+
+    /**
+     * @param response - response of the HTTP server
+     * @param mustClose - returns whether the connection is to be closed after the response
+     */
+    public constructor(
+        private readonly response: ServerResponse,
+        private readonly mustClose: () => boolean,
+    ) {
+        this.disconnected = this.controller.signal;
+        response.sendDate = false;
+        response.once("close", () => {
+            if (!this.isFinished) {
+                this.controller.abort();
+            }
+        });
+        // The caller disconnected during a write. The `close` event follows and aborts the request.
+        response.on("error", () => {});
+    }
+
+    /** {@inheritDoc CallerReply.sendWhole} */
+    public sendWhole(head: ResponseHead, body: Buffer): void {
+        this.isFinished = true;
+        const length = head.isCloseDelimited ? {} : { "content-length": String(body.length) };
+        this.writeHead({ ...head, headers: { ...head.headers, ...length } });
+        this.response.end(body);
+    }
+
+    /** {@inheritDoc CallerReply.startStream} */
+    public startStream(head: ResponseHead): void {
+        this.writeHead(head);
+    }
+
+    /** {@inheritDoc CallerReply.write} */
+    public write(bytes: Buffer): boolean {
+        return this.response.write(bytes);
+    }
+
+    /** {@inheritDoc CallerReply.onDrain} */
+    public onDrain(listener: () => void): void {
+        this.response.once("drain", listener);
+    }
+
+    /** {@inheritDoc CallerReply.end} */
+    public end(): void {
+        this.isFinished = true;
+        this.response.end();
+    }
+
+    /** {@inheritDoc CallerReply.abort} */
+    public abort(): void {
+        this.isFinished = true;
+        if (this.isCloseDelimited) {
+            // A normal close is how such a response ends when it is complete.
+            this.response.socket?.resetAndDestroy();
+        }
+        this.response.destroy();
+    }
+
+    private writeHead(head: ResponseHead): void {
+        if (head.isCloseDelimited) {
+            // A `Content-Length` or a last chunk would mark the body as complete, which the backend server
+            // has not done.
+            this.isCloseDelimited = true;
+            this.response.useChunkedEncodingByDefault = false;
+            this.response.shouldKeepAlive = false;
+        }
+        if (this.mustClose()) {
+            this.response.setHeader("connection", "close");
+        }
+        this.response.writeHead(head.status, head.headers as Record<string, string | string[]>);
+    }
+}
