fix(direct): a pipelined request is not passed on behind an answer that closes its connection

Cause: Node.js hands out a pipelined request while the answer before it is under way. It was passed on and ran; when the answer before it carried Connection: close, as all do in a stop, the connection was closed under it. The log took its caller for one that left. Change: a connection serves one request after the other. One that was read before the head of an answer is sent is answered on the same connection; what follows an answer that announces the close is not passed on.

--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -1,5 +1,6 @@
 /**
- * Connection of a caller: counts the answers that have not left yet, and closes without discarding them.
+ * Connection of a caller: serves one request after the other, counts the answers that have not left yet, and
+ * closes without discarding them.
  *
  * @packageDocumentation
  */
@@ -15,9 +16,16 @@
  */
 const LINGER_MS = 1_000;
 
+const withResolvers = (): { readonly promise: Promise<void>; readonly resolve: () => void; } => {
+    let resolve = (): void => {};
+    const promise = new Promise<void>(onResolved => resolve = onResolved);
+    return { promise, resolve };
+};
+
 /** One connection of a caller. */
 export class CallerConnection {
     private openRequests = 0;
+    private lastEnded: Promise<void> = Promise.resolve();
     private hasBegunClose = false;
 
     /**
@@ -40,22 +48,35 @@
     }
 
     /**
-     * Counts a request until all bytes of its answer have left, or the connection has ended.
+     * Counts a request until all bytes of its answer have left, or the connection has ended, and waits for its turn.
+     * Node's HTTP server hands out pipelined requests at once, also those behind an answer that closes the
+     * connection.
      *
      * @param response - response to the request
-     * @param onEnd - called at that moment, with whether all bytes of an answer have left
+     * @param onEnd - called when the request no longer counts, with whether all bytes of an answer have left
+     * @returns whether the request may be served: all answers before it have left, and the connection is open
      */
-    public track(response: ServerResponse, onEnd: (hasLeft: boolean) => void): void {
+    public async takeTurn(response: ServerResponse, onEnd: (hasLeft: boolean) => void): Promise<boolean> {
         this.openRequests++;
+        const previousEnded = this.lastEnded;
+        const { promise, resolve } = withResolvers();
+        this.lastEnded = promise;
         const end = (): void => {
             response.off("finish", end);
             response.off("close", end);
             this.openRequests--;
+            resolve();
             // Node.js also emits `finish` when the socket was destroyed before the last write.
             onEnd(response.writableEnded && !this.socket.destroyed);
         };
         response.once("finish", end);
         response.once("close", end);
+        await previousEnded;
+        if (this.isClosing) {
+            end();
+            return false;
+        }
+        return true;
     }
 
     /** Closes the connection once what was written has left, and reads on for a while after that. */
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -171,19 +171,20 @@
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedMs = this.options.clock.nowMs();
         const connection = this.connections.get(request.socket);
-        if (!connection || connection.isClosing) {
-            // The request crossed the close of its connection: no answer can be sent.
-            request.resume();
-            return;
-        }
         let call: IncomingCall | undefined;
-        connection.track(response, hasLeft => {
+        const mayServe = await connection?.takeTurn(response, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
             this.closeIfIdle(connection);
         });
-        const reply = new HttpReply(response, () => this.isStopping);
+        if (!connection || !mayServe) {
+            // Its connection closes after the answer before it, or closed before the request came.
+            request.resume();
+            return;
+        }
+        // Requests that were read before the head of an answer is sent are answered on the same connection.
+        const reply = new HttpReply(response, () => this.isStopping && connection.pending === 1);
         const body = await readBody(request, this.limits.bodyBytes);
         switch (body.kind) {
             case "tooLarge":
