fix(direct): a request that the end of a stop might cut is refused while it has not run

Callers saw requests that came late in the grace taken, passed on, and cut at its end, also ones that may not be repeated. Cause: a stopping entry passed on whatever came, on new connections until 3.5 s after the signal and on kept ones until the end, however little time was left.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -277,10 +277,12 @@
     const { clock, events } = context.options.runtime;
     const startMs = clock.nowMs();
     const deadlineMs = startMs + context.bounds.graceMs - SHUTDOWN_MARGIN_MS;
-    context.isStopping = true;
+    const lateFromMs = context.stop.begin(deadlineMs);
     listener.beginStop();
     events.emit(directStopping, { running: listener.running, graceMs: context.bounds.graceMs });
-    await sleep(clock, DEREGISTRATION_MS);
+    await sleep(clock, lateFromMs - startMs);
+    context.cancelWaiters();
+    await sleep(clock, Math.max(0, Math.min(startMs + DEREGISTRATION_MS, deadlineMs) - clock.nowMs()));
     listener.closeIdle();
     while (listener.running > 0 && clock.nowMs() < deadlineMs) {
         await sleep(clock, STOP_POLL_MS);
--- a/packages/direct/src/shared/callLog.ts
+++ b/packages/direct/src/shared/callLog.ts
@@ -89,7 +89,7 @@
 
     /** Records that the caller disconnected. */
     public left(): void {
-        const event = this.context.isStopping ? callLeftAtStop : callLeft;
+        const event = this.context.stop.isBegun ? callLeftAtStop : callLeft;
         this.context.options.runtime.events.emit(event, this.fields(0));
         this.count("left", 0);
     }
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -59,6 +59,7 @@
     private isGroupDown = false;
     private isRefusedByQueue = false;
     private isUnderWay = false;
+    private isTooLate = false;
     private quarantineMs: number | undefined;
     private limitWaitMs: number | undefined;
     private lastFailure: { readonly head: ResponseHead; readonly body: Buffer; } | undefined;
@@ -142,7 +143,7 @@
     private async runStep(signal: AbortSignal): Promise<NextStep> {
         const { groups } = this.state;
         const candidates = this.candidates();
-        const refused = this.refuseQuarantined();
+        const refused = this.refuseLate() ?? this.refuseQuarantined();
         if (refused) {
             return refused;
         }
@@ -242,6 +243,15 @@
         return this.handleOutcome(server, outcome);
     }
 
+    /** Refuses the request if the stop of this instance might cut it off, unless a server may have it already. */
+    private refuseLate(): NextStep | undefined {
+        if (this.progress.mayHaveRun || this.context.stop.mayPassOn(this.deadlineMs)) {
+            return undefined;
+        }
+        this.isTooLate = true;
+        return { kind: "stop", reason: "the instance stops before the request must have ended" };
+    }
+
     /** Refuses the request if it or a part of its prompt is in quarantine; the verdict may come while it waits. */
     private refuseQuarantined(): NextStep | undefined {
         const decision = this.guard.check();
@@ -421,6 +431,9 @@
     }
 
     private get refusalCause(): RefusalCause {
+        if (this.isTooLate) {
+            return { kind: "stop" };
+        }
         if (this.quarantineMs !== undefined) {
             return { kind: "quarantine", forMs: this.quarantineMs };
         }
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -23,6 +23,7 @@
 import type { ServerDirectory } from "./serverDirectory.ts";
 import { ServerLimits } from "./serverLimits.ts";
 import { ServiceGroups } from "./serviceGroups.ts";
+import { StopPlan } from "./stopPlan.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Runtime of a direct entry: without the transport, because it makes no calls over Connect. */
@@ -104,8 +105,8 @@
     public readonly news: FleetNews;
     /** Bounds in force; a reload of the settings may change them. */
     public bounds: SafetyBounds;
-    /** Whether the process was told to stop. */
-    public isStopping = false;
+    /** Which requests are still passed on while the process stops. */
+    public readonly stop: StopPlan;
     private readonly ending = new AbortController();
     private readonly services = new Map<ServiceName, ServiceState>();
     private readonly allotment: FleetAllotment;
@@ -116,6 +117,7 @@
         this.bounds = options.settings.bounds;
         this.allotment = new FleetAllotment(options.settings.instance, options.fleet);
         const { clock, events, random } = options.runtime;
+        this.stop = new StopPlan(clock);
         this.limits = new ServerLimits({
             clock,
             events,
@@ -138,6 +140,13 @@
         return this.ending.signal;
     }
 
+    /** Lets the requests that wait for a slot decide again whether they can still be served. */
+    public cancelWaiters(): void {
+        for (const { admissionQueue } of this.services.values()) {
+            admissionQueue.cancelWaiters();
+        }
+    }
+
     /** Ends the requests that still run. */
     public endRequests(): void {
         this.ending.abort();
--- a/packages/direct/src/shared/refusalDelay.ts
+++ b/packages/direct/src/shared/refusalDelay.ts
@@ -26,6 +26,8 @@
     | { readonly kind: "queue"; }
     /** Servers name limits or pauses; the time until one of them may get the request. */
     | { readonly kind: "limits"; readonly waitMs: number; }
+    /** This instance stops; another one may take it at once. */
+    | { readonly kind: "stop"; }
     /** No server has taken it, or none could be asked. */
     | { readonly kind: "servers"; readonly wereAsked: boolean; };
 
@@ -58,6 +60,7 @@
         .with({ kind: "quarantine" }, ({ forMs }) => forMs)
         .with({ kind: "groupDown" }, () => groups.retryAfterMs(remainingMs))
         .with({ kind: "queue" }, () => admissionQueue.retryAfterMs(remainingMs))
+        .with({ kind: "stop" }, () => 0)
         .with({ kind: "limits" }, ({ waitMs }) => waitMs)
         .with({ kind: "servers" }, ({ wereAsked }) => serverRetryAfterMs(random, wereAsked, remainingMs))
         .exhaustive();
