fix(direct): a stopping entry sends no reports on a closed socket

Cause: the socket for reports was disposed of before the exchange that sends on it, so that a report due meanwhile raised ERR_SOCKET_DGRAM_NOT_RUNNING (process.unexpected) and ended the exchange's loop. Change: the exchange is disposed of first.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -335,19 +335,17 @@
         fleet: () => exchange.fleet,
         peerDataCentres: () => exchange.aliveDataCentres,
     });
-    const exchange: PeerExchange = scope.use(
-        new PeerExchange({
-            runtime,
-            settings,
-            store,
-            directory,
-            services: () => context.serviceStates(),
-            news: context.news,
-            fetchState,
-            // The platform has not told this instance: its connection may have gone silent.
-            onFetched: () => watcher.restartCall(),
-        }),
-    );
+    const exchange: PeerExchange = new PeerExchange({
+        runtime,
+        settings,
+        store,
+        directory,
+        services: () => context.serviceStates(),
+        news: context.news,
+        fetchState,
+        // The platform has not told this instance: its connection may have gone silent.
+        onFetched: () => watcher.restartCall(),
+    });
     const listener = scope.use(
         await openCallerListener({
             clock,
@@ -360,7 +358,8 @@
     const socket = scope.use(
         await openDatagramSocket(settings.peers, (from, bytes) => exchange.receive(from, bytes)),
     );
-    void exchange.run(socket);
+    // Disposed of before the socket to which it sends.
+    void scope.use(exchange).run(socket);
     void scope.use(new GroupDirectory(context, readServerGroup(settings))).run();
     startBackgroundTasks(context, watcher, listener, scope);
     events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
