fix(entry): a plain answer that fails while it is written does not look complete

Cause: the body of a plain answer failed as a web stream. While bytes of it waited to be written (a body event of 16 KiB or more is enough), the HTTP adapter ended the response with the text of the error and the last chunk, so that the caller got a 200 of "xxxx…Error: gone" framed as whole. Change: the entry destroys the response before it lets the body fail.

--- /dev/null
+++ b/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
@@ -0,0 +1,114 @@
+import { type AnswerEvent, listenHttp } from "@magnolialock/entry";
+import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { type Answer, createTestApp, KEY } from "./stubEntry.ts";
+
+const clock = createSystemClock();
+/** Time after which a connection that the entry leaves open is closed, in milliseconds. */
+const MAX_WAIT_MS = 1_500;
+
+/** Time between two events of an answer. */
+type Gap = "none" | "microtasks" | "turn" | "pause";
+
+const PAUSE_MS = 15;
+const MICROTASKS = 6;
+
+const waitFor = async (gap: Gap): Promise<void> => {
+    switch (gap) {
+        case "none":
+            return;
+        case "microtasks":
+            for (let count = 0; count < MICROTASKS; count++) {
+                await undefined;
+            }
+            return;
+        case "turn":
+            await new Promise(setImmediate);
+            return;
+        case "pause":
+            await new Promise(resolve => clock.setTimer(PAUSE_MS, () => resolve(undefined)));
+            return;
+    }
+};
+
+const HEAD: AnswerEvent = { kind: "head", status: 200, headers: [["content-type", "application/json"]] };
+const FAILED: AnswerEvent = {
+    kind: "failed",
+    failure: { code: "broken", ran: "outcome unknown", message: "gone" },
+};
+
+const brokenAnswer = (sizes: readonly number[], gap: Gap, lastGap: Gap): Answer => async consume => {
+    consume(HEAD);
+    for (const size of sizes) {
+        await waitFor(gap);
+        consume({ kind: "body", bytes: Buffer.alloc(size, "x") });
+    }
+    await waitFor(lastGap);
+    consume(FAILED);
+};
+
+const freeAddress = async (): Promise<Address> => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return branded<Address>(`127.0.0.1:${port}`);
+};
+
+/** Sends a request as a caller does and tells how its answer looks. */
+const ask = async (address: Address): Promise<"complete" | "broken"> => {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    let text = "";
+    let isReset = false;
+    socket.on("data", bytes => text += bytes.toString("latin1"));
+    socket.on("error", () => isReset = true);
+    socket.setTimeout(MAX_WAIT_MS, () => socket.destroy());
+    socket.write(
+        `GET /painel/status HTTP/1.1\r\nhost: painel\r\nconnection: close\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
+    );
+    await once(socket, "close");
+    const isWhole = /^transfer-encoding: chunked\r$/im.test(text)
+        ? text.endsWith("\r\n0\r\n\r\n")
+        : text !== "" && !isReset;
+    return isWhole ? "complete" : "broken";
+};
+
+/** Serves each answer over a real socket; returns those that look complete to the caller. */
+const askAll = async (answers: ReadonlyMap<string, Answer>): Promise<string[]> => {
+    let answer: Answer = async () => {};
+    const { app } = createTestApp(consume => answer(consume));
+    const address = await freeAddress();
+    await using _server = await listenHttp({ app, address, protocol: "http1" });
+    const complete: string[] = [];
+    for (const [name, next] of answers) {
+        answer = next;
+        if (await ask(address) === "complete") {
+            complete.push(name);
+        }
+    }
+    return complete;
+};
+
+const GAPS: readonly Gap[] = ["none", "microtasks", "turn", "pause"];
+
+for (const sizes of [[], [5], [20_000], [5, 5, 20_000], [300_000, 300_000]]) {
+    test.serial(`a plain answer of ${sizes.join(" + ")} bytes that fails then does not look complete`, async t => {
+        const answers = GAPS.flatMap(gap =>
+            GAPS.map(lastGap => [`${gap}, ${lastGap}`, brokenAnswer(sizes, gap, lastGap)] as const)
+        );
+        t.deepEqual(await askAll(new Map(answers)), []);
+    });
+}
+
+test.serial("a plain answer that ends is complete", async t => {
+    const whole: Answer = async consume => {
+        consume(HEAD);
+        consume({ kind: "body", bytes: Buffer.alloc(20_000, "x") });
+        consume({ kind: "end", finishReason: "" });
+    };
+    t.deepEqual(await askAll(new Map([["whole", whole]])), ["whole"]);
+});
--- a/packages/entry/src/node/answerStream.ts
+++ b/packages/entry/src/node/answerStream.ts
@@ -67,6 +67,8 @@
     readonly isTokenStream: boolean;
     /** Events after the head; calling `return()` on the queue cancels the request. */
     readonly events: AsyncQueue<AnswerEvent>;
+    /** Called before the response body fails. */
+    readonly onBroken: () => void;
 }
 
 /**
@@ -77,7 +79,7 @@
  * @returns the response body
  */
 export const streamAnswer = (options: AnswerStreamOptions): ReadableStream<Uint8Array> => {
-    const { events, requestId } = options;
+    const { events, onBroken, requestId } = options;
     const encoder = options.isTokenStream ? createTokenEncoder(requestId) : createPlainEncoder();
     const encodeAll = (batch: readonly AnswerEvent[]): Uint8Array => {
         const parts = batch.flatMap(event => encoder.encode(event) ?? []);
@@ -95,7 +97,10 @@
     };
     return new ReadableStream<Uint8Array>({
         pull: async controller => {
-            const bytes = await readBytes();
+            const bytes = await readBytes().catch((error: unknown) => {
+                onBroken();
+                throw error;
+            });
             if (bytes === undefined) {
                 controller.close();
                 return;
--- a/packages/entry/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callerConnection.ts
@@ -1,5 +1,6 @@
 /**
- * Connection to a caller: reads the body up to a size limit and detects that the caller has disconnected.
+ * Connection to a caller: reads the body up to a size limit, detects that the caller has disconnected, and breaks off an
+ * answer.
  *
  * @packageDocumentation
  */
@@ -75,3 +76,13 @@
         }
     });
 };
+
+/**
+ * Breaks off the response. To be called before the body of the response fails: while earlier bytes wait to be written, the
+ * HTTP adapter ends a failed body with the text of the error and the last chunk, so that it looks complete.
+ *
+ * @param context - request context
+ */
+export const breakConnection = (context: Context): void => {
+    nodeBindings(context)?.outgoing.destroy(new Error("the answer broke"));
+};
--- a/packages/entry/src/node/httpApp.ts
+++ b/packages/entry/src/node/httpApp.ts
@@ -19,7 +19,7 @@
 import type { AnswerEvent, CallerRequest, Failure } from "../types/caller.ts";
 import { AccountIndex } from "./accountIndex.ts";
 import { streamAnswer } from "./answerStream.ts";
-import { onCallerDisconnect, readBody } from "./callerConnection.ts";
+import { breakConnection, onCallerDisconnect, readBody } from "./callerConnection.ts";
 import { CallerHeader, type CallerHeaders, forwardedHeaders, readCallerHeaders } from "./callerHeaders.ts";
 import { failureResponse } from "./failureResponse.ts";
 
@@ -76,6 +76,7 @@
     head: AnswerEvent & { readonly kind: "head"; },
     ticket: string | undefined,
     events: AsyncQueue<AnswerEvent>,
+    onBroken: () => void,
 ): Response => {
     const headers = new Headers(head.headers.map(([name, value]): [string, string] => [name, value]));
     headers.set(CallerHeader.RequestId, requestId);
@@ -83,11 +84,16 @@
         headers.set(CallerHeader.Ticket, ticket);
     }
     const isTokenStream = headers.get("content-type")?.startsWith("text/event-stream") ?? false;
-    return new Response(streamAnswer({ requestId, isTokenStream, events }), { status: head.status, headers });
+    const body = streamAnswer({ requestId, isTokenStream, events, onBroken });
+    return new Response(body, { status: head.status, headers });
 };
 
 /** Waits for the head or the failure of an answer and builds the response. */
-const respond = async (requestId: RequestId, events: AsyncQueue<AnswerEvent>): Promise<Response> => {
+const respond = async (
+    requestId: RequestId,
+    events: AsyncQueue<AnswerEvent>,
+    onBroken: () => void,
+): Promise<Response> => {
     let ticket: string | undefined;
     for (let next = await events.next(); !next.done; next = await events.next()) {
         const event = next.value;
@@ -98,7 +104,7 @@
             return failureResponse(requestId, event.failure, ticket);
         }
         else if (event.kind === "head") {
-            return answerResponse(requestId, event, ticket, events);
+            return answerResponse(requestId, event, ticket, events, onBroken);
         }
     }
     const message = "the answer ended without a head";
@@ -140,7 +146,7 @@
         () => events.close(),
         error => events.fail(error),
     );
-    return respond(requestId, events);
+    return respond(requestId, events, () => breakConnection(context));
 };
 
 const serveTicket = (entry: Entry, accounts: AccountIndex, context: Context): Response => {
