fix(entry): a plain answer that breaks resets the connection of a caller without chunks

Cause: an answer to an HTTP/1.0 caller has no chunks and ends with its connection. One that broke was closed in the normal way, so that the part that had arrived looked like the whole answer. Change: an answer that breaks resets the caller's connection; HTTP/2 streams are ended with an error as before. The test waits for the close of a connection that may be reset.

--- a/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
+++ b/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
@@ -58,8 +58,10 @@
     return branded<Address>(`127.0.0.1:${port}`);
 };
 
+type Version = "1.0" | "1.1";
+
 /** Sends a request as a caller does and tells how its answer looks. */
-const ask = async (address: Address): Promise<"complete" | "broken"> => {
+const ask = async (address: Address, version: Version): Promise<"complete" | "broken"> => {
     const [host, port] = address.split(":");
     const socket = connect(Number(port), host);
     let text = "";
@@ -68,9 +70,9 @@
     socket.on("error", () => isReset = true);
     socket.setTimeout(MAX_WAIT_MS, () => socket.destroy());
     socket.write(
-        `GET /painel/status HTTP/1.1\r\nhost: painel\r\nconnection: close\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
+        `GET /painel/status HTTP/${version}\r\nhost: painel\r\nconnection: close\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
     );
-    await once(socket, "close");
+    await new Promise(resolve => socket.once("close", resolve));
     const isWhole = /^transfer-encoding: chunked\r$/im.test(text)
         ? text.endsWith("\r\n0\r\n\r\n")
         : text !== "" && !isReset;
@@ -78,7 +80,7 @@
 };
 
 /** Serves each answer over a real socket; returns those that look complete to the caller. */
-const askAll = async (answers: ReadonlyMap<string, Answer>): Promise<string[]> => {
+const askAll = async (answers: ReadonlyMap<string, Answer>, version: Version = "1.1"): Promise<string[]> => {
     let answer: Answer = async () => {};
     const { app } = createTestApp(consume => answer(consume));
     const address = await freeAddress();
@@ -86,7 +88,7 @@
     const complete: string[] = [];
     for (const [name, next] of answers) {
         answer = next;
-        if (await ask(address) === "complete") {
+        if (await ask(address, version) === "complete") {
             complete.push(name);
         }
     }
@@ -104,6 +106,15 @@
     });
 }
 
+test.serial("a plain answer that fails does not look complete to a caller without chunks", async t => {
+    const answers = [[5], [20_000], [5, 5, 20_000]].flatMap(sizes =>
+        GAPS.map(lastGap =>
+            [`${sizes.join(" + ")}, ${lastGap}`, brokenAnswer(sizes, "pause", lastGap)] as const
+        )
+    );
+    t.deepEqual(await askAll(new Map(answers), "1.0"), []);
+});
+
 test.serial("a plain answer that ends is complete", async t => {
     const whole: Answer = async consume => {
         consume(HEAD);
@@ -111,4 +122,5 @@
         consume({ kind: "end", finishReason: "" });
     };
     t.deepEqual(await askAll(new Map([["whole", whole]])), ["whole"]);
+    t.deepEqual(await askAll(new Map([["whole", whole]]), "1.0"), ["whole"]);
 });
--- a/packages/entry/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callerConnection.ts
@@ -7,6 +7,7 @@
 
 import type { HttpBindings } from "@hono/node-server";
 import type { Context } from "hono";
+import { ServerResponse } from "node:http";
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -84,5 +85,10 @@
  * @param context - request context
  */
 export const breakConnection = (context: Context): void => {
-    nodeBindings(context)?.outgoing.destroy(new Error("the answer broke"));
+    const outgoing = nodeBindings(context)?.outgoing;
+    if (outgoing instanceof ServerResponse) {
+        // A normal close is how a response to an HTTP/1.0 caller ends when it is complete.
+        outgoing.socket?.resetAndDestroy();
+    }
+    outgoing?.destroy(new Error("the answer broke"));
 };
