fix(agent): an answer with an unknown transfer coding is not taken for one with chunks

Cause: any Transfer-Encoding counted as proof that the end of the body can be told. The parser reads a body up to the close of the connection if the last coding is not "chunked", so that a field cut to "chunk" made a cut answer complete. Change: only "chunked" alone is such a proof. Before, httpBackend.spec: "an answer whose transfer coding was cut or is unknown fails" failed for all four values ("chunk", "", "identity", "chunked, gzip"): the call ended without an error.

--- a/packages/agent/src/node/__tests__/httpBackend.spec.ts
+++ b/packages/agent/src/node/__tests__/httpBackend.spec.ts
@@ -132,6 +132,23 @@
     t.true(outcome.error instanceof BackendBrokenError);
 });
 
+for (const coding of ["chunk", "", "identity", "chunked, gzip"]) {
+    test(`an answer whose transfer coding was cut or is unknown fails: "${coding}"`, async t => {
+        const server = createSocketServer(socket => {
+            socket.once(
+                "data",
+                () => socket.end(`HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\n5\r\nwh`),
+            );
+        }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+        t.teardown(() => void server.close());
+        const { port } = server.address() as AddressInfo;
+        const request = requestOf({ isModel: false, path: "/bookings" });
+        const outcome = await runAt(branded<Address>(`127.0.0.1:${port}`), request);
+        t.true(outcome.error instanceof BackendBrokenError);
+    });
+}
+
 test("a refused connection means that the call did not start", async t => {
     const server = createServer().listen(0, "127.0.0.1");
     await once(server, "listening");
--- a/packages/agent/src/node/httpBackend.ts
+++ b/packages/agent/src/node/httpBackend.ts
@@ -64,10 +64,13 @@
         return (Array.isArray(value) ? value : [value]).map(single => [name, single] as const);
     });
 
-/** Whether the end of the body can be distinguished from a broken connection. */
+/**
+ * Whether the end of the body can be distinguished from a broken connection. A body with any other transfer coding than
+ * chunks alone ends with its connection, or is not what the server meant to send.
+ */
 const hasFraming = ({ headers, statusCode }: Dispatcher.ResponseData, method: string): boolean =>
     method === "HEAD" || BODILESS_STATUSES.has(statusCode) || headers["content-length"] !== undefined
-    || headers["transfer-encoding"] !== undefined;
+    || String(headers["transfer-encoding"]).toLowerCase() === "chunked";
 
 const didNotConnect = (error: unknown): boolean =>
     error instanceof errors.ConnectTimeoutError
