fix(direct): an answer with an unknown transfer coding is no answer

Cause: an answer whose Transfer-Encoding is not "chunked", such as one cut to "chunk", is read up to the close of the connection, also a reset one, but counted as framed; callers got what had arrived, with a length of its own. Change: a head with any other transfer coding is rejected as one with an encoded body is: a request that may be repeated goes to another server, any other gets 502. Before, responses.spec: "a successful response with a transfer coding that was cut is retried at another server" failed ('bad' instead of 'good').

--- a/packages/direct/src/shared/__tests__/responses.spec.ts
+++ b/packages/direct/src/shared/__tests__/responses.spec.ts
@@ -44,6 +44,7 @@
     const [name, headers] of [
         ["without a signature", { [NAMES.signature]: undefined }],
         ["with an encoded body", { "content-encoding": "gzip" }],
+        ["with a transfer coding that was cut", { "transfer-encoding": "chunk" }],
     ] as const
 ) {
     test.serial(`a successful response ${name} is retried at another server`, async t => {
--- a/packages/direct/src/shared/classifyResponseHead.ts
+++ b/packages/direct/src/shared/classifyResponseHead.ts
@@ -65,5 +65,10 @@
     if (responseHeader(head, "content-encoding") !== undefined) {
         return { kind: "foreign", message: "the body is encoded although no encoding was asked for" };
     }
+    const transferCoding = head.headers["transfer-encoding"];
+    if (transferCoding !== undefined && String(transferCoding).toLowerCase() !== "chunked") {
+        // The body would end with the connection, without showing it, and is not what the server meant to send.
+        return { kind: "foreign", message: `the transfer coding "${String(transferCoding)}" is unknown` };
+    }
     return { kind: "own" };
 };
