fix(direct): a success without a length that has no body is no answer

Cause: a server that ends after its head, or whose cut head is closed off with an empty line, leaves a 200 that tells no length and has no body; callers got it as it was. For streams that was already no answer. Change: a success without a length and without a body is broken, unless the status has none (204, 205) or the request is a HEAD: another server is asked, or the caller gets 502. A server that means an empty body has to say so with a length of 0. cutAnswers.spec cuts answers after every byte, of four framings, closes heads off, and ends lines with line feeds.

--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -106,9 +106,13 @@
 const HTTP_OK = 200;
 /** Statuses that callers take for the promise that the request has not run, whoever sends them. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Successes that have no body, with or without a length. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205]);
 /** Events after which an answer is under way: a server that cannot write it ends at its first tokens. */
 const EVENTS_UNDER_WAY = 4;
 
+const isSuccess = ({ status }: ResponseHead): boolean => status >= 200 && status < 300;
+
 /** Handles the response of one attempt. */
 class ResponseHandler implements UpstreamConsumer, BufferedResponse {
     /** Request to the backend server; set right after its start. */
@@ -151,6 +155,16 @@
             : undefined;
     }
 
+    /**
+     * Whether a successful response consists of a head alone although its body has no length: its server may have ended
+     * after the head.
+     */
+    public get isBodyMissing(): boolean {
+        const { head, options: { call } } = this;
+        return head !== undefined && head.isCloseDelimited === true && this.bufferedBytes === 0
+            && isSuccess(head) && !BODILESS_STATUSES.has(head.status) && call.method !== "HEAD";
+    }
+
     /**
      * Records that a successful response has ended; one whose end cannot be verified may come from a server that has
      * ended.
@@ -276,6 +290,9 @@
         };
     }
     if (!handler.isStream) {
+        if (handler.isBodyMissing) {
+            return { kind: "broken", message: "the answer ended before its body" };
+        }
         handler.recordVerifiedEnd();
         return { kind: "whole", head, body: handler.body };
     }
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./node/freePort.ts";
+export * from "./shared/cutAnswers.ts";
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
 export * from "./shared/processClock.ts";
