fix(entry): the error of another backend server does not become part of a token stream

Cause: a stream had begun and broke off. The head of the next attempt was dropped, whatever its status, and its body was delivered: callers found the text of an error in the middle of their tokens, then the end event and [DONE]. A 204 or an empty 200 ended the stream as complete.

Change: an attempt whose head has another status or content type than the delivered one counts as broken; the next agent is tried, and without one the stream ends with its error event and without [DONE].

--- a/packages/entry/src/shared/answerReader.ts
+++ b/packages/entry/src/shared/answerReader.ts
@@ -6,7 +6,7 @@
 
 import { branded, isFaultSeeded, type RequestId, type Runtime } from "@magnolialock/kernel";
 import type { Refused, RunEvent, RunRequest } from "@magnolialock/protocol";
-import type { AnswerEvent } from "../types/caller.ts";
+import type { AnswerEvent, AnswerHead } from "../types/caller.ts";
 import { answerDropped } from "./entryEvents.ts";
 
 /** Outcome of an attempt. */
@@ -34,6 +34,8 @@
     readonly request: RunRequest;
     /** Receives the events of the answer. */
     readonly consume: AnswerConsumer;
+    /** Returns why the answer cannot be used, by its head; undefined if it can. */
+    readonly rejectHead?: (head: AnswerHead) => string | undefined;
 }
 
 /** Reads the events of one attempt; crossed, duplicate and late events are dropped and counted. */
@@ -41,6 +43,7 @@
     private readonly runtime: Runtime;
     private readonly request: RunRequest;
     private readonly consume: AnswerConsumer;
+    private readonly rejectHead: (head: AnswerHead) => string | undefined;
     private nextSequence = 0;
     private nextToken: number;
     private bodyBytes = 0;
@@ -51,6 +54,7 @@
         this.runtime = options.runtime;
         this.request = options.request;
         this.consume = options.consume;
+        this.rejectHead = options.rejectHead ?? (() => undefined);
         this.nextToken = options.request.resumeFromToken;
     }
 
@@ -104,7 +108,7 @@
     private readPayload(payload: RunEvent["event"]): void {
         switch (payload.case) {
             case "head":
-                this.consume({
+                this.readHead({
                     kind: "head",
                     status: payload.value.status,
                     headers: payload.value.headers.map(({ name, value }) => [name, value] as const),
@@ -132,6 +136,16 @@
         }
     }
 
+    private readHead(head: AnswerHead): void {
+        const reason = this.rejectHead(head);
+        if (reason === undefined) {
+            this.consume(head);
+        }
+        else {
+            this.fail(reason);
+        }
+    }
+
     private readTokens(firstToken: number, texts: readonly string[]): void {
         if (firstToken > this.nextToken) {
             this.fail(`token ${this.nextToken} is missing`);
--- a/packages/entry/src/shared/attempt.ts
+++ b/packages/entry/src/shared/attempt.ts
@@ -7,7 +7,12 @@
 import { errorMessage, type Runtime } from "@magnolialock/kernel";
 import type { RunRequest } from "@magnolialock/protocol";
 import type { AgentPeer } from "./agentPeer.ts";
-import { type AnswerConsumer, AnswerReader, type AttemptOutcome } from "./answerReader.ts";
+import {
+    type AnswerConsumer,
+    AnswerReader,
+    type AnswerReaderOptions,
+    type AttemptOutcome,
+} from "./answerReader.ts";
 
 /** Options of {@link runAttempt}. */
 export interface AttemptOptions {
@@ -21,6 +26,8 @@
     readonly signal: AbortSignal;
     /** Receives the events of the answer. */
     readonly consume: AnswerConsumer;
+    /** See {@link AnswerReaderOptions.rejectHead}. */
+    readonly rejectHead?: AnswerReaderOptions["rejectHead"];
 }
 
 const readAnswer = async (options: AttemptOptions, onEvent: () => void): Promise<AttemptOutcome> => {
--- a/packages/entry/src/shared/inFlightRequest.ts
+++ b/packages/entry/src/shared/inFlightRequest.ts
@@ -14,7 +14,7 @@
     type RuleSet,
     type ServiceRule,
 } from "@magnolialock/rules";
-import type { AnswerEvent, CallerRequest } from "../types/caller.ts";
+import type { AnswerEvent, AnswerHead, CallerRequest } from "../types/caller.ts";
 import type { AgentPeer } from "./agentPeer.ts";
 import type { EntryContext } from "./entryContext.ts";
 import { prefixKeyOfBody } from "./prefixKey.ts";
@@ -52,6 +52,12 @@
         ? requested
         : configured;
 
+const contentTypeOf = ({ headers }: AnswerHead): string | undefined =>
+    headers.find(([name]) => name.toLowerCase() === "content-type")?.[1];
+
+const continuesAnswer = (first: AnswerHead, next: AnswerHead): boolean =>
+    first.status === next.status && contentTypeOf(first) === contentTypeOf(next);
+
 /** State of one request across its attempts. */
 export class InFlightRequest {
     /** Request as received from the caller. */
@@ -78,7 +84,7 @@
     private readonly excludedPeers = new Set<AgentPeer>();
     private deliveredTokens = 0;
     private deliveredText = "";
-    private hasDeliveredHead = false;
+    private deliveredHead: AnswerHead | undefined;
     private hasDeliveredBody = false;
 
     /** @param options - entry, request and rules */
@@ -106,7 +112,7 @@
 
     /** Whether another attempt can continue the answer from what the caller has received. */
     public get isResumable(): boolean {
-        return this.service.kind === "model" ? !this.hasDeliveredBody : !this.hasDeliveredHead;
+        return this.service.kind === "model" ? !this.hasDeliveredBody : !this.deliveredHead;
     }
 
     /** Whether the request belongs to the most urgent classes, which have their own retry budget. */
@@ -187,6 +193,20 @@
         });
     }
 
+    /**
+     * Checks whether the body under a head may follow what the caller has received: the error of another backend
+     * server must not become a part of the answer that has begun.
+     *
+     * @param head - head of an attempt's answer
+     * @returns why it may not; undefined if it may
+     */
+    public rejectHead(head: AnswerHead): string | undefined {
+        const { deliveredHead } = this;
+        return !deliveredHead || continuesAnswer(deliveredHead, head)
+            ? undefined
+            : `status ${head.status} cannot continue the answer that has begun`;
+    }
+
     /**
      * Delivers an event of the answer to the caller; the head is delivered only once.
      *
@@ -198,10 +218,10 @@
             this.recordTokens(event.texts, peer);
         }
         if (event.kind === "head") {
-            if (this.hasDeliveredHead) {
+            if (this.deliveredHead) {
                 return;
             }
-            this.hasDeliveredHead = true;
+            this.deliveredHead = event;
         }
         this.hasDeliveredBody ||= event.kind === "body";
         this.consume(event);
--- a/packages/entry/src/shared/serveAtMostOnce.ts
+++ b/packages/entry/src/shared/serveAtMostOnce.ts
@@ -68,7 +68,14 @@
     using timeout = timeoutSignal(runtime.clock, request.remainingMs - reserveMs, signal);
     const { requestId } = request.caller;
     runtime.events.emit(attemptSent, { requestId, attempt: attempt.attempt, server: peer.rule.name });
-    const outcome = await runAttempt({ runtime, peer, request: attempt, signal: timeout.signal, consume });
+    const outcome = await runAttempt({
+        runtime,
+        peer,
+        request: attempt,
+        signal: timeout.signal,
+        consume,
+        rejectHead: head => request.rejectHead(head),
+    });
     if (outcome.kind !== "unreachable" || !request.isResumable || isFaultSeeded("entry.retry-booking")) {
         return outcome;
     }
--- a/packages/entry/src/shared/serveRepeatable.ts
+++ b/packages/entry/src/shared/serveRepeatable.ts
@@ -47,6 +47,7 @@
         request: message,
         signal,
         consume: event => request.deliver(event, peer),
+        rejectHead: head => request.rejectHead(head),
     });
     recordOutcome(context, request, outcome, attempt);
     return outcome;
--- a/packages/entry/src/types/caller.ts
+++ b/packages/entry/src/types/caller.ts
@@ -63,14 +63,20 @@
     readonly retryAfterMs?: number;
 }
 
+/** Head of an answer. */
+export interface AnswerHead {
+    /** Distinguishes the head from other events. */
+    readonly kind: "head";
+    /** HTTP status. */
+    readonly status: number;
+    /** Headers of the backend server. */
+    readonly headers: readonly (readonly [name: string, value: string])[];
+}
+
 /** An event of the answer to a caller. The last event is `end` or `failed`. */
 export type AnswerEvent =
     | { readonly kind: "ticket"; readonly ticket: string; }
-    | {
-        readonly kind: "head";
-        readonly status: number;
-        readonly headers: readonly (readonly [string, string])[];
-    }
+    | AnswerHead
     | { readonly kind: "tokens"; readonly texts: readonly string[]; }
     | { readonly kind: "body"; readonly bytes: Uint8Array; }
     | { readonly kind: "end"; readonly finishReason: string; }
