fix(direct): a stream is continued only by an event that names its place

Cause: events without an identifier passed the check of the order. A next server that answered the attempt to continue a stream with 200 and an event stream of an error's text, an error event, an end mark or unnumbered events had them forwarded after the caller's event 3, and the stream ended with its last chunk.

Change: a run that continues a stream must begin with the next identifier; only comments may come before it. Later unnumbered events of the same run are forwarded as before.

--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -108,6 +108,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Successes that have no body, with or without a length. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205]);
+/** Lines that keep a connection alive and are no event. */
+const COMMENTS = /^(?::[^\n]*\n)+\r?\n$/;
 /** Events after which an answer is under way: a server that cannot write it ends at its first tokens. */
 const EVENTS_UNDER_WAY = 4;
 
@@ -131,10 +133,16 @@
     private bufferedBytes = 0;
     private readonly sentMs: number;
     private hasFirstByte = false;
+    /**
+     * Whether the next event is known to follow what the caller has. A run that continues a stream shows it by the
+     * identifier of its first event; an event without one may be the text of an error.
+     */
+    private isPlaceKnown: boolean;
     private eventCount = 0;
 
     public constructor(options: AttemptOptions) {
         this.options = options;
+        this.isPlaceKnown = options.cursor.eventCount === 0;
         this.sentMs = options.context.options.runtime.clock.nowMs();
     }
 
@@ -232,12 +240,14 @@
             this.recordFirstByte();
             this.options.onProgress();
             const { id } = event;
-            const isInOrder = id === undefined || cursor.lastEventId === undefined
-                || id === cursor.lastEventId + 1;
+            const isInOrder = id === undefined
+                ? this.isPlaceKnown || COMMENTS.test(event.bytes.toString("latin1"))
+                : cursor.lastEventId === undefined || id === cursor.lastEventId + 1;
             if (!isInOrder && !isFaultSeeded("direct.skip-event-order")) {
-                this.reject(`event ${id} came after event ${cursor.lastEventId}`);
+                this.reject(`event ${id ?? "without an identifier"} came after event ${cursor.lastEventId}`);
                 return;
             }
+            this.isPlaceKnown ||= id !== undefined;
             this.sendHeadOnce();
             cursor.lastEventId = id ?? cursor.lastEventId;
             const nowMs = context.options.runtime.clock.nowMs();
