fix(direct): an interim response is not taken for the answer

Cause: the HTTP client hands on heads of 1xx as well. One without the request's identifier counted as the answer to another request, and the attempt was given up: a stream that the next server would have continued was broken off.

Change: heads below 200 are passed over; the answer follows them.

--- a/packages/direct/src/node/__tests__/brokenStreams.spec.ts
+++ b/packages/direct/src/node/__tests__/brokenStreams.spec.ts
@@ -160,6 +160,10 @@
             [`${status} without an identifier`, keep(framed(status, "", ERROR_TEXT))],
         ]),
     ),
+    "103, then a stream that goes on": {
+        ...keep("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n", ...streamOf(events(4, 7)).parts),
+        isWhole: true,
+    },
     "103, then 500": keep(
         `HTTP/1.1 103 Early Hints\r\n${SIGNED}${EVENT_STREAM}\r\n`,
         framed("500 Internal Server Error", SIGNED, ERROR_TEXT),
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -36,6 +36,9 @@
  */
 const TCP_KEEP_ALIVE_DELAY_MS = 1_000;
 
+/** Heads with a lower status are interim: the answer follows them. */
+const FIRST_FINAL_STATUS = 200;
+
 /** A connection that carries at most one request at a time. */
 class ServerConnection {
     public readonly client: Client;
@@ -130,6 +133,9 @@
                     controller = started;
                 },
                 onResponseStart: (_started, status, headers) => {
+                    if (status < FIRST_FINAL_STATUS) {
+                        return;
+                    }
                     isCloseDelimited = headers["content-length"] === undefined
                         && headers["transfer-encoding"] === undefined;
                     const isOnReusedConnection = connection.isReused;
