fix(direct): a stream whose events have no identifiers is not begun anew within itself

Cause: after a stream of unnumbered events broke off, the request was sent to the next server without a place to go on from, and the events of its run were added to those that the caller already had.

Change: after an event without an identifier a stream cannot be continued; it ends as broken. Comments do not count.

Result: the test of this name in brokenStreams.spec failed before (the second run began anew in the stream) and passes, as do streams, closeDelimited, slowStreams and atMostOnce.

--- a/packages/direct/src/node/__tests__/brokenStreams.spec.ts
+++ b/packages/direct/src/node/__tests__/brokenStreams.spec.ts
@@ -342,3 +342,16 @@
         await askBoth(t, "once-stream", breakName, first, streamOf(events(4, 7)));
     }
 });
+
+test.serial("a stream whose events have no identifiers is not begun anew within itself", async t => {
+    const unnumbered = "data: x\n\n".repeat(3);
+    const first: Script = { parts: [streamHead(CHUNKED), chunk(unnumbered)], end: "close" };
+    await using fleet = await startServers([first, streamOf(`${unnumbered}data: y\n\n`)]);
+    using caller = new RawCaller(fleet.callers);
+    caller.send("stream", "r1");
+    await caller.until(/\r\n0\r\n\r\n/);
+    const { body, isEnded } = decode(caller);
+    t.is(body, unnumbered, caller.text);
+    t.false(isEnded, caller.text);
+    t.is(fleet.requests.length, 1);
+});
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -348,7 +348,7 @@
             .with({ kind: "broken" }, ({ message }) => {
                 this.progress.sentAttempts++;
                 this.progress.mayHaveRun = true;
-                if (this.isRepeatable || isFaultSeeded("direct.repeat-once")) {
+                if (this.isRepeatable && this.cursor.isResumable || isFaultSeeded("direct.repeat-once")) {
                     return this.retryOrStop(message);
                 }
                 return { kind: "stop", reason: message };
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -33,6 +33,8 @@
     longestGapMs: number;
     /** Whether the response head was sent to the caller. */
     isHeadSent: boolean;
+    /** Whether another run can continue the stream: not after an event that has no identifier. */
+    isResumable: boolean;
 }
 
 /**
@@ -49,6 +51,7 @@
         eventCount: 0,
         longestGapMs: 0,
         isHeadSent: false,
+        isResumable: true,
     };
 };
 
@@ -240,8 +243,9 @@
             this.recordFirstByte();
             this.options.onProgress();
             const { id } = event;
+            const isComment = id === undefined && COMMENTS.test(event.bytes.toString("latin1"));
             const isInOrder = id === undefined
-                ? this.isPlaceKnown || COMMENTS.test(event.bytes.toString("latin1"))
+                ? this.isPlaceKnown || isComment
                 : cursor.lastEventId === undefined || id === cursor.lastEventId + 1;
             if (!isInOrder && !isFaultSeeded("direct.skip-event-order")) {
                 this.reject(`event ${id ?? "without an identifier"} came after event ${cursor.lastEventId}`);
@@ -250,6 +254,7 @@
             this.isPlaceKnown ||= id !== undefined;
             this.sendHeadOnce();
             cursor.lastEventId = id ?? cursor.lastEventId;
+            cursor.isResumable = id !== undefined || isComment && cursor.isResumable;
             const nowMs = context.options.runtime.clock.nowMs();
             if (cursor.eventCount > 0) {
                 cursor.longestGapMs = Math.max(cursor.longestGapMs, nowMs - cursor.lastEventMs);
