fix(direct): a broken stream does not look whole to a caller of HTTP/1.0

Cause: a caller of HTTP/1.0 gets no chunks, so its answer ends with its connection. A stream that broke off was ended with a normal close, which is also how a whole one ends.

Change: a response without chunks is reset when it is given up, as close-delimited ones are already.

--- a/packages/direct/src/node/__tests__/brokenStreams.spec.ts
+++ b/packages/direct/src/node/__tests__/brokenStreams.spec.ts
@@ -355,3 +355,13 @@
     t.false(isEnded, caller.text);
     t.is(fleet.requests.length, 1);
 });
+
+test.serial("a stream that breaks off does not look whole to a caller of HTTP/1.0", async t => {
+    for (const [breakName, first] of Object.entries<Script>(BREAKS)) {
+        await using fleet = await startServers([first]);
+        using caller = new RawCaller(fleet.callers);
+        caller.send("once-stream", "r1", "1.0");
+        await caller.until(/\r\n0\r\n\r\n/);
+        t.is(caller.end, "reset", `${breakName}: ${JSON.stringify(caller.text)}`);
+    }
+});
--- a/packages/direct/src/node/httpReply.ts
+++ b/packages/direct/src/node/httpReply.ts
@@ -13,7 +13,6 @@
     public readonly disconnected: AbortSignal;
     private readonly controller = new AbortController();
     private isFinished = false;
-    private isCloseDelimited = false;
 
     /**
      * @param response - response of the HTTP server
@@ -66,8 +65,8 @@
     /** {@inheritDoc CallerReply.abort} */
     public abort(): void {
         this.isFinished = true;
-        if (this.isCloseDelimited) {
-            // A normal close is how such a response ends when it is complete.
+        if (!this.response.chunkedEncoding) {
+            // A normal close is how a response without chunks ends when it is complete.
             this.response.socket?.resetAndDestroy();
         }
         this.response.destroy();
@@ -77,7 +76,6 @@
         if (head.isCloseDelimited) {
             // A `Content-Length` or a last chunk would mark the body as complete, which the backend server
             // has not done.
-            this.isCloseDelimited = true;
             this.response.useChunkedEncodingByDefault = false;
             this.response.shouldKeepAlive = false;
         }
