fix(direct): a request of a slow reader ends although its server's connection is paused

Callers who read slowly saw neither more data nor an end after the route's timeout, and the service's places were lost. Cause: undici fails an assertion within the socket's close event when the connection of a paused response without keep-alive is closed; the request's end was reported only by it, so the attempt, and what it held, waited for ever. Class: a wait with one exit. Change: giving an attempt up resumes the response, closes the connection, and settles the attempt itself.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -123,7 +123,10 @@
         const connection = this.acquire(server, address, request.maxIdleMs);
         let controller: Dispatcher.DispatchController | undefined;
         let isCloseDelimited = false;
+        let isAborted = false;
+        let settle: (end: UpstreamEnd) => void = () => {};
         const ended = new Promise<UpstreamEnd>(resolve => {
+            settle = resolve;
             const handler: Dispatcher.DispatchHandler = {
                 onRequestStart: started => {
                     if (controller) {
@@ -141,8 +144,15 @@
                     const isOnReusedConnection = connection.isReused;
                     consumer.onHead({ status, headers, isCloseDelimited, isOnReusedConnection });
                 },
-                onResponseData: (_started, bytes) => consumer.onData(bytes),
+                onResponseData: (_started, bytes) => {
+                    if (!isAborted) {
+                        consumer.onData(bytes);
+                    }
+                },
                 onResponseEnd: () => {
+                    if (isAborted) {
+                        return;
+                    }
                     if (isCloseDelimited && connection.wasReset) {
                         connection.close();
                         resolve({
@@ -172,7 +182,13 @@
         });
         return {
             ended,
-            abort: reason => connection.abort(reason),
+            abort: reason => {
+                isAborted = true;
+                // undici fails an assertion, and reports no end, when the connection of a paused response closes.
+                controller?.resume();
+                connection.abort(reason);
+                settle({ kind: controller ? "broken" : "notSent", message: reason });
+            },
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
         };
