fix(entry): a stopping entry sends its callers to other entries

Cause: from SIGTERM on an entry refused new requests but told nobody to leave: refusals and last answers bore `Connection: keep-alive`, sessions of HTTP/2 got no GOAWAY, so a caller's retry came back to the same entry up to the end of the drain.

Change: `drain()` of the HTTP server closes each connection after its next response (HTTP/2: after its running streams); a request behind a last response is not handled. RawCaller and ProgramProcess of test-support drive the programs on real sockets.

--- a/packages/entry/src/node/__tests__/httpServer.spec.ts
+++ b/packages/entry/src/node/__tests__/httpServer.spec.ts
@@ -1,9 +1,9 @@
-import { type Address, branded, createDeferred, createSystemClock, sleep } from "@magnolialock/kernel";
+import { createDeferred, createSystemClock, sleep } from "@magnolialock/kernel";
+import { freeAddress, RawCaller, settles } from "@magnolialock/test-support";
 import test from "ava";
 import { Hono } from "hono";
 import { once } from "node:events";
 import { connect as connectHttp2 } from "node:http2";
-import { connect, createServer, type Socket } from "node:net";
 import { listenHttp } from "../httpServer.ts";
 
 const clock = createSystemClock();
@@ -17,54 +17,6 @@
 /** Widest flow-control window of HTTP/2, in bytes. */
 const WIDEST_WINDOW_BYTES = 2 ** 31 - 1;
 
-const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as { readonly port: number; };
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
-
-/** A caller's connection with what it has received. */
-class Caller implements Disposable {
-    public text = "";
-    public bytes = 0;
-    public readonly closed: Promise<void>;
-    private readonly gone = createDeferred<void>();
-
-    private constructor(public readonly socket: Socket) {
-        this.closed = this.gone.promise;
-        socket.on("error", () => {});
-        socket.on("data", (chunk: Buffer) => {
-            this.bytes += chunk.length;
-            this.text = (this.text + chunk.toString("latin1")).slice(0, 2_000);
-        });
-        socket.on("close", () => this.gone.resolve());
-    }
-
-    public static async connect(address: Address): Promise<Caller> {
-        const [host = "", port] = address.split(":");
-        const socket = connect({ host, port: Number(port) });
-        await once(socket, "connect");
-        return new Caller(socket);
-    }
-
-    public send(text: string): void {
-        this.socket.write(text);
-    }
-
-    public async receives(text: string): Promise<void> {
-        while (!this.text.includes(text)) {
-            await sleep(clock, 5);
-        }
-    }
-
-    public [Symbol.dispose](): void {
-        this.socket.destroy();
-    }
-}
-
 const getRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: test\r\n\r\n`;
 
 /** Application with a response that waits, one that never ends, and a large one. */
@@ -87,15 +39,6 @@
     return { app, handled, release };
 };
 
-/** Whether a promise settles within a time. */
-const settles = async (work: PromiseLike<unknown>, withinMs: number): Promise<boolean> => {
-    const end = new AbortController();
-    const late = sleep(clock, withinMs, end.signal).then(() => false, () => true);
-    const isInTime = await Promise.race([work.then(() => true), late]);
-    end.abort();
-    return isInTime;
-};
-
 const handledBy = async (server: { readonly handled: readonly string[]; }, count: number): Promise<void> => {
     while (server.handled.length < count) {
         await sleep(clock, 5);
@@ -116,16 +59,16 @@
 
 test("an idle kept connection does not hold up the close", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/quick"));
-    await caller.receives("quick answer");
+    t.true(await caller.receives("quick answer", AT_ONCE_MS));
     t.true(await settles(server.close(), AT_ONCE_MS));
     t.true(await settles(caller.closed, AT_ONCE_MS));
 });
 
 test("a connection without a byte does not hold up the close", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     await sleep(clock, 50);
     t.true(await settles(server.close(), AT_ONCE_MS));
     t.true(await settles(caller.closed, AT_ONCE_MS));
@@ -133,7 +76,7 @@
 
 test("half a head does not hold up the close", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send("GET /quick HTTP/1.1\r\nHost: te");
     await sleep(clock, 50);
     t.true(await settles(server.close(), AT_ONCE_MS));
@@ -142,7 +85,7 @@
 
 test("half a body does not hold up the close", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send("POST /body HTTP/1.1\r\nHost: test\r\nContent-Length: 10\r\n\r\n12345");
     await handledBy(server, 1);
     t.true(await settles(server.close(), AT_ONCE_MS));
@@ -152,7 +95,7 @@
 
 test("a running response is not cut off by the close, and tells the caller that its connection closes", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/waiting"));
     await handledBy(server, 1);
     const closing = server.close();
@@ -167,9 +110,9 @@
 
 test("a response that was handed over is not cut off by the close while its caller reads slowly", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/large"));
-    await caller.receives("HTTP/1.1 200");
+    t.true(await caller.receives("HTTP/1.1 200", AT_ONCE_MS));
     caller.socket.pause();
     await sleep(clock, 100);
     const closing = server.close();
@@ -182,7 +125,7 @@
 
 test("a response that does not end holds up the close for its timeout only", async t => {
     const server = await listen(300);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/endless"));
     await handledBy(server, 1);
     const closing = server.close();
@@ -193,16 +136,16 @@
 
 test("a caller that does not read holds up the close for the default timeout only", async t => {
     const server = await listen(undefined);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/large"));
-    await caller.receives("HTTP/1.1 200");
+    t.true(await caller.receives("HTTP/1.1 200", AT_ONCE_MS));
     caller.socket.pause();
     t.true(await settles(server.close(), 1_000 + AT_ONCE_MS));
 });
 
 test("a request behind the last response of a closing connection is not handled without an answer", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/waiting"));
     await handledBy(server, 1);
     const closing = server.close();
@@ -216,7 +159,7 @@
 
 test("pipelined requests that were read before the close are all answered", async t => {
     const server = await listen(LONG_CLOSE_MS);
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     caller.send(getRequest("/waiting") + getRequest("/quick"));
     await handledBy(server, 2);
     const closing = server.close();
@@ -249,7 +192,7 @@
 
 test("a connection of HTTP/2 without a byte does not hold up the close", async t => {
     const server = await listen(LONG_CLOSE_MS, "http2");
-    using caller = await Caller.connect(server.address);
+    using caller = await RawCaller.connect(server.address);
     await sleep(clock, 50);
     t.true(await settles(server.close(), AT_ONCE_MS));
     t.true(await settles(caller.closed, AT_ONCE_MS));
@@ -258,7 +201,7 @@
 for (const path of ["/endless", "/large"]) {
     test(`a caller of HTTP/2 that does not read holds up the close for its timeout only: ${path}`, async t => {
         const server = await listen(300, "http2");
-        using caller = await Caller.connect(server.address);
+        using caller = await RawCaller.connect(server.address);
         const session = connectHttp2(`http://${server.address}`, {
             createConnection: () => caller.socket,
             settings: { initialWindowSize: WIDEST_WINDOW_BYTES },
--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -65,31 +65,48 @@
     return { server, connections };
 };
 
-const closeServer = async ({ server, connections }: OpenServer, closeTimeoutMs: number): Promise<void> => {
+const closeServer = async ({ server, connections }: OpenServer, timeoutMs: number): Promise<void> => {
     const closed = once(server, "close");
     // `close()` of an HTTP server also closes connections whose response has been handed over but has not left.
     NetServer.prototype.close.call(server);
     connections.closeGracefully();
-    const timer = createSystemClock().setTimer(closeTimeoutMs, () => connections.destroyAll());
+    const timer = createSystemClock().setTimer(timeoutMs, () => connections.destroyAll());
     await closed;
     timer.cancel();
     // Releases the timer with which an HTTP server checks its connections.
     server.close();
 };
 
+/** A running HTTP server; disposing it closes it within `closeTimeoutMs`. */
+export interface HttpServer extends AsyncDisposable {
+    /** Tells callers to use other servers: each connection closes after its next response. */
+    drain(): void;
+    /**
+     * Refuses new connections, closes those without a response to give at once, lets running responses end, and
+     * then closes what is left. Only the first call has an effect.
+     *
+     * @param timeoutMs - time for running responses to end, in milliseconds
+     */
+    close(timeoutMs: number): Promise<void>;
+}
+
 /**
  * Starts an HTTP server for an application.
  *
  * @param options - application, address and protocol
- * @returns the server; disposing it refuses new connections, closes those without a response to give at once,
- * lets running responses end within `closeTimeoutMs`, and then closes what is left
+ * @returns the server
  */
-export const listenHttp = async (options: HttpServerOptions): Promise<AsyncDisposable> => {
+export const listenHttp = async (options: HttpServerOptions): Promise<HttpServer> => {
     const { host, port } = splitAddress(options.address);
     const listener = getRequestListener(options.app.fetch, { hostname: host });
     const open = options.protocol === "http1" ? createHttp1(listener) : createHttp2(listener);
     open.server.listen(port, host);
     await once(open.server, "listening");
-    const closeTimeoutMs = options.closeTimeoutMs ?? DEFAULT_CLOSE_TIMEOUT_MS;
-    return { [Symbol.asyncDispose]: () => closeServer(open, closeTimeoutMs) };
+    let closed: Promise<void> | undefined;
+    const close = (timeoutMs: number): Promise<void> => closed ??= closeServer(open, timeoutMs);
+    return {
+        close,
+        drain: () => open.connections.drain(),
+        [Symbol.asyncDispose]: () => close(options.closeTimeoutMs ?? DEFAULT_CLOSE_TIMEOUT_MS),
+    };
 };
--- a/packages/entry/src/node/openConnections.ts
+++ b/packages/entry/src/node/openConnections.ts
@@ -10,6 +10,8 @@
 
 /** Open connections of a server. */
 export interface OpenConnections {
+    /** Closes each connection after its next response; new ones are still served. */
+    drain(): void;
     /** Closes connections without a response to give at once, and the others after their last response. */
     closeGracefully(): void;
     /** Closes all connections at once. */
@@ -27,7 +29,7 @@
     public constructor(private readonly socket: Socket) {}
 
     /** Whether a request on this connection is to be handled; after a last response it would have no answer. */
-    public accepts(response: ServerResponse): boolean {
+    public accepts(response: ServerResponse, isDraining: boolean): boolean {
         if (this.isClosing) {
             return false;
         }
@@ -36,19 +38,28 @@
             this.responses.splice(this.responses.indexOf(response), 1);
             this.closeIfIdle();
         });
+        if (isDraining) {
+            this.drain();
+        }
         return true;
     }
 
+    /** Makes the newest response the last one, if it can still tell so. */
+    public drain(): void {
+        const newest = this.responses.at(-1);
+        if (newest && !newest.headersSent) {
+            newest.shouldKeepAlive = false;
+            this.isClosing = true;
+        }
+    }
+
     public closeGracefully(): void {
-        this.isClosing = true;
-        const last = this.responses.at(-1);
-        if (last && !last.req.complete && !last.headersSent) {
+        const newest = this.responses.at(-1);
+        if (newest && !newest.req.complete && !newest.headersSent) {
             this.responses.pop();
         }
-        const final = this.responses.at(-1);
-        if (final && !final.headersSent) {
-            final.shouldKeepAlive = false;
-        }
+        this.drain();
+        this.isClosing = true;
         this.closeIfIdle();
     }
 
@@ -65,6 +76,7 @@
  */
 export class Http1Connections implements OpenConnections {
     private readonly connections = new Map<Socket, Http1Connection>();
+    private isDraining = false;
 
     /**
      * Follows the connections of a server.
@@ -86,12 +98,20 @@
      */
     public wrap(handler: RequestHandler): RequestHandler {
         return (request, response) => {
-            if (this.connections.get(request.socket)?.accepts(response)) {
+            if (this.connections.get(request.socket)?.accepts(response, this.isDraining)) {
                 handler(request, response);
             }
+            else {
+                request.resume();
+            }
         };
     }
 
+    public drain(): void {
+        this.isDraining = true;
+        this.connections.forEach(connection => connection.drain());
+    }
+
     public closeGracefully(): void {
         this.connections.forEach(connection => connection.closeGracefully());
     }
@@ -108,6 +128,7 @@
     private readonly sessions = new Set<ServerHttp2Session>();
     /** A session that is closing leaves its socket open until the bytes in it have been taken. */
     private readonly sockets = new Set<Socket>();
+    private isDraining = false;
 
     /**
      * Follows the connections of a server.
@@ -121,10 +142,20 @@
         });
         server.on("session", session => {
             this.sessions.add(session);
+            session.on("stream", () => {
+                if (this.isDraining) {
+                    session.close();
+                }
+            });
             session.once("close", () => this.sessions.delete(session));
         });
     }
 
+    public drain(): void {
+        this.isDraining = true;
+        this.closeGracefully();
+    }
+
     public closeGracefully(): void {
         this.sessions.forEach(session => session.close());
     }
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,11 +1,14 @@
 /**
- * Test support: a virtual clock and an in-process network on which the production code runs in simulations.
+ * Test support: a virtual clock and an in-process network on which the production code runs in simulations, and
+ * programs and callers on real sockets.
  *
  * @packageDocumentation
  */
 
 export * from "./node/freePort.ts";
 export * from "./shared/cutAnswers.ts";
+export * from "./node/programProcess.ts";
+export * from "./node/rawCaller.ts";
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
 export * from "./shared/processClock.ts";
--- /dev/null
+++ b/packages/test-support/src/node/programProcess.ts
@@ -0,0 +1,61 @@
+/**
+ * Programs as child processes of a test.
+ *
+ * @packageDocumentation
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+
+/** A program in a child process, with its captured output; disposing it kills it if it still runs. */
+export class ProgramProcess implements AsyncDisposable {
+    /** Captured standard output. */
+    public output = "";
+    /** Captured standard error. */
+    public errors = "";
+    private readonly exited: Promise<unknown>;
+
+    private constructor(private readonly child: ChildProcess) {
+        child.stdout?.on("data", (chunk: Buffer) => this.output += chunk.toString());
+        child.stderr?.on("data", (chunk: Buffer) => this.errors += chunk.toString());
+        this.exited = once(child, "exit");
+    }
+
+    /**
+     * Starts a program from its source.
+     *
+     * @param module - path of its main module
+     * @param args - its arguments
+     * @returns the process
+     */
+    public static start(module: string, args: readonly string[]): ProgramProcess {
+        return new ProgramProcess(
+            spawn(process.execPath, ["--import=tsx", module, ...args], { stdio: ["ignore", "pipe", "pipe"] }),
+        );
+    }
+
+    /**
+     * Sends a signal.
+     *
+     * @param name - the signal
+     */
+    public signal(name: NodeJS.Signals): void {
+        this.child.kill(name);
+    }
+
+    /**
+     * Waits for the end of the process.
+     *
+     * @returns its exit code; undefined if a signal ended it
+     */
+    public async exitCode(): Promise<number | undefined> {
+        await this.exited;
+        return this.child.exitCode ?? undefined;
+    }
+
+    /** Kills the process if it still runs. */
+    public async [Symbol.asyncDispose](): Promise<void> {
+        this.child.kill("SIGKILL");
+        await this.exited;
+    }
+}
