fix(entry): a stop does not cut off an answer that its caller still reads

Cause: a request counts as running until its events have been taken from the agent; its answer may still wait for a slow caller. The stop then ended the entry's servers with their default close timeout, although the drain timeout was not over.

Change: the servers for callers close together, and their last answers get what is left of the drain timeout, 500 ms at least.

Measured: entryStop.spec.ts, "an answer that its caller reads slowly is not cut off within the drain timeout of an entry": the caller pauses, SIGTERM comes when the server has sent all, the caller reads on 3 s later.

--- a/packages/entry/src/node/__tests__/entryStop.spec.ts
+++ b/packages/entry/src/node/__tests__/entryStop.spec.ts
@@ -4,7 +4,7 @@
 import { createHash } from "node:crypto";
 import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { createServer, get, type IncomingMessage, type ServerResponse } from "node:http";
 import { connect as connectHttp2 } from "node:http2";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -194,6 +194,26 @@
     t.is(await fleet.entry.exitCode(), 0);
 });
 
+test.serial("an answer that its caller reads slowly is not cut off within the drain timeout of an entry", async t => {
+    await using fleet = await startFleet(10_000);
+    const headers = { authorization: `Bearer ${KEY}` };
+    const [response] = await once(get(`http://${fleet.listen}/painel/large`, { headers }), "response") as [
+        IncomingMessage,
+    ];
+    t.is(response.statusCode, 200);
+    t.true(await holds(() => fleet.backend.finished.includes("/large"), ANSWER_MS));
+    await sleep(clock, 500);
+    fleet.entry.signal("SIGTERM");
+    await sleep(clock, 3_000);
+    let bytes = 0;
+    response.on("error", () => {});
+    response.on("data", (chunk: Buffer) => bytes += chunk.length);
+    t.true(await settles(once(response, "close"), ANSWER_MS));
+    t.true(response.complete);
+    t.is(bytes, LARGE_BYTES);
+    t.is(await fleet.entry.exitCode(), 0);
+});
+
 test.serial("a request that still runs at the drain timeout of an entry is not cut off without an answer", async t => {
     await using fleet = await startFleet(500);
     using caller = await RawCaller.connect(fleet.listen);
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -8,6 +8,7 @@
 import { startConfigurationFeed } from "@magnolialock/control";
 import {
     branded,
+    type Clock,
     createProcessRuntime,
     type DataCentreId,
     ExitCode,
@@ -24,18 +25,29 @@
 import { createHttpApp } from "./httpApp.ts";
 import { type HttpServer, listenHttp } from "./httpServer.ts";
 
+/** Time for the last answers to leave once no request runs, if the drain timeout is used up, in milliseconds. */
+const LAST_ANSWERS_MS = 500;
+
 /** What a stop of the entry ends. */
 interface StopOptions {
     readonly servers: readonly HttpServer[];
     readonly entry: Entry;
+    readonly clock: Clock;
+    readonly drainTimeoutMs: number;
     /** Announces to other processes that this one is leaving. */
     readonly leave: () => Promise<void>;
 }
 
-/** Refuses new requests, sends callers to other entries, and waits for the running requests. */
-const stopServing = async ({ servers, entry, leave }: StopOptions): Promise<void> => {
+/**
+ * Refuses new requests and sends callers to other entries, waits for the running requests, and then for their answers
+ * to leave.
+ */
+const stopServing = async ({ servers, entry, clock, ...options }: StopOptions): Promise<void> => {
+    const endMs = clock.nowMs() + options.drainTimeoutMs;
     servers.forEach(server => server.drain());
-    await Promise.all([leave(), entry.stop()]);
+    await Promise.all([options.leave(), entry.stop()]);
+    const timeoutMs = Math.max(LAST_ANSWERS_MS, endMs - clock.nowMs());
+    await Promise.all(servers.map(server => server.close(timeoutMs)));
 };
 
 const main = async (): Promise<number> => {
@@ -69,6 +81,8 @@
     await stopServing({
         servers,
         entry,
+        clock: runtime.clock,
+        drainTimeoutMs: settings.drainTimeoutMs,
         leave: () => feed.leave(),
     });
     return ExitCode.Success;
