fix(kernel): a peer that stops reading does not hold up a stop

Cause: when the control port closes, sessions of HTTP/2 that are left after 500 ms were destroyed; a session that is already closing then only ends its socket, which stays open until the peer has taken the bytes in it. A frozen peer kept a stopped agent or entry alive until SIGKILL.

Change: the sockets themselves are destroyed after the 500 ms.

--- a/packages/kernel/src/node/tcpNetwork.ts
+++ b/packages/kernel/src/node/tcpNetwork.ts
@@ -6,6 +6,7 @@
 
 import type { Interceptor, Transport } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { once } from "node:events";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import { connect, type Socket } from "node:net";
 import type { Address } from "../shared/brand.ts";
@@ -49,18 +50,22 @@
     });
 
 /** Lets open streams finish within the grace period, then destroys the connections that peers keep open. */
-const closeServer = (server: Http2Server, sessions: ReadonlySet<ServerHttp2Session>): Promise<void> =>
-    new Promise(resolve => {
-        const graceTimer = systemClock.setTimer(
-            CLOSE_GRACE_MS,
-            () => sessions.forEach(session => session.destroy()),
-        );
-        server.close(() => {
-            graceTimer.cancel();
-            resolve();
-        });
-        sessions.forEach(session => session.close());
-    });
+const closeServer = async (
+    server: Http2Server,
+    sessions: ReadonlySet<ServerHttp2Session>,
+    sockets: ReadonlySet<Socket>,
+): Promise<void> => {
+    const closed = once(server, "close");
+    // A session that is closing leaves its socket open until the peer has taken the bytes in it.
+    const graceTimer = systemClock.setTimer(
+        CLOSE_GRACE_MS,
+        () => sockets.forEach(socket => socket.destroy()),
+    );
+    server.close();
+    sessions.forEach(session => session.close());
+    await closed;
+    graceTimer.cancel();
+};
 
 const serveBindings = async (
     address: Address,
@@ -80,8 +85,13 @@
     const server = createServer({
         settings: { maxConcurrentStreams: MAX_CONCURRENT_STREAMS, initialWindowSize: STREAM_WINDOW_BYTES },
     }, handler);
-    // Messages are small: Nagle's algorithm would hold them back until the peer's delayed acknowledgement.
-    server.on("connection", (socket: Socket) => socket.setNoDelay(true));
+    const sockets = new Set<Socket>();
+    server.on("connection", (socket: Socket) => {
+        // Messages are small: Nagle's algorithm would hold them back until the peer's delayed acknowledgement.
+        socket.setNoDelay(true);
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     const sessions = new Set<ServerHttp2Session>();
     server.on("session", session => {
         sessions.add(session);
@@ -89,7 +99,7 @@
         session.on("error", () => session.destroy());
     });
     await listenOn(server, address);
-    return { [Symbol.asyncDispose]: () => closeServer(server, sessions) };
+    return { [Symbol.asyncDispose]: () => closeServer(server, sessions, sockets) };
 };
 
 /** Options of {@link createTcpNetwork}. */
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -6,9 +6,9 @@
  */
 
 export * from "./node/freePort.ts";
-export * from "./shared/cutAnswers.ts";
 export * from "./node/programProcess.ts";
 export * from "./node/rawCaller.ts";
+export * from "./shared/cutAnswers.ts";
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
 export * from "./shared/processClock.ts";
