fix(direct): interim responses without end are given up

Cause: heads below 200 are passed over since 'an interim response is not taken for the answer', however many come. Change: after 16 of them the attempt is given up.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -38,6 +38,8 @@
 
 /** Heads with a lower status are interim: the answer follows them. */
 const FIRST_FINAL_STATUS = 200;
+/** Most interim heads before an answer. */
+const MAX_INTERIM_HEADS = 16;
 
 /** A connection that carries at most one request at a time. */
 class ServerConnection {
@@ -124,7 +126,15 @@
         let controller: Dispatcher.DispatchController | undefined;
         let isCloseDelimited = false;
         let isAborted = false;
+        let interimHeads = 0;
         let settle: (end: UpstreamEnd) => void = () => {};
+        const abort = (reason: string): void => {
+            isAborted = true;
+            // undici fails an assertion, and reports no end, when the connection of a paused response closes.
+            controller?.resume();
+            connection.abort(reason);
+            settle({ kind: controller ? "broken" : "notSent", message: reason });
+        };
         const ended = new Promise<UpstreamEnd>(resolve => {
             settle = resolve;
             const handler: Dispatcher.DispatchHandler = {
@@ -137,6 +147,9 @@
                 },
                 onResponseStart: (_started, status, headers) => {
                     if (status < FIRST_FINAL_STATUS) {
+                        if (++interimHeads > MAX_INTERIM_HEADS) {
+                            abort("the server sends interim responses without end");
+                        }
                         return;
                     }
                     isCloseDelimited = headers["content-length"] === undefined
@@ -182,13 +195,7 @@
         });
         return {
             ended,
-            abort: reason => {
-                isAborted = true;
-                // undici fails an assertion, and reports no end, when the connection of a paused response closes.
-                controller?.resume();
-                connection.abort(reason);
-                settle({ kind: controller ? "broken" : "notSent", message: reason });
-            },
+            abort,
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
         };
