fix(direct): a pipelined request hides neither its caller's leaving nor that its time has passed

Cause: the body of a waiting request was not read, so Node.js stopped reading the connection and saw no end of it: with 100 KB waiting, the server of a caller that had left ran on for 2.5 s (9 ms before). A request whose time had passed while it waited was still passed on, with 1 ms left, and ran on after the end of a stop. Change: bodies are read at once, and what is over the limit is dropped, so that the 413 is read; a request whose time is over makes no attempt. Entry and direct entry close connections by the same lingering close, at the end of a stop for up to 1 s if the grace allows. The waiters of the queue are released after the late time, not up to 1 ms before it.

--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -5,17 +5,11 @@
  * @packageDocumentation
  */
 
+import { lingeringClose } from "@magnolialock/entry/src/node/lingeringClose.ts";
 import type { Clock } from "@magnolialock/kernel";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
-/**
- * Time after the last byte was sent for which a closing connection goes on reading, in milliseconds. The
- * operating system resets a connection that is closed with unread bytes, and discards what the caller has not
- * received yet.
- */
-const LINGER_MS = 1_000;
-
 const withResolvers = (): { readonly promise: Promise<void>; readonly resolve: () => void; } => {
     let resolve = (): void => {};
     const promise = new Promise<void>(onResolved => resolve = onResolved);
@@ -85,12 +79,7 @@
             return;
         }
         this.hasBegunClose = true;
-        this.socket.end(() => {
-            if (!this.socket.destroyed) {
-                const timer = this.clock.setTimer(LINGER_MS, () => this.socket.destroy());
-                this.socket.once("close", () => timer.cancel());
-            }
-        });
+        lingeringClose(this.socket, this.clock);
     }
 
     /** Closes the connection at once; bytes that have not left are lost. */
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -59,6 +59,12 @@
     beginStop(): void;
     /** Stops accepting connections, and closes each one as soon as it carries no request. */
     closeIdle(): void;
+    /**
+     * Closes all connections.
+     *
+     * @param timeoutMs - time for callers to take what was sent and to close them, in milliseconds
+     */
+    close(timeoutMs: number): Promise<void>;
 }
 
 type RequestBody =
@@ -79,6 +85,8 @@
         for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             bytes += chunk.length;
             if (bytes > maxBytes) {
+                // The rest is read and dropped, or the caller would not come to read the answer.
+                setImmediate(() => request.resume());
                 return { kind: "tooLarge" };
             }
             chunks.push(chunk);
@@ -150,10 +158,14 @@
         }
     }
 
-    public async [Symbol.asyncDispose](): Promise<void> {
+    public [Symbol.asyncDispose](): Promise<void> {
+        return this.close(CLOSE_TIMEOUT_MS);
+    }
+
+    public async close(timeoutMs: number): Promise<void> {
         const { clock } = this.options;
         this.closeIdle();
-        const deadlineMs = clock.nowMs() + CLOSE_TIMEOUT_MS;
+        const deadlineMs = clock.nowMs() + timeoutMs;
         while (this.connections.size > 0 && clock.nowMs() < deadlineMs) {
             await sleep(clock, CLOSE_POLL_MS);
         }
@@ -172,12 +184,15 @@
         const receivedMs = this.options.clock.nowMs();
         const connection = this.connections.get(request.socket);
         let call: IncomingCall | undefined;
-        const mayServe = await connection?.takeTurn(response, hasLeft => {
+        const turn = connection?.takeTurn(response, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
             this.closeIfIdle(connection);
         });
+        // The body is read at once: a connection that is not read does not show that its caller has left.
+        const reading = readBody(request, this.limits.bodyBytes);
+        const mayServe = await turn;
         if (!connection || !mayServe) {
             // Its connection closes after the answer before it, or closed before the request came.
             request.resume();
@@ -185,7 +200,7 @@
         }
         // Requests that were read before the head of an answer is sent are answered on the same connection.
         const reply = new HttpReply(response, () => this.isStopping && connection.pending === 1);
-        const body = await readBody(request, this.limits.bodyBytes);
+        const body = await reading;
         switch (body.kind) {
             case "tooLarge":
                 response.setHeader("connection", "close");
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -105,6 +105,11 @@
  */
 const SHUTDOWN_MARGIN_MS = 400;
 const STOP_POLL_MS = 25;
+/** Timers may fire this early, in milliseconds. */
+const TIMER_MARGIN_MS = 1;
+/** Shortest and longest time for callers to take the last answers at the end of a stop, in milliseconds. */
+const MIN_CLOSE_MS = 150;
+const MAX_CLOSE_MS = 1_000;
 /** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
 const INTERNAL_CLOSE_TIMEOUT_MS = 50;
 
@@ -280,7 +285,7 @@
     const lateFromMs = context.stop.begin(deadlineMs);
     listener.beginStop();
     events.emit(directStopping, { running: listener.running, graceMs: context.bounds.graceMs });
-    await sleep(clock, lateFromMs - startMs);
+    await sleep(clock, lateFromMs - clock.nowMs() + TIMER_MARGIN_MS);
     context.cancelWaiters();
     await sleep(clock, Math.max(0, Math.min(startMs + DEREGISTRATION_MS, deadlineMs) - clock.nowMs()));
     listener.closeIdle();
@@ -293,7 +298,7 @@
     }
     events.emit(directStopClosing, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
     // Before the other components, so that no request is taken while they are closed.
-    await listener[Symbol.asyncDispose]();
+    await listener.close(Math.max(MIN_CLOSE_MS, Math.min(MAX_CLOSE_MS, deadlineMs - clock.nowMs())));
     await scope[Symbol.asyncDispose]();
     events.emit(directStopped, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
 };
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -116,9 +116,10 @@
         const { endSignal } = this.context;
         const { disconnected } = this.reply;
         using timeout = timeoutSignal(clock, this.deadlineMs - this.nowMs, disconnected, endSignal);
+        const isOver = (): boolean => timeout.signal.aborted || this.nowMs >= this.deadlineMs;
         for (;;) {
-            const step = await this.runStep(timeout.signal);
-            if (step.kind === "done") {
+            const step = isOver() ? undefined : await this.runStep(timeout.signal);
+            if (step?.kind === "done") {
                 return;
             }
             if (this.reply.disconnected.aborted) {
@@ -129,7 +130,7 @@
                 this.fail("the instance stops", HTTP_BAD_GATEWAY);
                 return;
             }
-            if (timeout.signal.aborted) {
+            if (!step || isOver()) {
                 this.fail("the time for the request is over", HTTP_GATEWAY_TIMEOUT);
                 return;
             }
--- a/packages/entry/src/node/openConnections.ts
+++ b/packages/entry/src/node/openConnections.ts
@@ -4,9 +4,13 @@
  * @packageDocumentation
  */
 
+import { createSystemClock } from "@magnolialock/kernel";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Http2Server, ServerHttp2Session } from "node:http2";
 import type { Socket } from "node:net";
+import { lingeringClose } from "./lingeringClose.ts";
+
+const systemClock = createSystemClock();
 
 /** Open connections of a server. */
 export interface OpenConnections {
@@ -26,7 +30,10 @@
     private readonly responses: ServerResponse[] = [];
     private isClosing = false;
 
-    public constructor(private readonly socket: Socket) {}
+    public constructor(private readonly socket: Socket) {
+        // Node's HTTP server calls it after a last response.
+        socket.destroySoon = () => lingeringClose(socket, systemClock);
+    }
 
     /** Whether a request on this connection is to be handled; after a last response it would have no answer. */
     public accepts(response: ServerResponse, isDraining: boolean): boolean {
@@ -65,7 +72,7 @@
 
     private closeIfIdle(): void {
         if (this.isClosing && this.responses.length === 0) {
-            this.socket.destroySoon();
+            lingeringClose(this.socket, systemClock);
         }
     }
 }
