--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -41,6 +41,11 @@
 /** Most interim heads before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
+const RESET_END: UpstreamEnd = {
+    kind: "broken",
+    message: "the connection was reset before the answer's end",
+};
+
 /** A connection that carries at most one request at a time. */
 class ServerConnection {
     public readonly client: Client;
@@ -168,10 +173,7 @@
                     }
                     if (isCloseDelimited && connection.wasReset) {
                         connection.close();
-                        resolve({
-                            kind: "broken",
-                            message: "the connection was reset before the answer's end",
-                        });
+                        resolve(RESET_END);
                         return;
                     }
                     this.release(server, connection, request.maxIdleConnections());
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -127,16 +127,13 @@
                 return;
             }
             if (endSignal.aborted) {
-                this.fail("the instance stops", HTTP_BAD_GATEWAY);
-                return;
+                return this.fail("the instance stops", HTTP_BAD_GATEWAY);
             }
             if (!step || isOver()) {
-                this.fail("the time for the request is over", HTTP_GATEWAY_TIMEOUT);
-                return;
+                return this.fail("the time for the request is over", HTTP_GATEWAY_TIMEOUT);
             }
             if (step.kind === "stop") {
-                this.fail(step.reason, HTTP_BAD_GATEWAY);
-                return;
+                return this.fail(step.reason, HTTP_BAD_GATEWAY);
             }
         }
     }
