fix(direct): a stop reads what waits in the kernel before it closes the listener

Callers saw connections closed on requests that they had sent up to 2.8 s before, when the process got no processor time. Cause: timers run before sockets are read. A process that runs again after 3.5 s closed its listener and idle connections before it read what had come. Change: three turns of the event loop before. Measured: stopProcess.spec, 'requests that wait in the kernel while the process gets no processor time', failed before in one of one run (a trial of the same steps too), three of three requests; it passes, one run.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -20,6 +20,7 @@
     splitAddress,
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
+import { setImmediate } from "node:timers/promises";
 import { request } from "undici";
 import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
@@ -105,6 +106,8 @@
  */
 const SHUTDOWN_MARGIN_MS = 400;
 const STOP_POLL_MS = 25;
+/** Turns of the event loop in which waiting connections are accepted and their requests are read. */
+const TURNS_TO_READ = 3;
 /** Timers may fire this early, in milliseconds. */
 const TIMER_MARGIN_MS = 1;
 /** Shortest and longest time for callers to take the last answers at the end of a stop, in milliseconds. */
@@ -288,6 +291,10 @@
     await sleep(clock, lateFromMs - clock.nowMs() + TIMER_MARGIN_MS);
     context.cancelWaiters();
     await sleep(clock, Math.max(0, Math.min(startMs + DEREGISTRATION_MS, deadlineMs) - clock.nowMs()));
+    // Timers run before sockets are read: after a pause of the process, requests and connections may wait there.
+    for (let turn = 0; turn < TURNS_TO_READ; turn++) {
+        await setImmediate();
+    }
     listener.closeIdle();
     while (listener.running > 0 && clock.nowMs() < deadlineMs) {
         await sleep(clock, STOP_POLL_MS);
