--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -8,7 +8,7 @@
     EventLog,
     type Revision,
 } from "@magnolialock/kernel";
-import { findFreePort } from "@magnolialock/test-support";
+import { freeAddress } from "@magnolialock/test-support";
 import {
     configuration,
     NAMES,
@@ -44,8 +44,6 @@
     },
 });
 
-const freeAddress = async (): Promise<Address> => branded<Address>(`127.0.0.1:${await findFreePort()}`);
-
 /**
  * Starts an entry whose services have the given servers.
  *
--- a/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
+++ b/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
@@ -1,8 +1,8 @@
 import { type AnswerEvent, listenHttp } from "@magnolialock/entry";
-import { type Address, branded, createSystemClock } from "@magnolialock/kernel";
+import { type Address, createSystemClock } from "@magnolialock/kernel";
+import { freeAddress } from "@magnolialock/test-support";
 import test from "ava";
-import { once } from "node:events";
-import { type AddressInfo, connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { type Answer, createTestApp, KEY } from "./stubEntry.ts";
 
 const clock = createSystemClock();
@@ -49,37 +49,35 @@
     consume(FAILED);
 };
 
-const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
-
 type Version = "1.0" | "1.1";
 
 /** Sends a request as a caller does and tells how its answer looks. */
-const ask = async (address: Address, version: Version): Promise<"complete" | "broken"> => {
+const ask = async (address: Address, version: Version): Promise<"complete" | "broken" | "left open"> => {
     const [host, port] = address.split(":");
     const socket = connect(Number(port), host);
     let text = "";
     let isReset = false;
+    let isOpen = false;
     socket.on("data", bytes => text += bytes.toString("latin1"));
     socket.on("error", () => isReset = true);
-    socket.setTimeout(MAX_WAIT_MS, () => socket.destroy());
+    socket.setTimeout(MAX_WAIT_MS, () => {
+        isOpen = true;
+        socket.destroy();
+    });
     socket.write(
         `GET /painel/status HTTP/${version}\r\nhost: painel\r\nconnection: close\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
     );
     await new Promise(resolve => socket.once("close", resolve));
+    if (isOpen) {
+        return "left open";
+    }
     const isWhole = /^transfer-encoding: chunked\r$/im.test(text)
         ? text.endsWith("\r\n0\r\n\r\n")
         : text !== "" && !isReset;
     return isWhole ? "complete" : "broken";
 };
 
-/** Serves each answer over a real socket; returns those that look complete to the caller. */
+/** Serves each answer over a real socket; returns those that look complete to the caller, or never end. */
 const askAll = async (answers: ReadonlyMap<string, Answer>, version: Version = "1.1"): Promise<string[]> => {
     let answer: Answer = async () => {};
     const { app } = createTestApp(consume => answer(consume));
@@ -88,8 +86,9 @@
     const complete: string[] = [];
     for (const [name, next] of answers) {
         answer = next;
-        if (await ask(address, version) === "complete") {
-            complete.push(name);
+        const outcome = await ask(address, version);
+        if (outcome !== "broken") {
+            complete.push(outcome === "complete" ? name : `${name}: ${outcome}`);
         }
     }
     return complete;
--- a/packages/entry/src/node/__tests__/brokenStreams.spec.ts
+++ b/packages/entry/src/node/__tests__/brokenStreams.spec.ts
@@ -16,6 +16,7 @@
     sleep,
     splitAddress,
 } from "@magnolialock/kernel";
+import { freeAddress } from "@magnolialock/test-support";
 import test, { type ExecutionContext } from "ava";
 import { createHash } from "node:crypto";
 import { once } from "node:events";
@@ -127,15 +128,6 @@
     return branded<Address>(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 };
 
-const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
-
 /** Starts two servers with their agents and an entry, over real sockets. */
 const startPath = async (scope: ResourceScope, first: Script, next: Script): Promise<Address> => {
     const runtime = scope.use(createProcessRuntime({ instance: "all", seed: 1 }));
--- a/packages/lab/src/node/__tests__/realSockets.spec.ts
+++ b/packages/lab/src/node/__tests__/realSockets.spec.ts
@@ -2,7 +2,6 @@
 import { ConfigurationStore, createConsulPlatform, watchRulesStandalone } from "@magnolialock/control";
 import { createEntry, createHttpApp, listenHttp } from "@magnolialock/entry";
 import {
-    type Address,
     type BackendServerId,
     branded,
     createProcessRuntime,
@@ -22,7 +21,7 @@
     SimulatedPlatform,
     tokenText,
 } from "@magnolialock/lab";
-import { findFreePort } from "@magnolialock/test-support";
+import { freeAddress } from "@magnolialock/test-support";
 import test from "ava";
 import { connect } from "node:http2";
 import { createEngineServer } from "../standIns/engineServer.ts";
@@ -43,8 +42,6 @@
 const MAX_ATTEMPTS = 40;
 const RETRY_MS = 500;
 
-const freeAddress = async (): Promise<Address> => branded<Address>(`127.0.0.1:${await findFreePort()}`);
-
 /** Starts a platform, an engine, an agent and an entry in this process, connected over real sockets. */
 const startRequestPath = async (scope: ResourceScope, protocol: "http1" | "http2"): Promise<string> => {
     const clock = createSystemClock();
--- a/packages/test-support/src/node/freePort.ts
+++ b/packages/test-support/src/node/freePort.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import { type Address, branded } from "@magnolialock/kernel";
 import { randomInt } from "node:crypto";
 import { once } from "node:events";
 import { createServer } from "node:net";
@@ -52,3 +53,7 @@
     }
     throw new Error(`no free port on ${host} in ${MAX_TRIES} tries`);
 };
+
+/** Finds a loopback address on which nothing listens. */
+export const freeAddress = async (): Promise<Address> =>
+    branded<Address>(`127.0.0.1:${await findFreePort()}`);
--- a/packages/test-support/src/node/rawCaller.ts
+++ b/packages/test-support/src/node/rawCaller.ts
@@ -4,29 +4,15 @@
  * @packageDocumentation
  */
 
-import { type Address, branded, createDeferred, createSystemClock, sleep } from "@magnolialock/kernel";
+import { type Address, createDeferred, createSystemClock, sleep } from "@magnolialock/kernel";
 import { once } from "node:events";
-import { connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 
 const clock = createSystemClock();
 const POLL_MS = 5;
 /** Length of the text that is kept, in characters. */
 const KEPT_LENGTH = 4_000;
 
-/**
- * Finds a free address on loopback by binding it briefly.
- *
- * @returns the address
- */
-export const freeAddress = async (): Promise<Address> => {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as { readonly port: number; };
-    server.close();
-    await once(server, "close");
-    return branded<Address>(`127.0.0.1:${port}`);
-};
-
 /**
  * Waits for a promise for a limited time.
  *
