fix(direct): an answer that is reset together with its last bytes does not look complete

What callers saw: a 200 with a part of a plain body, or a stream without its last events, that its backend server had reset.

Cause: when a reset arrives together with bytes of the answer, libuv reports the end of the data and no error, and the answer of a server that delimits it by the close of its connection counted as complete. wasReset relied on the error.

Change: at the end of the data the connection tells a reset from a close by asking the operating system for the peer: it is still known after a close, and no longer after a reset. It costs one system call for each connection that a server ends.

A server that closes and then resets the connection at once counts as broken, too.

--- a/packages/direct/src/node/__tests__/closeDelimited.spec.ts
+++ b/packages/direct/src/node/__tests__/closeDelimited.spec.ts
@@ -9,11 +9,14 @@
 /** Pause between what a server sends and the end of its connection, in milliseconds. */
 const PAUSE_MS = 30;
 const MAX_WAIT_MS = 3_000;
+const RESET_ROUNDS = 5;
 
 /** What a server sends after the head, and how it ends the connection. */
 interface Answer {
     readonly body: string;
-    readonly end: "close" | "reset";
+    /** A reset at once reaches the instance together with the last bytes. */
+    readonly end: "close" | "reset" | "resetAtOnce";
+    readonly type?: "text/event-stream" | "text/plain";
 }
 
 const events = (from: number, to: number): string =>
@@ -40,8 +43,12 @@
 
     private answer(socket: Socket, received: string): void {
         const requestId = new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(received)?.[1] ?? "";
-        const { body, end } = this.answers.shift() ?? { body: "", end: "reset" };
-        const fields = "content-type: text/event-stream\r\nconnection: close\r\n";
+        const { body, end, type = "text/event-stream" } = this.answers.shift() ?? { body: "", end: "reset" };
+        const fields = `content-type: ${type}\r\nconnection: close\r\n`;
+        if (end === "resetAtOnce") {
+            socket.write(responseHead(requestId, fields) + body, () => socket.resetAndDestroy());
+            return;
+        }
         socket.write(responseHead(requestId, fields) + body);
         clock.setTimer(PAUSE_MS, () => end === "reset" ? socket.resetAndDestroy() : socket.end());
     }
@@ -125,6 +132,7 @@
             "closes within an event": { body: `${events(1, 2)}id: 3\nda`, end: "close" },
             "is reset within an event": { body: `${events(1, 2)}id: 3\nda`, end: "reset" },
             "is reset at the end of an event": { body: events(1, 2), end: "reset" },
+            "is reset with its last bytes": { body: events(1, 2), end: "resetAtOnce" },
         } as const satisfies Record<string, Answer>,
     )
 ) {
@@ -159,3 +167,32 @@
         t.regex(once.received.head, /^HTTP\/1.1 502 /);
     });
 }
+
+const PLAIN = { body: "the body", type: "text/plain" } as const;
+
+// Guards against a reset that the runtime reports as the end of the data, since it came with the last bytes.
+for (const end of ["reset", "resetAtOnce"] as const) {
+    test.serial(`a plain answer without a length that is reset looks complete: ${end}`, async t => {
+        for (let round = 0; round < RESET_ROUNDS; round++) {
+            const { received, requests } = await askServers("once", { ...PLAIN, end });
+            t.regex(received.head, /^HTTP\/1.1 502 /);
+            t.is(requests.length, 1);
+        }
+        const { received, requests } = await askServers("whole", { ...PLAIN, end }, {
+            ...PLAIN,
+            end: "close",
+        });
+        t.is(received.body, PLAIN.body);
+        t.true(received.isWhole);
+        t.is(requests.length, 2);
+    });
+}
+
+test.serial("a plain answer without a length that closes is complete", async t => {
+    for (let round = 0; round < RESET_ROUNDS; round++) {
+        const { received, requests } = await askServers("once", { ...PLAIN, end: "close" });
+        t.is(received.body, PLAIN.body);
+        t.true(received.isWhole);
+        t.is(requests.length, 1);
+    }
+});
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -46,6 +46,12 @@
     message: "the connection was reset before the answer's end",
 };
 
+/**
+ * Tells whether the peer reset a connection whose data have ended. Node.js reports a reset that is read together with the
+ * last bytes as a normal end; the operating system then no longer knows the peer, as it still does after a close.
+ */
+const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
+
 /** A connection that carries at most one request at a time. */
 class ServerConnection {
     public readonly client: Client;
@@ -73,6 +79,7 @@
                     const [, socket] = result;
                     this.socket = socket ?? undefined;
                     socket?.on("error", () => this.wasReset = true);
+                    socket?.on("end", () => this.wasReset ||= isReset(socket));
                     callback(...result);
                 });
             },
