fix(direct): a killed instance leaves no half stream that looks whole to a caller of HTTP/1.0

What callers saw: half of a stream, closed like a whole one, after the instance that carried it was killed, also if the server had sent the stream in chunks.

Cause: HTTP/1.0 has no chunks, so the only end of a stream whose length is not known is that of its connection, which the operating system closes in the same way for a killed process. An instance that breaks a stream off can reset the connection, a killed one cannot.

Change: the reply says whether its caller can tell the end of a body of unknown length. If not, the stream is read to its end, within the memory limit of all buffered answers, and sent with its length. Such callers get whole streams at once at their end, and 502 instead of a part when the server breaks off. Callers of HTTP/1.1 are not affected.

--- a/packages/direct/src/node/httpReply.ts
+++ b/packages/direct/src/node/httpReply.ts
@@ -36,6 +36,11 @@
         response.on("error", () => {});
     }
 
+    /** {@inheritDoc CallerReply.canStream} */
+    public get canStream(): boolean {
+        return this.response.useChunkedEncodingByDefault;
+    }
+
     /** {@inheritDoc CallerReply.sendWhole} */
     public sendWhole(head: ResponseHead, body: Buffer): void {
         this.isFinished = true;
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -231,6 +231,7 @@
 /** Reply that records what the caller received. */
 export class FakeReply implements CallerReply {
     public readonly disconnected: AbortSignal;
+    public readonly canStream = true;
     public head: ResponseHead | undefined;
     public text = "";
     public state: "open" | "whole" | "ended" | "broken" = "open";
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -128,8 +128,10 @@
     public rejectReason: string | undefined;
     /** Head of the response; undefined until it arrives. */
     public head: ResponseHead | undefined;
-    /** Whether the response is a stream of events. */
+    /** Whether the response is a stream of events that is forwarded as they arrive. */
     public isStream = false;
+    /** Whether the response is a stream of events that is buffered, as its caller could not tell half of it from all. */
+    private isBufferedStream = false;
     private readonly options: AttemptOptions;
     private readonly splitter = new EventStreamSplitter();
     private readonly bufferedChunks: Buffer[] = [];
@@ -156,8 +158,11 @@
             : Buffer.concat(this.bufferedChunks);
     }
 
-    /** Why a stream that has ended is not complete; undefined if it is. */
+    /** Why a stream that has ended is not complete; undefined if it is, or if the response is no stream. */
     public get incompleteReason(): string | undefined {
+        if (!this.isStream && !this.isBufferedStream) {
+            return undefined;
+        }
         if (this.splitter.pendingBytes > 0) {
             return "the stream ended within an event";
         }
@@ -196,7 +201,7 @@
     }
 
     public onHead(head: ResponseHead): void {
-        const { call, context, route } = this.options;
+        const { call, context, reply, route } = this.options;
         const { headers: names } = context.options;
         this.head = head;
         this.headClass = classifyResponseHead(head, call.headers[names.requestId], names);
@@ -210,8 +215,10 @@
             context.options.directory.recordAnswer(this.options.server, head);
         }
         const isEventStream = responseHeader(head, "content-type")?.startsWith("text/event-stream") ?? false;
-        this.isStream = this.headClass.kind === "own" && route.answer === "stream" && head.status === HTTP_OK
-            && isEventStream;
+        const mayStream = this.headClass.kind === "own" && route.answer === "stream"
+            && head.status === HTTP_OK && isEventStream;
+        this.isStream = mayStream && reply.canStream;
+        this.isBufferedStream = mayStream && !reply.canStream;
         if (!this.isStream) {
             this.recordFirstByte();
         }
@@ -226,6 +233,9 @@
             return;
         }
         this.options.onProgress();
+        if (this.isBufferedStream) {
+            this.eventCount += this.splitter.push(bytes).length;
+        }
         this.bufferedChunks.push(bytes);
         this.bufferedBytes += bytes.length;
         this.options.context.responseBuffers.set(this, this.bufferedBytes);
@@ -304,6 +314,10 @@
             message: `status ${head.status} without the word that the request was not run`,
         };
     }
+    const { incompleteReason } = handler;
+    if (incompleteReason !== undefined) {
+        return { kind: "broken", message: incompleteReason };
+    }
     if (!handler.isStream) {
         if (handler.isBodyMissing) {
             return { kind: "broken", message: "the answer ended before its body" };
@@ -311,10 +325,6 @@
         handler.recordVerifiedEnd();
         return { kind: "whole", head, body: handler.body };
     }
-    const { incompleteReason } = handler;
-    if (incompleteReason !== undefined) {
-        return { kind: "broken", message: incompleteReason };
-    }
     handler.sendHeadOnce();
     handler.recordVerifiedEnd();
     return { kind: "streamed" };
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -47,6 +47,11 @@
 export interface CallerReply {
     /** Aborted when the connection closes before the reply is finished. */
     readonly disconnected: AbortSignal;
+    /**
+     * Whether the caller can tell the end of a body whose length is not known at its start. A caller of HTTP/1.0 knows
+     * no chunks, and takes the close of the connection for the end.
+     */
+    readonly canStream: boolean;
     /**
      * Sends a complete response.
      *
