fix(direct): an answer whose server was killed does not look complete because it has no length

What callers saw: a 200 with half of a plain body, or a stream without its last events, when the process of a server that delimits its answers by the close of their connections was killed.

Cause: the operating system closes the connections of a killed process as the process itself does after a whole answer; nothing on the connection tells one from the other.

Change: a success that has ended only with its connection is believed once its server still accepts connections, or is known to leave, or does not answer in time. A server at whose address nothing listens any more has broken it off. Such answers cost one connection each; all others cost nothing.

Evidence: closeDelimited.spec, two tests (streams that can be resumed and that cannot, plain bodies) failed before and pass now. Whole answers of living servers look whole, as before.

What this does not tell: a server that a supervisor has started again by then, and one that is known to leave and breaks off.

--- a/packages/direct/src/node/__tests__/closeDelimited.spec.ts
+++ b/packages/direct/src/node/__tests__/closeDelimited.spec.ts
@@ -15,7 +15,7 @@
 interface Answer {
     readonly body: string;
     /** A reset at once reaches the instance together with the last bytes. */
-    readonly end: "close" | "reset" | "resetAtOnce";
+    readonly end: "close" | "reset" | "resetAtOnce" | "killed";
     readonly type?: "text/event-stream" | "text/plain";
 }
 
@@ -50,7 +50,17 @@
             return;
         }
         socket.write(responseHead(requestId, fields) + body);
-        clock.setTimer(PAUSE_MS, () => end === "reset" ? socket.resetAndDestroy() : socket.end());
+        clock.setTimer(PAUSE_MS, () => {
+            if (end === "killed") {
+                this.endAsKilled();
+            }
+            else if (end === "reset") {
+                socket.resetAndDestroy();
+            }
+            else {
+                socket.end();
+            }
+        });
     }
 }
 
@@ -171,8 +181,8 @@
 const PLAIN = { body: "the body", type: "text/plain" } as const;
 
 // Guards against a reset that the runtime reports as the end of the data, since it came with the last bytes.
-for (const end of ["reset", "resetAtOnce"] as const) {
-    test.serial(`a plain answer without a length that is reset looks complete: ${end}`, async t => {
+for (const end of ["reset", "resetAtOnce", "killed"] as const) {
+    test.serial(`a plain answer without a length that breaks off looks complete: ${end}`, async t => {
         for (let round = 0; round < RESET_ROUNDS; round++) {
             const { received, requests } = await askServers("once", { ...PLAIN, end });
             t.regex(received.head, /^HTTP\/1.1 502 /);
@@ -182,6 +192,11 @@
             ...PLAIN,
             end: "close",
         });
+        if (end === "killed") {
+            // The request may be what ended the server, so it is not repeated.
+            t.regex(received.head, /^HTTP\/1.1 502 /);
+            return;
+        }
         t.is(received.body, PLAIN.body);
         t.true(received.isWhole);
         t.is(requests.length, 2);
@@ -196,3 +211,14 @@
         t.is(requests.length, 1);
     }
 });
+
+// Guards against half of a stream that looks complete since the operating system closes the connection of a killed server.
+test.serial("a stream without a length looks complete although its server was killed", async t => {
+    const half = { body: events(1, 5), end: "killed" } as const;
+    const resumed = await askServers("stream", half, { body: events(6, 7), end: "close" });
+    t.is(resumed.received.body, events(1, 7));
+    t.true(resumed.received.isWhole);
+    const cut = await askServers("once-stream", half);
+    t.is(cut.received.body, events(1, 5));
+    t.false(cut.received.isWhole);
+});
--- a/packages/direct/src/node/__tests__/rawServer.ts
+++ b/packages/direct/src/node/__tests__/rawServer.ts
@@ -23,8 +23,16 @@
 
     public async [Symbol.asyncDispose](): Promise<void> {
         this.sockets.forEach(socket => socket.destroy());
+        if (this.server.listening) {
+            this.server.close();
+            await once(this.server, "close");
+        }
+    }
+
+    /** Ends as a process does that is killed: nothing listens any more, and the operating system closes all connections. */
+    protected endAsKilled(): void {
         this.server.close();
-        await once(this.server, "close");
+        this.sockets.forEach(socket => socket.end());
     }
 
     /** Reads requests from a new connection and writes answers. */
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -191,6 +191,14 @@
         }
     }
 
+    /**
+     * Whether a success has ended only by the close of its connection, as it also does when the process of its server is
+     * killed.
+     */
+    public get isEndUnverified(): boolean {
+        return this.head !== undefined && this.head.isCloseDelimited === true && isSuccess(this.head);
+    }
+
     /** Sends the caller the head of a complete stream that has no events. */
     public sendHeadOnce(): void {
         const { cursor, reply } = this.options;
@@ -330,6 +338,15 @@
     return { kind: "streamed" };
 };
 
+/**
+ * Tells whether a server that is not known to leave has ended: nothing listens at its address any more.
+ */
+const hasEnded = async (
+    { options: { directory, upstreams } }: DirectContext,
+    server: TrackedServer,
+): Promise<boolean> =>
+    !directory.isLeaving(server) && await upstreams.probe(server.entry.address) === "refused";
+
 /**
  * Runs one attempt.
  *
@@ -364,7 +381,11 @@
     try {
         const end = await upstream.ended;
         if (end.kind === "complete" || end.kind === "broken" && handler.rejectReason !== undefined) {
-            return outcomeOf(handler, route);
+            const outcome = outcomeOf(handler, route);
+            const isSuccessful = outcome.kind === "streamed" || outcome.kind === "whole";
+            return isSuccessful && handler.isEndUnverified && await hasEnded(context, server)
+                ? { kind: "broken", message: "the server ended as it closed the connection of its answer" }
+                : outcome;
         }
         return end;
     }
