fix(direct): connections to the store that fall silent do not hold back a configuration

What callers saw: a key that had been taken away was served for up to 5.6 s after the confirmation, at all instances, when the open connections to the store fell silent just before.

Cause: an instance noticed a silent connection only by a watch that got no answer within 1.5 s after its end, and watches lasted 1.5 s to 6 s or more at random. A change ends all watches at one moment, so after it no watch of the fleet may end for seconds; and whoever noticed it did not tell: the others learned of a newer revision with its next report to their data centre (up to 1 s), and fetched it 0.4 s later.

Change: - Watches are spread evenly over the fleet (watchSchedule.ts). After an answer that ends all of them each instance takes its place in the order of addresses; later each moves its end between those of its neighbours, which reports tell. With a period of 0.9 s for each instance, between 3.75 s and 25 s, some watch ends every 0.9 s at 7 instances, 0.7 s at 35. - A watch whose answer is 350 ms late is asked on a new connection as well. If that brings the answer first, the old one is silent. A slow store raises this tolerance, up to the time-out as before, so that it gets no second call for long. - The instance that finds a silence tells all others at once, and they open new connections if theirs were opened before and have brought nothing since (at most once in 5 s). Idle connections to backend servers are dropped then, too. - Full reads are begun on a new connection after 1 s, and calls between instances use connections of their own. So the longest time from the silence to the first read on new connections, over all instances, is about the gap between two ends + 0.35 s + one datagram: 1.3 s at 7 instances, 1.7 s at 3, under 1.1 s from 35 on; twice the gap if the instance whose turn it is dies meanwhile.

--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -35,6 +35,7 @@
         revision: branded<Revision>(1),
         items: Object.keys(contents).map(key => ({ key, text: key, revision: branded<Revision>(1) })),
     }),
+    reconnect: () => {},
     watch: async (revision, waitMs, signal) => {
         await new Promise((resolve, reject) => {
             clock.setTimer(waitMs, () => resolve(undefined));
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -116,8 +116,11 @@
 /** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
 const INTERNAL_CLOSE_TIMEOUT_MS = 50;
 
+/** Rare calls get connections of their own: an idle one may have gone silent, which only their timeout would show. */
+const ON_OWN_CONNECTION = { reset: true };
+
 const fetchState = async (peer: Address, signal: AbortSignal): Promise<unknown> => {
-    const response = await request(`http://${peer}${STATE_PATH}`, { signal });
+    const response = await request(`http://${peer}${STATE_PATH}`, { signal, ...ON_OWN_CONNECTION });
     return JSON.parse((await readBounded(response.body, MAX_STATE_BYTES)).toString());
 };
 
@@ -126,7 +129,10 @@
     const { port } = splitAddress(peers);
     return async ({ address }, signal) => {
         const { host } = splitAddress(address);
-        const response = await request(`http://${host}:${port}${SERVER_GROUP_PATH}`, { signal });
+        const response = await request(`http://${host}:${port}${SERVER_GROUP_PATH}`, {
+            signal,
+            ...ON_OWN_CONNECTION,
+        });
         const body = await readBounded(response.body, MAX_GROUP_BYTES);
         if (response.statusCode !== HTTP_OK) {
             throw new ProtocolError(`the rank agent answered with status ${response.statusCode}`);
@@ -138,24 +144,39 @@
 /** Creates the components that hold the published state and reach the backend servers. */
 const createComponents = (
     options: DirectEntryOptions,
-    fleetSize: () => number,
+    exchange: () => PeerExchange,
     scope: ResourceScope,
 ) => {
     const { headers, runtime, settings, source } = options;
+    const upstreams = scope.use(new ServerConnections(runtime.clock));
     const store = new PublishedStateStore({
         clock: runtime.clock,
         events: runtime.events,
         decode: (key, text) => source.decode(key, text),
     });
     scope.use(store);
-    const watcher = scope.use(new PlatformWatcher({ runtime, source, store, fleetSize }));
+    const watcher = scope.use(
+        new PlatformWatcher({
+            runtime,
+            source,
+            store,
+            fleetSize: () => exchange().fleet.size,
+            fleetWatches: () => exchange().watches,
+            onSilence: origin => {
+                // Connections to backend servers may have gone silent at the same moment.
+                upstreams.closeAllIdle();
+                if (origin === "own") {
+                    exchange().announce();
+                }
+            },
+        }),
+    );
     const directory = new ServerDirectory({
         runtime,
         store,
         sinceOutageMs: () => Math.min(watcher.sinceOutageMs, store.sinceRestoredMs),
         leavingHeader: headers.leaving,
     });
-    const upstreams = scope.use(new ServerConnections(runtime.clock));
     return { store, watcher, directory, upstreams, settings };
 };
 
@@ -323,7 +344,7 @@
     const scope = new ResourceScope();
     const { directory, watcher, store, upstreams } = createComponents(
         options,
-        () => exchange.fleet.size,
+        () => exchange,
         scope,
     );
     let isStopping = false;
@@ -357,6 +378,7 @@
         fetchState,
         // The platform has not told this instance: its connection may have gone silent.
         onFetched: () => watcher.restartCall(),
+        storeWatch: watcher,
     });
     const listener = scope.use(
         await openCallerListener({
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -227,13 +227,18 @@
         this.idle.delete(server);
     }
 
-    /** Closes all idle connections. */
-    public [Symbol.dispose](): void {
+    /** Closes the idle connections to all backend servers. */
+    public closeAllIdle(): void {
         for (const server of this.idle.keys()) {
             this.closeIdle(server);
         }
     }
 
+    /** Closes all idle connections. */
+    public [Symbol.dispose](): void {
+        this.closeAllIdle();
+    }
+
     private async connectOnce(address: Address): Promise<ProbeResult> {
         const { host, port } = splitAddress(address);
         const socket = connect({ host, port });
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -37,9 +37,11 @@
 import { noCallMetrics } from "../callMetrics.ts";
 import { DirectContext } from "../directContext.ts";
 import type { FleetView } from "../fleetAllotment.ts";
+import type { StoreWatch } from "../peerExchange.ts";
 import { PublishedStateStore } from "../publishedStateStore.ts";
 import { serveCall } from "../serveCall.ts";
 import { ServerDirectory } from "../serverDirectory.ts";
+import type { FleetWatches } from "../watchSchedule.ts";
 
 export const NAMES: CallHeaderNames = {
     requestId: "x-id",
@@ -57,6 +59,19 @@
     queuePriority: "x-rank",
 };
 
+/** Watch of the store of an instance that tells the others nothing. */
+export const NO_STORE_WATCH: StoreWatch = {
+    watchEndsMs: undefined,
+    silenceAgeMs: undefined,
+    handleSilence: () => {},
+};
+
+/** Options of a watcher without other instances. */
+export const LONE_WATCH = {
+    fleetWatches: (): FleetWatches => ({ count: 1, place: 0, othersEndMs: [] }),
+    onSilence: (): void => {},
+};
+
 export const DRAFTS = branded<ServiceName>("drafts");
 export const ORDERS = branded<ServiceName>("orders");
 const HERE = branded<DataCentreId>("here");
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -20,6 +20,7 @@
     DRAFTS,
     type FakeReply,
     NAMES,
+    NO_STORE_WATCH,
     ORDERS,
     serverEntry,
     serviceSpec,
@@ -67,6 +68,7 @@
             news: context.news,
             fetchState: async () => store.export(),
             onFetched: () => {},
+            storeWatch: NO_STORE_WATCH,
         });
         void this.exchange.run({
             send: (to, bytes) => {
--- a/packages/direct/src/shared/__tests__/eraOrder.spec.ts
+++ b/packages/direct/src/shared/__tests__/eraOrder.spec.ts
@@ -15,7 +15,7 @@
 import { PlatformWatcher } from "../platformWatcher.ts";
 import { PublishedStateStore } from "../publishedStateStore.ts";
 import { type ReportingPeer, StateCatchUp } from "../stateCatchUp.ts";
-import { configuration } from "./directFixture.ts";
+import { configuration, LONE_WATCH } from "./directFixture.ts";
 
 const createStore = () => {
     const clock = new VirtualClock();
@@ -44,9 +44,10 @@
     const source = {
         readAll: () => new Promise<PublishedRead>(resolve => reads.push(resolve)),
         watch: (after: Revision) => new Promise<WatchResult>(answer => watches.push({ after, answer })),
+        reconnect: () => {},
         decode: () => ({ kind: "ignored" }) as const,
     };
-    using watcher = new PlatformWatcher({ runtime, source, store, fleetSize: () => 1 });
+    using watcher = new PlatformWatcher({ runtime, source, store, fleetSize: () => 1, ...LONE_WATCH });
     void watcher.run();
     await runtime.clock.advance(0);
     reads.shift()?.(readAt(1, 20, { config: "2" }));
@@ -184,12 +185,14 @@
         runtime,
         store,
         fleetSize: () => 7,
+        ...LONE_WATCH,
         source: {
             readAll: async () => {
                 reads++;
                 return readAt(1, 20, { config: "1" });
             },
             watch: async () => ({ kind: "historyLost", era: branded<StoreEra>(1) }),
+            reconnect: () => {},
             decode: () => ({ kind: "ignored" }),
         },
     });
--- a/packages/direct/src/shared/__tests__/peerExchange.spec.ts
+++ b/packages/direct/src/shared/__tests__/peerExchange.spec.ts
@@ -12,7 +12,7 @@
 import type { PublishedState } from "../../types/publishedState.ts";
 import { PeerExchange } from "../peerExchange.ts";
 import { encodePeerReport, reportKey } from "../peerReport.ts";
-import { DirectFixture, ORDERS } from "./directFixture.ts";
+import { DirectFixture, NO_STORE_WATCH, ORDERS } from "./directFixture.ts";
 
 const addressOf = (index: number): Address =>
     branded<Address>(`10.9.${Math.floor(index / 200)}.${index % 200 + 1}:7340`);
@@ -53,6 +53,7 @@
                 return this.state ?? stateAt(0);
             },
             onFetched: () => {},
+            storeWatch: NO_STORE_WATCH,
         });
         void this.exchange.run({
             send: (to, bytes) => {
--- a/packages/direct/src/shared/__tests__/publishedFleet.ts
+++ b/packages/direct/src/shared/__tests__/publishedFleet.ts
@@ -57,6 +57,8 @@
     public isStoreDown = false;
     /** Changes each time connections to the store are closed. */
     public life = 0;
+    /** Time at which the connections to the store that were open then have gone silent; negative if they have not. */
+    public silentSinceMs = -1;
     /** Promises that were broken, one line each. */
     public readonly violations = new Set<string>();
     /** Tells whether a datagram or call between two instances is lost. */
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -43,6 +43,8 @@
     readonly isStoreDown: boolean;
     /** Changes each time connections to the store are closed. */
     readonly life: number;
+    /** Time at which the connections to the store that were open then have gone silent; negative if they have not. */
+    readonly silentSinceMs: number;
     addressOf(index: number): Address;
     dataCentreOf(index: number): DataCentreId;
     deliver(from: number, to: Address, bytes: Uint8Array): void;
@@ -57,6 +59,8 @@
     public readonly directory: ServerDirectory;
     public readonly watcher: PlatformWatcher;
     public readonly exchange: PeerExchange;
+    /** Time at which its connections to the store were opened, in milliseconds. */
+    private connectedMs = 0;
     /** Whether the store answers this instance. */
     public isStoreReachable = true;
     /** Bytes of reports that it has sent. */
@@ -80,6 +84,12 @@
             source: this,
             store,
             fleetSize: () => this.exchange.fleet.size,
+            fleetWatches: () => this.exchange.watches,
+            onSilence: origin => {
+                if (origin === "own") {
+                    this.exchange.announce();
+                }
+            },
         });
         this.directory = new ServerDirectory({
             runtime,
@@ -102,6 +112,7 @@
             news: noNews,
             fetchState: peer => fleet.fetchState(index, peer),
             onFetched: () => this.watcher.restartCall(),
+            storeWatch: this.watcher,
         });
         this.pauses = new PauseDetector({ clock, onPause: () => this.watcher.restartCall() });
     }
@@ -182,6 +193,10 @@
         });
     }
 
+    public reconnect(): void {
+        this.connectedMs = this.fleet.clock.nowMs();
+    }
+
     private eraOf(era: number): StoreEra | undefined {
         return this.fleet.options.namesEra === false ? undefined : branded<StoreEra>(era);
     }
@@ -189,16 +204,27 @@
     /** One call to the store; it breaks off when the store goes away meanwhile. */
     private async call<T>(signal: AbortSignal, answer: (model: RevisionedStore) => Promise<T>): Promise<T> {
         const { fleet } = this;
+        const { connectedMs } = this;
         fleet.calls.push({ atMs: fleet.clock.nowMs(), instance: this.name });
         await sleep(this.clock, STORE_DELAY_MS / 2, signal);
+        await this.untilHeard(connectedMs, signal);
         const { life } = fleet;
         this.assertReachable(life);
         const result = await answer(fleet.platform);
         await sleep(this.clock, STORE_DELAY_MS / 2, signal);
+        await this.untilHeard(connectedMs, signal);
         this.assertReachable(life);
         return result;
     }
 
+    /** Nothing comes through a connection that has gone silent. */
+    private async untilHeard(connectedMs: number, signal: AbortSignal): Promise<void> {
+        if (connectedMs <= this.fleet.silentSinceMs) {
+            // A call that is given up closes its connection.
+            await sleep(this.clock, Number.MAX_SAFE_INTEGER, signal).finally(() => this.reconnect());
+        }
+    }
+
     private assertReachable(life: number): void {
         if (this.fleet.isStoreDown || !this.isStoreReachable || this.fleet.life !== life) {
             throw new UnreachableError("the store does not answer");
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -103,6 +103,14 @@
     summary: "The platform's published state can be read again.",
 });
 
+/** An open connection to the platform has gone silent. */
+export const platformSilent = defineEvent({
+    number: 8038,
+    name: "direct.platform.silent",
+    level: "warning",
+    summary: "An open connection to the platform brought no answer while a new one did; all are opened anew.",
+});
+
 /** The platform dropped the change history. */
 export const platformReread = defineEvent({
     number: 8014,
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -33,6 +33,7 @@
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 import { StateCatchUp } from "./stateCatchUp.ts";
+import type { FleetWatches } from "./watchSchedule.ts";
 
 /** Options of a {@link PeerExchange}. */
 export interface PeerExchangeOptions {
@@ -58,6 +59,22 @@
     readonly fetchState: (peer: Address, signal: AbortSignal) => Promise<unknown>;
     /** Called after the state of another instance was taken over. */
     readonly onFetched: () => void;
+    /** Watch of the store, which the instances spread over time together. */
+    readonly storeWatch: StoreWatch;
+}
+
+/** What an instance tells the others about its watch of the store, and hears from them. */
+export interface StoreWatch {
+    /** Time until its current watch ends, in milliseconds; undefined if there is none. */
+    readonly watchEndsMs: number | undefined;
+    /** Time since some instance found that open connections had gone silent, in milliseconds; undefined if none has. */
+    readonly silenceAgeMs: number | undefined;
+    /**
+     * Handles the word of another instance that open connections have gone silent.
+     *
+     * @param ageMs - time since it was found, in milliseconds
+     */
+    handleSilence(ageMs: number): void;
 }
 
 /**
@@ -167,6 +184,20 @@
         return this.currentFleet;
     }
 
+    /** Watches of the store of the live instances. */
+    public get watches(): FleetWatches {
+        const { runtime: { clock }, settings } = this.options;
+        const nowMs = clock.nowMs();
+        const alive = [...this.peers].filter(([, { isAlive }]) => isAlive);
+        return {
+            count: alive.length + 1,
+            place: alive.filter(([address]) => address < settings.peers).length,
+            othersEndMs: alive.flatMap(([, { lastReportMs, report }]) =>
+                report.watchEndsMs === undefined ? [] : [lastReportMs + report.watchEndsMs - nowMs]
+            ),
+        };
+    }
+
     /** Data centre of each live instance, without this one. */
     public get aliveDataCentres(): readonly DataCentreId[] {
         return [...this.peers.values()].flatMap(({ isAlive, report }) => isAlive ? [report.dataCentre] : []);
@@ -223,6 +254,9 @@
         }
         this.addSeeds(report.members);
         this.unconfirmed.delete(from);
+        if (report.silenceAgeMs !== undefined) {
+            this.options.storeWatch.handleSilence(report.silenceAgeMs);
+        }
         const groups = groupsByReportKey(this.options.services());
         for (const [key, sinceUpMs] of report.groupUpMs) {
             groups.get(key)?.applyPeerReport(sinceUpMs);
@@ -254,6 +288,13 @@
         }
     }
 
+    /** Sends a report to all instances at once, as far as their number allows. */
+    public announce(): void {
+        if (this.socket) {
+            this.reportTo(this.socket, this.selectReceivers(true), true);
+        }
+    }
+
     /** Stops the exchange. */
     public [Symbol.dispose](): void {
         this.stopping.abort();
@@ -322,11 +363,8 @@
 
     private sendReport(socket: DatagramSocket): void {
         const includesRemote = this.reportCount++ % REMOTE_REPORT_INTERVAL === 0;
-        const bytes = this.encodeReport(includesRemote);
         const receivers = this.selectReceivers(includesRemote);
-        for (const receiver of receivers) {
-            socket.send(receiver, bytes);
-        }
+        const bytes = this.reportTo(socket, receivers, includesRemote);
         if (includesRemote) {
             const localCount = this.selectReceivers(false).length;
             const meanBytes = bytes.length
@@ -338,6 +376,17 @@
         }
     }
 
+    /** Returns the bytes of the report. */
+    private reportTo(
+        socket: DatagramSocket,
+        receivers: readonly Address[],
+        includesMembers: boolean,
+    ): Uint8Array {
+        const bytes = this.encodeReport(includesMembers);
+        receivers.forEach(receiver => socket.send(receiver, bytes));
+        return bytes;
+    }
+
     /**
      * Encodes the report of this instance.
      *
@@ -367,6 +416,8 @@
             revisionBeforeReturn: store.revisionBeforeReturn,
             configurationVersion: store.configurationVersion,
             stateAgeMs: store.ageMs,
+            watchEndsMs: this.options.storeWatch.watchEndsMs,
+            silenceAgeMs: this.options.storeWatch.silenceAgeMs,
             running,
             groupUpMs,
             members: shuffled(random, known).slice(0, MEMBERS_PER_REPORT),
--- a/packages/direct/src/shared/peerReport.ts
+++ b/packages/direct/src/shared/peerReport.ts
@@ -48,6 +48,13 @@
     readonly configurationVersion: number;
     /** Time for which it has followed the published state without a gap, in milliseconds. */
     readonly stateAgeMs: number;
+    /** Time until its watch of the store ends, in milliseconds; undefined if it has none, and from an earlier release. */
+    readonly watchEndsMs?: number | undefined;
+    /**
+     * Time since some instance found that open connections to the store had gone silent, in milliseconds; undefined if
+     * none has lately.
+     */
+    readonly silenceAgeMs?: number | undefined;
     /**
      * Number of requests that it runs, by the {@link reportKey} of the backend server; servers without any are
      * omitted.
@@ -103,6 +110,8 @@
             revisionBeforeReturn: BigInt(report.revisionBeforeReturn),
             configurationVersion: report.configurationVersion,
             stateAgeMs: toAge(report.stateAgeMs),
+            ...(report.watchEndsMs === undefined ? {} : { watchEndsMs: toAge(report.watchEndsMs) }),
+            ...(report.silenceAgeMs === undefined ? {} : { silenceAgeMs: toAge(report.silenceAgeMs) }),
             serverHashes: [...report.running.keys()],
             runningRequests: [...report.running.values()],
             groupHashes: [...report.groupUpMs.keys()],
@@ -245,6 +254,8 @@
         revisionBeforeReturn: branded<Revision>(Number(report.revisionBeforeReturn)),
         configurationVersion: report.configurationVersion,
         stateAgeMs: report.stateAgeMs,
+        watchEndsMs: report.watchEndsMs,
+        silenceAgeMs: report.silenceAgeMs,
         running: zip(report.serverHashes, report.runningRequests),
         groupUpMs: zip(report.groupHashes, report.sinceGroupUpMs),
         members: members.filter((member): member is Address => isAddress(member)),
--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -10,13 +10,15 @@
     ProtocolError,
     type Revision,
     type Runtime,
+    settlesWithin,
     sleep,
     type StoreEra,
     timeoutSignal,
 } from "@magnolialock/kernel";
-import type { PublishedSource } from "../types/publishedState.ts";
-import { platformFound, platformLost, platformRead, platformReread } from "./directEvents.ts";
+import type { PublishedSource, WatchResult } from "../types/publishedState.ts";
+import { platformFound, platformLost, platformRead, platformReread, platformSilent } from "./directEvents.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
+import { firstWatchMs, type FleetWatches, nextWatchMs } from "./watchSchedule.ts";
 
 /** Options of a {@link PlatformWatcher}. */
 export interface PlatformWatcherOptions {
@@ -28,23 +30,39 @@
     readonly store: PublishedStateStore;
     /** Returns the number of instances that watch the platform, this one included. */
     readonly fleetSize: () => number;
+    /** Returns the watches of the live instances. */
+    readonly fleetWatches: () => FleetWatches;
+    /**
+     * Called when open connections turn out to have gone silent: those to other processes may be silent, too.
+     *
+     * @param origin - whether this instance found it or another one
+     */
+    readonly onSilence: (origin: SilenceOrigin) => void;
 }
 
-/**
- * Bounds of the duration of one watch, in milliseconds. Each watch is a billed call, but a connection that
- * has gone silent is noticed only at the end of a watch. Durations are random, so that of several instances
- * with silent connections one notices early and the others learn from its reports.
- */
-const MIN_WATCH_MS = 1_500;
-/** Longest watch for each instance of the fleet, in milliseconds: the more there are, the sooner one notices. */
-const MAX_WATCH_PER_INSTANCE_MS = 750;
-/** Longest watch, in milliseconds; the platform accepts 30 s. */
-const MAX_WATCH_MS = 25_000;
+/** Who found that open connections have gone silent. */
+export type SilenceOrigin = "own" | "peer";
+
 /**
  * Time after the end of a watch within which its response must arrive, in milliseconds; less would treat slow
  * responses as lost.
  */
 const WATCH_RESPONSE_MARGIN_MS = 1_500;
+/**
+ * Time after the end of a watch from which its connection is suspected to be silent, in milliseconds. The store is then
+ * asked on a new connection as well, which a slow store makes useless.
+ */
+const MIN_OVERDUE_MS = 350;
+/** How much later than the latest late answers the next ones are suspected. */
+const OVERDUE_FACTOR = 2;
+/** Decay of that tolerance with each answer in time. */
+const OVERDUE_DECAY = 0.5;
+/** Time after which a full read is begun on a new connection as well, in milliseconds. */
+const READ_OVERDUE_MS = 1_000;
+/** Time for which instances tell each other that open connections have gone silent, in milliseconds. */
+const SILENCE_TOLD_MS = 4_000;
+/** Shortest time between two calls that begin anew because another instance found a silence, in milliseconds. */
+const MIN_SILENCE_INTERVAL_MS = 5_000;
 /**
  * Delay after a response with changes, in milliseconds. Changes come in bursts, and each of them would cause
  * a call by every instance. The delay counts against the time within which a configuration must take effect.
@@ -84,6 +102,18 @@
     }
 };
 
+/** A call to the store that is made again on a new connection when its answer is overdue. */
+interface StoreCall<T> {
+    /** Time after which the answer is overdue, in milliseconds. */
+    readonly overdueMs: number;
+    /** Time after which the call fails, in milliseconds. */
+    readonly timeoutMs: number;
+    /** Makes the call. */
+    readonly make: (signal: AbortSignal) => Promise<T>;
+    /** Makes the call that is to be answered at once on a new connection. */
+    readonly check: (signal: AbortSignal) => Promise<T>;
+}
+
 /** Watches the published state of the platform. */
 export class PlatformWatcher implements Disposable {
     private readonly options: PlatformWatcherOptions;
@@ -96,6 +126,16 @@
     private removalsEra: StoreEra | undefined;
     private failingSinceMs: number | undefined;
     private lastOutageEndMs = Number.NEGATIVE_INFINITY;
+    /** Time at which the current watch ends; undefined while there is none. */
+    private watchEndMs: number | undefined;
+    /** Whether the other instances begin their next watches at about the same time as this one. */
+    private isSynchronised = true;
+    private overdueMs = MIN_OVERDUE_MS;
+    /** Time of the last answer, or from which the connections are new. */
+    private verifiedMs = Number.NEGATIVE_INFINITY;
+    /** Time at which some instance last found that open connections had gone silent. */
+    private silenceFoundMs = Number.NEGATIVE_INFINITY;
+    private lastSilenceRestartMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - platform and store */
     public constructor(options: PlatformWatcherOptions) {
@@ -116,13 +156,50 @@
         return nowMs - this.lastOutageEndMs;
     }
 
+    /** Time until the current watch ends, in milliseconds; undefined if there is none. */
+    public get watchEndsMs(): number | undefined {
+        return this.watchEndMs === undefined
+            ? undefined
+            : Math.max(0, this.watchEndMs - this.options.runtime.clock.nowMs());
+    }
+
+    /**
+     * Time since some instance found that open connections to the store had gone silent, in milliseconds; undefined if
+     * none has lately.
+     */
+    public get silenceAgeMs(): number | undefined {
+        const ageMs = this.options.runtime.clock.nowMs() - this.silenceFoundMs;
+        return ageMs < SILENCE_TOLD_MS ? ageMs : undefined;
+    }
+
     /**
-     * Restarts the current call at once: after a pause of the process its response may be long out of date.
+     * Restarts the current call at once, on a new connection: after a pause of the process its response may be long out
+     * of date, and its connection closed.
      */
     public restartCall(): void {
+        this.reconnect();
         this.currentCall.abort();
     }
 
+    /**
+     * Handles the word of another instance that open connections to the store have gone silent.
+     *
+     * @param ageMs - time since some instance found it, in milliseconds
+     */
+    public handleSilence(ageMs: number): void {
+        const nowMs = this.options.runtime.clock.nowMs();
+        const foundMs = nowMs - ageMs;
+        this.silenceFoundMs = Math.max(this.silenceFoundMs, foundMs);
+        const isDue = nowMs - this.lastSilenceRestartMs >= MIN_SILENCE_INTERVAL_MS;
+        if (foundMs <= this.verifiedMs || ageMs >= SILENCE_TOLD_MS || !isDue) {
+            return;
+        }
+        this.lastSilenceRestartMs = nowMs;
+        this.isSynchronised = true;
+        this.restartCall();
+        this.options.onSilence("peer");
+    }
+
     /** Watches the platform until the watcher is disposed. */
     public async run(): Promise<void> {
         const { runtime } = this.options;
@@ -154,7 +231,7 @@
     }
 
     private async syncOnce(signal: AbortSignal): Promise<void> {
-        const { runtime, source, store } = this.options;
+        const { runtime, store } = this.options;
         if (!this.hasFullState) {
             await this.readAll(signal);
             return;
@@ -163,13 +240,8 @@
         if (removalsAfter !== undefined) {
             await this.readRemovals(removalsAfter, signal);
         }
-        const waitMs = runtime.random.nextInt(
-            MIN_WATCH_MS,
-            Math.min(MAX_WATCH_MS, this.options.fleetSize() * MAX_WATCH_PER_INSTANCE_MS),
-        );
-        using timeout = timeoutSignal(runtime.clock, waitMs + WATCH_RESPONSE_MARGIN_MS, signal);
         const asked = store.version;
-        const result = await source.watch(asked.revision, waitMs, timeout.signal);
+        const result = await this.watch(asked.revision, signal);
         if (store.era !== asked.era) {
             // Another instance has told of a newer era; the revision that was asked for belongs to an older one.
             return;
@@ -184,15 +256,92 @@
                 isHistoryLost: result.kind === "historyLost",
             });
             this.hasFullState = false;
+            this.isSynchronised = true;
             this.scheduleRead();
             return;
         }
         store.apply(result.revision, result.changes, "platform");
         if (result.changes.length > 0) {
+            this.isSynchronised = true;
             await sleep(runtime.clock, CHANGE_BATCH_DELAY_MS, signal);
         }
     }
 
+    /** Waits for changes; a connection that has gone silent delays them only until the watch is overdue. */
+    private async watch(after: Revision, signal: AbortSignal): Promise<WatchResult> {
+        const { fleetWatches, runtime: { clock, random }, source } = this.options;
+        const watches = fleetWatches();
+        const waitMs = Math.round(
+            this.isSynchronised ? firstWatchMs(watches) : nextWatchMs(watches, random.nextFloat()),
+        );
+        this.isSynchronised = false;
+        this.watchEndMs = clock.nowMs() + waitMs;
+        try {
+            return await this.callStore({
+                overdueMs: waitMs + this.overdueMs,
+                timeoutMs: waitMs + WATCH_RESPONSE_MARGIN_MS,
+                make: callSignal => source.watch(after, waitMs, callSignal),
+                check: callSignal => source.watch(after, HISTORY_WAIT_MS, callSignal),
+            }, signal);
+        }
+        finally {
+            const isSilent = this.silenceFoundMs >= this.watchEndMs;
+            const lateMs = isSilent ? 0 : clock.nowMs() - this.watchEndMs;
+            const toleratedMs = Math.max(lateMs * OVERDUE_FACTOR, this.overdueMs * OVERDUE_DECAY);
+            this.overdueMs = Math.min(WATCH_RESPONSE_MARGIN_MS, Math.max(MIN_OVERDUE_MS, toleratedMs));
+            this.watchEndMs = undefined;
+        }
+    }
+
+    /** Calls the store, and once more on a new connection if the answer is overdue; the first answer counts. */
+    private async callStore<T>(call: StoreCall<T>, signal: AbortSignal): Promise<T> {
+        const { clock } = this.options.runtime;
+        const firstEnd = new AbortController();
+        const secondEnd = new AbortController();
+        using firstSignal = timeoutSignal(clock, call.timeoutMs, signal, firstEnd.signal);
+        using secondSignal = timeoutSignal(clock, call.timeoutMs, signal, secondEnd.signal);
+        let isFirstOpen = true;
+        const first = call.make(firstSignal.signal).finally(() => isFirstOpen = false);
+        if (await settlesWithin(clock, first, call.overdueMs)) {
+            const answer = await first;
+            this.verifiedMs = clock.nowMs();
+            return answer;
+        }
+        const lastVerifiedMs = this.verifiedMs;
+        this.reconnect();
+        const second = call.check(secondSignal.signal);
+        const answer = await Promise.any([first, second]).catch(() => first);
+        // An answer to the first call that this process has not read yet shows that its connection works.
+        await sleep(clock, 0);
+        if (isFirstOpen) {
+            first.catch(() => {});
+            firstEnd.abort();
+            this.recordSilence(lastVerifiedMs);
+        }
+        second.catch(() => {});
+        secondEnd.abort();
+        this.verifiedMs = clock.nowMs();
+        return answer;
+    }
+
+    /** Opens new connections; what was heard before on the open ones says nothing of them. */
+    private reconnect(): void {
+        const { runtime, source } = this.options;
+        source.reconnect();
+        this.verifiedMs = runtime.clock.nowMs();
+    }
+
+    private recordSilence(lastVerifiedMs: number): void {
+        const { onSilence, runtime: { clock, events }, store } = this.options;
+        const nowMs = clock.nowMs();
+        const sinceVerifiedMs = Math.round(nowMs - lastVerifiedMs);
+        this.silenceFoundMs = nowMs;
+        this.lastSilenceRestartMs = nowMs;
+        this.isSynchronised = true;
+        events.emit(platformSilent, { sinceVerifiedMs, revision: store.revision });
+        onSilence("own");
+    }
+
     /** Spreads the reads of a fleet that all become due at one moment, and limits those of one instance. */
     private scheduleRead(): void {
         const { fleetSize, runtime, store } = this.options;
@@ -214,9 +363,13 @@
             return;
         }
         this.nextReadMs = runtime.clock.nowMs();
-        using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
         const asked = store.version;
-        const read = await source.readAll(timeout.signal);
+        const read = await this.callStore({
+            overdueMs: READ_OVERDUE_MS,
+            timeoutMs: READ_ALL_TIMEOUT_MS,
+            make: callSignal => source.readAll(callSignal),
+            check: callSignal => source.readAll(callSignal),
+        }, signal);
         if (store.era !== asked.era && read.era === undefined) {
             return;
         }
@@ -239,10 +392,12 @@
 
     /** Asks for the removals since the store has returned: the full state does not tell them from what the copy lacks. */
     private async readRemovals(after: Revision, signal: AbortSignal): Promise<void> {
-        const { runtime, source, store } = this.options;
+        const { source, store } = this.options;
         const { era } = store;
-        using timeout = timeoutSignal(runtime.clock, READ_ALL_TIMEOUT_MS, signal);
-        const result = await source.watch(after, HISTORY_WAIT_MS, timeout.signal);
+        const read = (callSignal: AbortSignal): Promise<WatchResult> =>
+            source.watch(after, HISTORY_WAIT_MS, callSignal);
+        const call = { overdueMs: READ_OVERDUE_MS, timeoutMs: READ_ALL_TIMEOUT_MS, make: read, check: read };
+        const result = await this.callStore(call, signal);
         const isCurrent = store.era === era && (result.era ?? era) === era;
         if (result.kind === "changes" && isCurrent) {
             store.applyRemovals(result.changes);
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -281,6 +281,8 @@
      * @returns the changes; empty if the wait ended without one
      */
     watch(after: Revision, waitMs: number, signal: AbortSignal): Promise<WatchResult>;
+    /** Makes later calls use new connections; running calls keep theirs. */
+    reconnect(): void;
     /**
      * Decodes one item. Never throws; invalid content yields `unreadable`.
      *
--- a/packages/kernel/src/shared/clock.ts
+++ b/packages/kernel/src/shared/clock.ts
@@ -85,3 +85,21 @@
         },
     };
 };
+
+/**
+ * Waits for a promise for a limited time.
+ *
+ * @param clock - source of time
+ * @param work - the promise
+ * @param withinMs - longest wait, in milliseconds
+ * @returns whether the promise was fulfilled or rejected in this time
+ */
+export const settlesWithin = (clock: Clock, work: Promise<unknown>, withinMs: number): Promise<boolean> =>
+    new Promise(resolve => {
+        const timer = clock.setTimer(withinMs, () => resolve(false));
+        const settle = (): void => {
+            timer.cancel();
+            resolve(true);
+        };
+        work.then(settle, settle);
+    });
