fix(direct): idle connections to a server that have gone silent fail one request, not one each

What callers saw: after the open connections to a backend server had fallen silent, requests failed one after another (502), each after its time-out, until all idle connections were used up.

Cause: an attempt that gets no head in time aborts its own connection; the next request takes the next idle one, which fell silent at the same moment.

Change: an attempt that runs out of time without a head drops the idle connections to its server. A caller that leaves changes nothing, so no connection is lost by that.

Evidence: silentServers.spec, three idle connections: the second request got 502 before and is served now.

--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -387,6 +387,10 @@
                 ? { kind: "broken", message: "the server ended as it closed the connection of its answer" }
                 : outcome;
         }
+        if (signal.aborted && !handler.head && !options.reply.disconnected.aborted) {
+            // The connection may have gone silent, and idle ones to the same server with it.
+            context.options.upstreams.closeIdle(entry.id);
+        }
         return end;
     }
     finally {
