fix(entry): half of a plain answer does not look whole to a caller of HTTP/1.0 when its entry is killed

What callers would see on the product's own path: half of a plain answer, closed like a whole one, if the entry is killed.

A caller of HTTP/1.0 knows no chunks, so an answer whose length is not known at its start ends with its connection.

Change: a plain answer to such a caller is read to its end, up to 8 MiB, and sent with its length; one that breaks off becomes 502. Token streams keep their end mark and are sent as they come. Callers of HTTP/1.1 got chunks before, too.

Evidence: brokenAnswers.spec asks that a whole answer shows its end by a length or the last chunk; it took a close for that before, which is the fault. A whole answer to HTTP/1.0 failed that before and passes now.

Agents take no answer without a length or chunks for whole, as before.

--- a/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
+++ b/packages/entry/src/node/__tests__/brokenAnswers.spec.ts
@@ -71,9 +71,12 @@
     if (isOpen) {
         return "left open";
     }
-    const isWhole = /^transfer-encoding: chunked\r$/im.test(text)
-        ? text.endsWith("\r\n0\r\n\r\n")
-        : text !== "" && !isReset;
+    // The operating system closes the connections of a killed process, so a close shows nothing.
+    const length = /^content-length: (\d+)\r$/im.exec(text)?.[1];
+    const isEnded = length === undefined
+        ? /^transfer-encoding: chunked\r$/im.test(text) && text.endsWith("\r\n0\r\n\r\n")
+        : text.length - text.indexOf("\r\n\r\n") - 4 === Number(length);
+    const isWhole = /^HTTP\/1\.1 200 /.test(text) && isEnded && !isReset;
     return isWhole ? "complete" : "broken";
 };
 
--- a/packages/entry/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callerConnection.ts
@@ -78,6 +78,17 @@
     });
 };
 
+/**
+ * Tells whether the caller can tell the end of a body whose length is not known at its start. A caller of HTTP/1.0 knows no
+ * chunks, and takes the close of the connection for the end, also when this process is killed.
+ *
+ * @param context - request context
+ */
+export const canDelimitBody = (context: Context): boolean => {
+    const outgoing = nodeBindings(context)?.outgoing;
+    return !(outgoing instanceof ServerResponse) || outgoing.useChunkedEncodingByDefault;
+};
+
 /**
  * Breaks off the response. To be called before the body of the response fails: while earlier bytes wait to be written, the
  * HTTP adapter ends a failed body with the text of the error and the last chunk, so that it looks complete.
--- a/packages/entry/src/node/httpApp.ts
+++ b/packages/entry/src/node/httpApp.ts
@@ -8,7 +8,9 @@
     AsyncQueue,
     branded,
     type ClientAccountId,
+    errorMessage,
     formatFinding,
+    ProtocolError,
     type RequestId,
     type ServiceName,
 } from "@magnolialock/kernel";
@@ -19,7 +21,7 @@
 import type { AnswerEvent, CallerRequest, Failure } from "../types/caller.ts";
 import { AccountIndex } from "./accountIndex.ts";
 import { streamAnswer } from "./answerStream.ts";
-import { breakConnection, onCallerDisconnect, readBody } from "./callerConnection.ts";
+import { breakConnection, canDelimitBody, onCallerDisconnect, readBody } from "./callerConnection.ts";
 import { CallerHeader, type CallerHeaders, forwardedHeaders, readCallerHeaders } from "./callerHeaders.ts";
 import { failureResponse } from "./failureResponse.ts";
 
@@ -32,6 +34,8 @@
 }
 
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Largest answer that is read to its end before it is sent, in bytes. */
+const MAX_BUFFERED_BYTES = 8_388_608;
 
 /** Cannot collide with a service, because service names start with a letter. */
 const TICKET_PATH = "/_tickets/:service";
@@ -71,6 +75,9 @@
     };
 };
 
+const isEventStream = (headers: Headers): boolean =>
+    headers.get("content-type")?.startsWith("text/event-stream") ?? false;
+
 const answerResponse = (
     requestId: RequestId,
     head: AnswerEvent & { readonly kind: "head"; },
@@ -83,7 +90,7 @@
     if (ticket !== undefined) {
         headers.set(CallerHeader.Ticket, ticket);
     }
-    const isTokenStream = headers.get("content-type")?.startsWith("text/event-stream") ?? false;
+    const isTokenStream = isEventStream(headers);
     const body = streamAnswer({ requestId, isTokenStream, events, onBroken });
     return new Response(body, { status: head.status, headers });
 };
@@ -111,6 +118,30 @@
     return failureResponse(requestId, { code: "broken", ran: "outcome unknown", message }, ticket);
 };
 
+/** Reads an answer to its end, so that it can be sent with its length. */
+const withLength = async (requestId: RequestId, answer: Response): Promise<Response> => {
+    const { headers, status } = answer;
+    try {
+        const chunks: Uint8Array[] = [];
+        let size = 0;
+        for await (const chunk of answer.body as unknown as AsyncIterable<Uint8Array>) {
+            size += chunk.length;
+            if (size > MAX_BUFFERED_BYTES) {
+                throw new ProtocolError(
+                    `an answer without chunks is larger than ${MAX_BUFFERED_BYTES} bytes`,
+                );
+            }
+            chunks.push(chunk);
+        }
+        headers.set("content-length", String(size));
+        return new Response(Buffer.concat(chunks), { status, headers });
+    }
+    catch (error) {
+        const message = errorMessage(error);
+        return failureResponse(requestId, { code: "broken", ran: "outcome unknown", message });
+    }
+};
+
 const serveCaller = async (
     entry: Entry,
     accounts: AccountIndex,
@@ -146,7 +177,12 @@
         () => events.close(),
         error => events.fail(error),
     );
-    return respond(requestId, events, () => breakConnection(context));
+    if (canDelimitBody(context)) {
+        return respond(requestId, events, () => breakConnection(context));
+    }
+    const answer = await respond(requestId, events, () => {});
+    // The end mark of a token stream shows that it is complete.
+    return isEventStream(answer.headers) || !answer.body ? answer : withLength(requestId, answer);
 };
 
 const serveTicket = (entry: Entry, accounts: AccountIndex, context: Context): Response => {
