fix(direct): a stop counts its grace period from the signal, also if the process handles it late

What callers saw: requests on kept and new connections, sent 3.1 s after SIGTERM, were passed on and cut off 5 s later; the process was killed at 8 s and lost all that it still carried.

Cause: the plan of a stop began when the handler of the signal ran. A process without processor time at that moment handles it later, while the platform counts the grace period from the signal: its "from now on only what must end in time" and its end come too late by the same time, so requests later than 3 s are passed on and SIGKILL comes first.

Change: the pause detector tells when a gap began that is going on or has just ended, also a short one. The stop takes its begin for the time of the signal, up to 1 s back, since the process cannot know when in the gap the signal came.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -106,6 +106,11 @@
  */
 const SHUTDOWN_MARGIN_MS = 400;
 const STOP_POLL_MS = 25;
+/**
+ * Longest time that a signal to stop is taken to have waited for a process that had no processor time, in milliseconds. The
+ * grace period runs from the signal, not from its handling.
+ */
+const MAX_SIGNAL_DELAY_MS = 1_000;
 /** Turns of the event loop in which waiting connections are accepted and their requests are read. */
 const TURNS_TO_READ = 3;
 /** Timers may fire this early, in milliseconds. */
@@ -185,11 +190,11 @@
     watcher: PlatformWatcher,
     listener: CallerListener,
     scope: ResourceScope,
-): void => {
+): PauseDetector => {
     const { runtime, store } = context.options;
     const stopping = new AbortController();
     scope.defer(() => stopping.abort());
-    scope.use(
+    const pauses = scope.use(
         new PauseDetector({
             clock: runtime.clock,
             onPause: gapMs => {
@@ -212,6 +217,7 @@
     };
     void resize();
     void watcher.run();
+    return pauses;
 };
 
 /** What the metrics of an entry read; some of it is created after them. */
@@ -301,12 +307,13 @@
 const stopEntry = async (
     context: DirectContext,
     listener: CallerListener,
+    pauses: PauseDetector,
     scope: ResourceScope,
 ): Promise<void> => {
     const { clock, events } = context.options.runtime;
-    const startMs = clock.nowMs();
+    const startMs = Math.max(pauses.noticedFromMs, clock.nowMs() - MAX_SIGNAL_DELAY_MS);
     const deadlineMs = startMs + context.bounds.graceMs - SHUTDOWN_MARGIN_MS;
-    const lateFromMs = context.stop.begin(deadlineMs);
+    const lateFromMs = context.stop.begin(startMs, deadlineMs);
     listener.beginStop();
     events.emit(directStopping, { running: listener.running, graceMs: context.bounds.graceMs });
     await sleep(clock, lateFromMs - clock.nowMs() + TIMER_MARGIN_MS);
@@ -395,12 +402,12 @@
     // Disposed of before the socket to which it sends.
     void scope.use(exchange).run(socket);
     void scope.use(new GroupDirectory(context, readServerGroup(settings))).run();
-    startBackgroundTasks(context, watcher, listener, scope);
+    const pauses = startBackgroundTasks(context, watcher, listener, scope);
     events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
 
     const stop = (): Promise<void> => {
         isStopping = true;
-        return stopEntry(context, listener, scope);
+        return stopEntry(context, listener, pauses, scope);
     };
     return {
         get isReady() {
--- a/packages/direct/src/shared/stopPlan.ts
+++ b/packages/direct/src/shared/stopPlan.ts
@@ -31,11 +31,12 @@
     /**
      * Begins the stop.
      *
-     * @param endMs - time at which requests that still run are ended, on the process's clock, in milliseconds
+     * @param startMs - time of the signal, on the process's clock, in milliseconds
+     * @param endMs - time at which requests that still run are ended, in milliseconds
      * @returns the time from which requests may be too late, in milliseconds
      */
-    public begin(endMs: number): number {
-        const lateFromMs = Math.min(endMs, this.clock.nowMs() + LATE_AFTER_MS);
+    public begin(startMs: number, endMs: number): number {
+        const lateFromMs = Math.min(endMs, startMs + LATE_AFTER_MS);
         this.times = { lateFromMs, endMs };
         return lateFromMs;
     }
--- a/packages/kernel/src/shared/pauseDetector.ts
+++ b/packages/kernel/src/shared/pauseDetector.ts
@@ -32,6 +32,7 @@
     private readonly thresholdMs: number;
     private readonly onPause: (gapMs: number) => void;
     private lastTickMs: number;
+    private lastGapMs = 0;
     private timer: Timer;
 
     /** @param options - clock, tick interval, threshold and callback */
@@ -49,11 +50,26 @@
         const nowMs = this.clock.nowMs();
         const gapMs = nowMs - this.lastTickMs;
         this.lastTickMs = nowMs;
+        this.lastGapMs = gapMs;
         if (gapMs >= this.thresholdMs) {
             this.onPause(gapMs);
         }
     }
 
+    /**
+     * Earliest time at which something may have happened that the process notices now, in milliseconds: the start of a gap
+     * that has not been measured yet or has just ended, shorter ones than a pause included.
+     */
+    public get noticedFromMs(): number {
+        const nowMs = this.clock.nowMs();
+        const sinceTickMs = nowMs - this.lastTickMs;
+        if (sinceTickMs >= 2 * this.tickMs) {
+            return this.lastTickMs;
+        }
+        const hasJustEnded = this.lastGapMs >= 2 * this.tickMs && sinceTickMs < this.tickMs;
+        return hasJustEnded ? this.lastTickMs - this.lastGapMs : nowMs;
+    }
+
     /** Stops the timer. */
     public [Symbol.dispose](): void {
         this.timer.cancel();
