--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -50,18 +50,18 @@
 const WATCH_RESPONSE_MARGIN_MS = 1_500;
 /**
  * Time after the end of a watch from which its connection is suspected to be silent, in milliseconds. The store is then
- * asked on a new connection as well, which a slow store makes useless.
+ * asked on a new connection as well.
  */
 const MIN_OVERDUE_MS = 350;
-/** How much later than the latest late answers the next ones are suspected. */
+/** Multiple of the delay of a late answer from which the next ones are suspected: a second call does not help a slow store. */
 const OVERDUE_FACTOR = 2;
-/** Decay of that tolerance with each answer in time. */
+/** What is left of this tolerance after an answer in time. */
 const OVERDUE_DECAY = 0.5;
 /** Time after which a full read is begun on a new connection as well, in milliseconds. */
 const READ_OVERDUE_MS = 1_000;
-/** Time for which instances tell each other that open connections have gone silent, in milliseconds. */
+/** Time for which instances tell each other of a silence, in milliseconds: a few reports to other data centres. */
 const SILENCE_TOLD_MS = 4_000;
-/** Shortest time between two calls that begin anew because another instance found a silence, in milliseconds. */
+/** Shortest time between two restarts of the call because another instance has found a silence, in milliseconds. */
 const MIN_SILENCE_INTERVAL_MS = 5_000;
 /**
  * Delay after a response with changes, in milliseconds. Changes come in bursts, and each of them would cause
