--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -185,24 +185,28 @@
     return { store, watcher, directory, upstreams, settings };
 };
 
+const detectPauses = (
+    { clock, events }: DirectRuntime,
+    store: PublishedStateStore,
+    watcher: PlatformWatcher,
+): PauseDetector =>
+    new PauseDetector({
+        clock,
+        onPause: gapMs => {
+            events.emit(directPaused, { gapMs: Math.round(gapMs), revision: store.revision });
+            watcher.restartCall();
+        },
+    });
+
 const startBackgroundTasks = (
     context: DirectContext,
     watcher: PlatformWatcher,
     listener: CallerListener,
     scope: ResourceScope,
-): PauseDetector => {
+): void => {
     const { runtime, store } = context.options;
     const stopping = new AbortController();
     scope.defer(() => stopping.abort());
-    const pauses = scope.use(
-        new PauseDetector({
-            clock: runtime.clock,
-            onPause: gapMs => {
-                runtime.events.emit(directPaused, { gapMs: Math.round(gapMs), revision: store.revision });
-                watcher.restartCall();
-            },
-        }),
-    );
     store.onChange(() => {
         const { configuration } = store;
         if (configuration) {
@@ -217,7 +221,6 @@
     };
     void resize();
     void watcher.run();
-    return pauses;
 };
 
 /** What the metrics of an entry read; some of it is created after them. */
@@ -372,6 +375,11 @@
         upstreams,
         metrics,
         hasJoined: () => exchange.hasJoined,
+        heardSources: () => ({
+            storeHeardMs: watcher.sinceHeardMs,
+            peers: exchange.heardPeers,
+            loopDelayMs: pauses.longestDelayMs,
+        }),
         fleet: () => exchange.fleet,
         peerDataCentres: () => exchange.aliveDataCentres,
     });
@@ -387,6 +395,7 @@
         onFetched: () => watcher.restartCall(),
         storeWatch: watcher,
     });
+    const pauses = scope.use(detectPauses(runtime, store, watcher));
     const listener = scope.use(
         await openCallerListener({
             clock,
@@ -402,7 +411,7 @@
     // Disposed of before the socket to which it sends.
     void scope.use(exchange).run(socket);
     void scope.use(new GroupDirectory(context, readServerGroup(settings))).run();
-    const pauses = startBackgroundTasks(context, watcher, listener, scope);
+    startBackgroundTasks(context, watcher, listener, scope);
     events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
 
     const stop = (): Promise<void> => {
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -343,6 +343,7 @@
             upstreams: this,
             metrics: noCallMetrics,
             hasJoined: () => true,
+            heardSources: () => ({ storeHeardMs: 0, peers: [], loopDelayMs: 0 }),
             fleet: () => this.knownFleet(),
             peerDataCentres: () => this.knownDataCentres(),
         });
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -15,6 +15,7 @@
 import type { CallMetrics } from "./callMetrics.ts";
 import { chooseServer } from "./chooseServer.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
+import type { HeardSources } from "./configurationEvidence.ts";
 import { CrashQuarantine } from "./crashQuarantine.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
 import { FleetNews } from "./fleetNews.ts";
@@ -47,6 +48,8 @@
     readonly metrics: CallMetrics;
     /** Returns whether the published state is known as well as the others know it, so that requests may be served. */
     readonly hasJoined: () => boolean;
+    /** Returns what this instance has heard of the published state, for the log. */
+    readonly heardSources: () => HeardSources;
     /** Returns the instances that may be alive. */
     readonly fleet: () => FleetView;
     /** Returns the data centre of each other live instance. */
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -18,6 +18,7 @@
 } from "@magnolialock/kernel";
 import type { DirectSettings } from "../types/directSettings.ts";
 import type { NewsSource } from "../types/peerNews.ts";
+import type { HeardPeer } from "./configurationEvidence.ts";
 import type { DirectRuntime, ServiceState } from "./directContext.ts";
 import { peerFound, peerLost, peerUnreadable } from "./directEvents.ts";
 import type { FleetView } from "./fleetAllotment.ts";
@@ -198,6 +199,16 @@
         };
     }
 
+    /** The other instances as they were last heard, lost ones included. */
+    public get heardPeers(): readonly HeardPeer[] {
+        const nowMs = this.options.runtime.clock.nowMs();
+        return [...this.peers.values()].map(({ lastReportMs, report }) => ({
+            instance: report.instance,
+            configurationVersion: report.configurationVersion,
+            heardMs: nowMs - lastReportMs,
+        }));
+    }
+
     /** Data centre of each live instance, without this one. */
     public get aliveDataCentres(): readonly DataCentreId[] {
         return [...this.peers.values()].flatMap(({ isAlive, report }) => isAlive ? [report.dataCentre] : []);
--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -131,6 +131,8 @@
     /** Whether the other instances begin their next watches at about the same time as this one. */
     private isSynchronised = true;
     private overdueMs = MIN_OVERDUE_MS;
+    /** Time of the last answer of the store. */
+    private heardMs = Number.NEGATIVE_INFINITY;
     /** Time of the last answer, or from which the connections are new. */
     private verifiedMs = Number.NEGATIVE_INFINITY;
     /** Time at which some instance last found that open connections had gone silent. */
@@ -156,6 +158,11 @@
         return nowMs - this.lastOutageEndMs;
     }
 
+    /** Time since the last answer of the store, in milliseconds; infinite before the first. */
+    public get sinceHeardMs(): number {
+        return this.options.runtime.clock.nowMs() - this.heardMs;
+    }
+
     /** Time until the current watch ends, in milliseconds; undefined if there is none. */
     public get watchEndsMs(): number | undefined {
         return this.watchEndMs === undefined
@@ -304,7 +311,7 @@
         const first = call.make(firstSignal.signal).finally(() => isFirstOpen = false);
         if (await settlesWithin(clock, first, call.overdueMs)) {
             const answer = await first;
-            this.verifiedMs = clock.nowMs();
+            this.recordHeard();
             return answer;
         }
         const lastVerifiedMs = this.verifiedMs;
@@ -320,10 +327,15 @@
         }
         second.catch(() => {});
         secondEnd.abort();
-        this.verifiedMs = clock.nowMs();
+        this.recordHeard();
         return answer;
     }
 
+    private recordHeard(): void {
+        this.heardMs = this.options.runtime.clock.nowMs();
+        this.verifiedMs = this.heardMs;
+    }
+
     /** Opens new connections; what was heard before on the open ones says nothing of them. */
     private reconnect(): void {
         const { runtime, source } = this.options;
--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -88,6 +88,8 @@
     /** Items of the copy that the current merge has not believed. */
     private keptCount = 0;
     private activeConfiguration: ActiveConfiguration | undefined;
+    private activeSinceMs = Number.NEGATIVE_INFINITY;
+    private revisionSinceMs = Number.NEGATIVE_INFINITY;
     private expiry: Disposable | undefined;
 
     /** @param options - clock, event log and decoder */
@@ -149,6 +151,16 @@
         return this.activeConfiguration?.configuration.version ?? 0;
     }
 
+    /** Time since that configuration came into force here, in milliseconds; infinite before the first. */
+    public get configurationAgeMs(): number {
+        return this.options.clock.nowMs() - this.activeSinceMs;
+    }
+
+    /** Time since the known revision last changed, in milliseconds; infinite before the first. */
+    public get revisionAgeMs(): number {
+        return this.options.clock.nowMs() - this.revisionSinceMs;
+    }
+
     /** Backend servers that are currently published, by identifier. */
     public servers(): Map<BackendServerId, PublishedServer> {
         return serversAmong(this.contents());
@@ -251,7 +263,7 @@
                 this.putItem({ key, text, era, revision: changeRevision });
             }
         }
-        this.knownVersion = { era, revision };
+        this.setKnownVersion({ era, revision });
         if (changes.length > 0) {
             this.notifyListeners(source);
         }
@@ -306,6 +318,13 @@
         this.expiry?.[Symbol.dispose]();
     }
 
+    private setKnownVersion(version: StateVersion): void {
+        if (compareVersions(version, this.knownVersion) !== 0) {
+            this.revisionSinceMs = this.options.clock.nowMs();
+        }
+        this.knownVersion = version;
+    }
+
     private contents(): ItemContent[] {
         return [...this.items.values()].map(({ content }) => content);
     }
@@ -323,7 +342,7 @@
             this.mergeRemoval(key, version);
         }
         this.mergeAbsences(state, isReturn);
-        this.knownVersion = { era: state.era, revision: state.revision };
+        this.setKnownVersion({ era: state.era, revision: state.revision });
         this.lastRevisionBeforeReturn = branded<Revision>(Math.max(
             isReturn ? known.revision : this.lastRevisionBeforeReturn,
             state.revisionBeforeReturn ?? 0,
@@ -513,6 +532,7 @@
                 continue;
             }
             this.activeConfiguration = activateConfiguration(content.configuration);
+            this.activeSinceMs = this.options.clock.nowMs();
             const { routes, version } = content.configuration;
             const applied = { version, ...this.knownVersion, routes: routes.length, source };
             this.options.events.emit(configurationApplied, applied);
--- a/packages/direct/src/shared/serveCall.ts
+++ b/packages/direct/src/shared/serveCall.ts
@@ -8,6 +8,7 @@
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { ActiveConfiguration } from "./activeConfiguration.ts";
 import { CallTask } from "./callTask.ts";
+import { describeConfigurationEvidence } from "./configurationEvidence.ts";
 import type { DirectContext } from "./directContext.ts";
 import { callRefused } from "./directEvents.ts";
 import { sendLocalReply } from "./localReply.ts";
@@ -75,7 +76,7 @@
     call: IncomingCall,
     reply: CallerReply,
 ): Promise<void> => {
-    const { hasJoined, headers, metrics, runtime, store } = context.options;
+    const { hasJoined, headers, heardSources, metrics, runtime, store } = context.options;
     const activeConfiguration = hasJoined() ? store.configuration : undefined;
     const admission: Admission = activeConfiguration
         ? admit(activeConfiguration, context, call)
@@ -95,8 +96,6 @@
         requestId: call.headers[headers.requestId],
         status,
         reason,
-        version: activeConfiguration?.configuration.version,
-        era: store.era,
-        revision: store.revision,
+        ...describeConfigurationEvidence(store, heardSources()),
     });
 };
--- a/packages/kernel/src/shared/pauseDetector.ts
+++ b/packages/kernel/src/shared/pauseDetector.ts
@@ -19,6 +19,8 @@
     readonly onPause: (gapMs: number) => void;
 }
 
+/** Time for which the longest delay is remembered, in milliseconds, and at most twice that. */
+const DELAY_WINDOW_MS = 5_000;
 const DEFAULT_TICK_MS = 200;
 const DEFAULT_THRESHOLD_MS = 1_000;
 
@@ -33,6 +35,9 @@
     private readonly onPause: (gapMs: number) => void;
     private lastTickMs: number;
     private lastGapMs = 0;
+    private windowStartMs: number;
+    private longestGapMs = 0;
+    private formerLongestGapMs = 0;
     private timer: Timer;
 
     /** @param options - clock, tick interval, threshold and callback */
@@ -42,6 +47,7 @@
         this.thresholdMs = options.thresholdMs ?? DEFAULT_THRESHOLD_MS;
         this.onPause = options.onPause;
         this.lastTickMs = this.clock.nowMs();
+        this.windowStartMs = this.lastTickMs;
         this.timer = this.scheduleTick();
     }
 
@@ -51,6 +57,7 @@
         const gapMs = nowMs - this.lastTickMs;
         this.lastTickMs = nowMs;
         this.lastGapMs = gapMs;
+        this.recordGap(gapMs, nowMs);
         if (gapMs >= this.thresholdMs) {
             this.onPause(gapMs);
         }
@@ -70,11 +77,27 @@
         return hasJustEnded ? this.lastTickMs - this.lastGapMs : nowMs;
     }
 
+    /** Longest delay of the event loop in the last seconds, the current one included, in milliseconds. */
+    public get longestDelayMs(): number {
+        const sinceTickMs = this.clock.nowMs() - this.lastTickMs;
+        const gapMs = Math.max(this.formerLongestGapMs, this.longestGapMs, sinceTickMs);
+        return Math.max(0, gapMs - this.tickMs);
+    }
+
     /** Stops the timer. */
     public [Symbol.dispose](): void {
         this.timer.cancel();
     }
 
+    private recordGap(gapMs: number, nowMs: number): void {
+        if (nowMs - this.windowStartMs >= DELAY_WINDOW_MS) {
+            this.windowStartMs = nowMs;
+            this.formerLongestGapMs = this.longestGapMs;
+            this.longestGapMs = 0;
+        }
+        this.longestGapMs = Math.max(this.longestGapMs, gapMs);
+    }
+
     private scheduleTick(): Timer {
         return this.clock.setTimer(this.tickMs, () => {
             this.check();
