refactor(direct): the history of writes decides which of two writes is newer

Change: the comparison of a write with what is known moves to WriteHistory, which it only asked. No behaviour changes.

--- a/packages/direct/src/shared/publishedStateStore.ts
+++ b/packages/direct/src/shared/publishedStateStore.ts
@@ -377,7 +377,7 @@
             }
             return;
         }
-        if (!knownVersion || this.isNewer(item, knownVersion)) {
+        if (!knownVersion || this.history.isNewer(item, knownVersion)) {
             this.missing.delete(key);
             this.putItem(item);
             if (missingThere.has(key)) {
@@ -393,21 +393,9 @@
         }
     }
 
-    /** Compares writes and removals; a write of a later era that was superseded before comes from the copy. */
-    private isNewer(incoming: MergedVersion, known: MergedVersion): boolean {
-        if (incoming.era === known.era) {
-            return incoming.revision > known.revision;
-        }
-        return incoming.era > known.era ? !this.wasSuperseded(incoming) : this.wasSuperseded(known);
-    }
-
-    private wasSuperseded({ key, revision, text }: MergedVersion): boolean {
-        return key !== undefined && text !== undefined && this.history.includes({ key, revision, text });
-    }
-
     private mergeRemoval(key: string, version: StateVersion): void {
         const known = this.items.get(key);
-        if (known && known.content.kind !== "configuration" && this.isNewer(version, known.item)) {
+        if (known && known.content.kind !== "configuration" && this.history.isNewer(version, known.item)) {
             if (known.content.kind === "server") {
                 this.departed.set(known.content.server.id, true);
             }
@@ -456,7 +444,6 @@
     }
 
     private dropMissingServers(): void {
-        const { era } = this;
         this.expiry = undefined;
         const servers = [...this.missing].filter(key => this.items.get(key)?.content.kind === "server");
         for (const key of servers) {
@@ -468,7 +455,7 @@
         }
         if (servers.length > 0) {
             this.options.events.emit(missingDropped, {
-                era,
+                era: this.era,
                 servers: servers.length,
                 keys: servers.slice(0, 8).join(" "),
             });
--- a/packages/direct/src/shared/writeHistory.ts
+++ b/packages/direct/src/shared/writeHistory.ts
@@ -7,7 +7,7 @@
 
 import { hash32 } from "@magnolialock/kernel";
 import { LRUCache } from "lru-cache";
-import type { ItemWrites, PublishedItem } from "../types/publishedState.ts";
+import type { ItemWrites, MergedVersion, PublishedItem } from "../types/publishedState.ts";
 
 /** Maximum number of items whose superseded writes are remembered. */
 const MAX_ITEMS = 2_048;
@@ -51,14 +51,17 @@
     }
 
     /**
-     * Tells whether a write is one of the superseded ones.
+     * Compares writes and removals; a write of a later era that was superseded before comes from the copy.
      *
-     * @param item - an item with the revision at which it was written
+     * @param incoming - a write or removal
+     * @param known - what is known of the same item
+     * @returns whether the incoming one is newer
      */
-    public includes({ key, revision, text }: PublishedItem): boolean {
-        const hash = hash32(text);
-        return this.writes.get(key)?.some(([known, knownHash]) => known === revision && knownHash === hash)
-            ?? false;
+    public isNewer(incoming: MergedVersion, known: MergedVersion): boolean {
+        if (incoming.era === known.era) {
+            return incoming.revision > known.revision;
+        }
+        return incoming.era > known.era ? !this.wasSuperseded(incoming) : this.wasSuperseded(known);
     }
 
     /** Exports the history for another instance. */
@@ -75,6 +78,15 @@
         history.forEach(({ key, writes }) => this.add(key, writes));
     }
 
+    private wasSuperseded({ key, revision, text }: MergedVersion): boolean {
+        if (key === undefined || text === undefined) {
+            return false;
+        }
+        const hash = hash32(text);
+        return this.writes.get(key)?.some(([known, knownHash]) => known === revision && knownHash === hash)
+            ?? false;
+    }
+
     private add(key: string, added: ItemWrites["writes"]): void {
         const known = this.writes.get(key) ?? [];
         const unknown = added.filter(([revision, hash]) =>
