fix(direct): an instance that does not hear the store has a configuration from the others in time, in any fleet

Cause: what the others report was compared only as often as the instance sent its own report, twice before it fetched anything, and that period grows with the fleet, since reports share a budget of bytes. A fetch from an instance that had ended took 2 s to fail. The class: a deadline that hangs on the period of an unrelated task, which grows with the fleet.

Change: a report of an instance that knows more starts the comparison; it waits for the platform by a timer of its own (0.6 s, since it is now exact) and fetches. A source that has not answered in 0.4 s is joined by a second and a third one, drawn from those heard last.

--- a/packages/direct/src/shared/__tests__/publishedFleet.ts
+++ b/packages/direct/src/shared/__tests__/publishedFleet.ts
@@ -229,11 +229,13 @@
         });
     }
 
-    public async fetchState(from: number, peer: Address): Promise<PublishedState> {
+    public async fetchState(from: number, peer: Address, signal: AbortSignal): Promise<PublishedState> {
         const receiver = this.indexOf(peer);
         await sleep(this.clock, DATAGRAM_DELAY_MS, this.stopping.signal);
         const instance = receiver === undefined ? undefined : this.instances[receiver];
         if (!instance?.clock.isAlive || receiver === undefined || this.isCut(from, receiver)) {
+            // A machine without power, or behind a partition, does not even refuse a connection.
+            await sleep(this.clock, Number.MAX_SAFE_INTEGER, signal);
             throw new ProtocolError("the instance does not answer");
         }
         return JSON.parse(JSON.stringify(instance.store.export())) as PublishedState;
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -48,7 +48,7 @@
     addressOf(index: number): Address;
     dataCentreOf(index: number): DataCentreId;
     deliver(from: number, to: Address, bytes: Uint8Array): void;
-    fetchState(from: number, peer: Address): Promise<PublishedState>;
+    fetchState(from: number, peer: Address, signal: AbortSignal): Promise<PublishedState>;
 }
 
 /** A process that knows nothing when it starts. */
@@ -63,6 +63,8 @@
     private connectedMs = 0;
     /** Whether the store answers this instance. */
     public isStoreReachable = true;
+    /** Time at which its connections to the store that were open then have gone silent; negative if they have not. */
+    public silentSinceMs = -1;
     /** Bytes of reports that it has sent. */
     public sentBytes = 0;
     private readonly pauses: PauseDetector;
@@ -110,7 +112,7 @@
             directory: this.directory,
             services: () => new Map(),
             news: noNews,
-            fetchState: peer => fleet.fetchState(index, peer),
+            fetchState: (peer, signal) => fleet.fetchState(index, peer, signal),
             onFetched: () => this.watcher.restartCall(),
             storeWatch: this.watcher,
         });
@@ -219,7 +221,7 @@
 
     /** Nothing comes through a connection that has gone silent. */
     private async untilHeard(connectedMs: number, signal: AbortSignal): Promise<void> {
-        if (connectedMs <= this.fleet.silentSinceMs) {
+        if (connectedMs <= Math.max(this.fleet.silentSinceMs, this.silentSinceMs)) {
             // A call that is given up closes its connection.
             await sleep(this.clock, Number.MAX_SAFE_INTEGER, signal).finally(() => this.reconnect());
         }
--- a/packages/direct/src/shared/peerExchange.ts
+++ b/packages/direct/src/shared/peerExchange.ts
@@ -259,7 +259,8 @@
         if (!known?.isAlive || known.report.heardInstances !== report.heardInstances) {
             this.currentFleet = undefined;
         }
-        this.peers.set(from, { report, lastReportMs: clock.nowMs(), isAlive: true });
+        const peer = { report, lastReportMs: clock.nowMs(), isAlive: true };
+        this.peers.set(from, peer);
         if (known?.report.incarnation !== report.incarnation) {
             this.greet(from);
         }
@@ -272,7 +273,7 @@
         for (const [key, sinceUpMs] of report.groupUpMs) {
             groups.get(key)?.applyPeerReport(sinceUpMs);
         }
-        if (!this.hasJoined) {
+        if (!this.hasJoined || this.catchUp.isBehind(peer)) {
             void this.catchUp.catchUp(this.stopping.signal);
         }
     }
@@ -310,6 +311,7 @@
     public [Symbol.dispose](): void {
         this.stopping.abort();
         this.spreader?.[Symbol.dispose]();
+        this.catchUp[Symbol.dispose]();
     }
 
     /** Tells an instance that has just started what this one knows; it waits for that before it serves. */
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -5,7 +5,14 @@
  * @packageDocumentation
  */
 
-import { type Address, errorMessage, shuffled, timeoutSignal } from "@magnolialock/kernel";
+import {
+    type Address,
+    errorMessage,
+    settlesWithin,
+    shuffled,
+    timeoutSignal,
+    type Timer,
+} from "@magnolialock/kernel";
 import { decodePublishedState } from "./decodePeerAnswers.ts";
 import type { DirectRuntime } from "./directContext.ts";
 import { peerFetchFailed, stateFetched } from "./directEvents.ts";
@@ -49,10 +56,19 @@
  * Time for which another instance must be ahead before its state is fetched, in milliseconds: the platform
  * usually delivers the change first.
  */
-const FETCH_DELAY_MS = 400;
+const FETCH_DELAY_MS = 600;
+/**
+ * Time after which the state is fetched from another instance as well, in milliseconds: the one before may have ended since
+ * its report.
+ */
+const FETCH_OVERDUE_MS = 400;
+/** Instances from which the state is fetched at the same time, at most. */
+const MAX_SOURCES = 3;
 /** Timeout for fetching a state, in milliseconds; large configurations take a while on slow links. */
 const FETCH_TIMEOUT_MS = 2_000;
-/** Delay after a fetch that has brought nothing new, in milliseconds; it doubles each time. */
+/** Shortest time until this instance compares itself with the others again, in milliseconds. */
+const MIN_CHECK_DELAY_MS = 50;
+/** Delay after a fetch that has failed, or has brought nothing new, in milliseconds; the latter doubles it each time. */
 const MIN_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 5_000;
 /**
@@ -66,12 +82,15 @@
  */
 const LONGER_KNOWLEDGE_MS = 2_000;
 
+type PeerEntry = readonly [Address, ReportingPeer];
+
 /** Keeps the published state level with the other instances. */
-export class StateCatchUp {
+export class StateCatchUp implements Disposable {
     private readonly options: StateCatchUpOptions;
     private readonly startedMs: number;
     private behindSinceMs: number | undefined;
     private isFetching = false;
+    private check: Timer | undefined;
     private isJoined = false;
     private retryDelayMs = 0;
     private nextFetchMs = Number.NEGATIVE_INFINITY;
@@ -94,32 +113,110 @@
     }
 
     /**
-     * Fetches the state of an instance that has known more for a while.
+     * Tells whether another instance knows more than this one.
+     *
+     * @param peer - the other instance
+     */
+    public isBehind(peer: ReportingPeer): boolean {
+        const { store } = this.options;
+        const { configurationVersion, era, revision, revisionBeforeReturn } = peer.report;
+        if (era === undefined) {
+            // An earlier release reports a bare revision, which means nothing once the store has returned from a copy.
+            return store.returns === 0 && revision > store.revision;
+        }
+        const order = compareVersions({ era, revision }, store.version);
+        return order > 0
+            || configurationVersion > store.configurationVersion
+            || era === store.era && revisionBeforeReturn > store.revisionBeforeReturn
+            || order === 0 && this.knowsLonger(peer);
+    }
+
+    /**
+     * Fetches the state of an instance that has known more for a while, or checks again when that is due: the next report of
+     * this instance may be seconds away in a large fleet.
      *
      * @param signal - cancels the fetch
      */
     public async catchUp(signal: AbortSignal): Promise<void> {
         this.isJoined ||= this.mayJoin();
-        const { clock, random } = this.options.runtime;
-        const ahead = [...this.options.peers()].filter(([, peer]) => peer.isAlive && this.isAhead(peer));
-        const [source] = shuffled(random, ahead);
-        if (!source) {
+        const { clock } = this.options.runtime;
+        const sources = this.selectSources();
+        const [first] = sources;
+        if (!first) {
             this.behindSinceMs = undefined;
             return;
         }
         this.behindSinceMs ??= clock.nowMs();
-        if (this.isPlatformExpected(source[1]) || this.isFetching || clock.nowMs() < this.nextFetchMs) {
+        const dueMs = Math.max(this.nextFetchMs, this.behindSinceMs + this.platformDelayMs(first[1]));
+        if (this.isFetching || clock.nowMs() < dueMs) {
+            this.scheduleCheck(dueMs, signal);
             return;
         }
         this.isFetching = true;
         const known = this.describeKnowledge();
-        const isFetched = await this.fetchFrom(source[0], source[1].report, signal);
+        const isFetched = await this.fetchFromAny(sources, signal);
         this.isFetching = false;
-        this.behindSinceMs = isFetched ? undefined : this.behindSinceMs;
-        this.retryDelayMs = isFetched && this.describeKnowledge() === known
-            ? Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, 2 * this.retryDelayMs))
-            : 0;
+        if (isFetched) {
+            this.behindSinceMs = undefined;
+        }
+        this.retryDelayMs = this.nextRetryDelayMs(isFetched, this.describeKnowledge() !== known);
         this.nextFetchMs = clock.nowMs() + this.retryDelayMs;
+        this.scheduleCheck(this.nextFetchMs, signal);
+    }
+
+    /** Cancels the timer. */
+    public [Symbol.dispose](): void {
+        this.check?.cancel();
+    }
+
+    /** Draws a few instances that know more from those heard last: others may have ended since. */
+    private selectSources(): readonly PeerEntry[] {
+        const { peers, runtime: { random } } = this.options;
+        const ahead = [...peers()].filter(([, peer]) => peer.isAlive && this.isBehind(peer));
+        const heardLast = ahead.sort(([, left], [, right]) => right.lastReportMs - left.lastReportMs)
+            .slice(0, Math.max(MAX_SOURCES, Math.ceil(ahead.length / 2)));
+        return shuffled(random, heardLast).slice(0, MAX_SOURCES);
+    }
+
+    private scheduleCheck(dueMs: number, signal: AbortSignal): void {
+        const { clock } = this.options.runtime;
+        if (this.check || signal.aborted) {
+            return;
+        }
+        this.check = clock.setTimer(Math.max(MIN_CHECK_DELAY_MS, dueMs - clock.nowMs()), () => {
+            this.check = undefined;
+            if (!signal.aborted) {
+                void this.catchUp(signal);
+            }
+        });
+    }
+
+    private nextRetryDelayMs(isFetched: boolean, isNew: boolean): number {
+        if (!isFetched) {
+            return MIN_RETRY_DELAY_MS;
+        }
+        return isNew ? 0 : Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, 2 * this.retryDelayMs));
+    }
+
+    /** Fetches from the first source, and from the next one as well while none has answered; tells whether one has. */
+    private async fetchFromAny(sources: readonly PeerEntry[], signal: AbortSignal): Promise<boolean> {
+        const { clock } = this.options.runtime;
+        const ended = new AbortController();
+        const fetches: Promise<void>[] = [];
+        let isFetched = false;
+        for (const source of sources) {
+            fetches.push(this.fetchFrom(source, signal, ended.signal));
+            const succeeded = Promise.any(fetches).then(() => {
+                isFetched = true;
+            });
+            await settlesWithin(clock, succeeded, FETCH_OVERDUE_MS);
+            if (isFetched) {
+                break;
+            }
+        }
+        await Promise.allSettled([Promise.any(fetches)]);
+        ended.abort();
+        return isFetched;
     }
 
     /** Whatever reports are compared with; a fetch that changes none of it would be repeated at once. */
@@ -128,11 +225,15 @@
         return [configurationVersion, era, revision, revisionBeforeReturn].join();
     }
 
-    /** Returns whether the state was fetched; a failure is logged. */
-    private async fetchFrom(peer: Address, report: PeerReport, signal: AbortSignal): Promise<boolean> {
+    /** Rejects if the state cannot be fetched, which is logged unless another fetch has ended it. */
+    private async fetchFrom(
+        [peer, { report }]: PeerEntry,
+        signal: AbortSignal,
+        ended: AbortSignal,
+    ): Promise<void> {
         const { fetchState, onFetched, runtime, store } = this.options;
         const known = store.version;
-        using timeout = timeoutSignal(runtime.clock, FETCH_TIMEOUT_MS, signal);
+        using timeout = timeoutSignal(runtime.clock, FETCH_TIMEOUT_MS, signal, ended);
         try {
             const state = decodePublishedState(await fetchState(peer, timeout.signal), store.era);
             const isLonger = state.ageMs > store.ageMs + LONGER_KNOWLEDGE_MS;
@@ -153,36 +254,21 @@
                 configurationVersion: store.configurationVersion,
             });
             onFetched();
-            return true;
         }
         catch (error) {
-            runtime.events.emit(peerFetchFailed, { peer: report.instance, error: errorMessage(error) });
-            return false;
+            if (!ended.aborted) {
+                runtime.events.emit(peerFetchFailed, { peer: report.instance, error: errorMessage(error) });
+            }
+            throw error;
         }
     }
 
-    /** Tells whether the platform should soon deliver what another instance already knows. */
-    private isPlatformExpected({ report }: ReportingPeer): boolean {
-        const { clock } = this.options.runtime;
+    /** Time for which the platform may deliver what another instance already knows, in milliseconds. */
+    private platformDelayMs({ report }: ReportingPeer): number {
         const { era, revision } = report;
         const isUpdate = era === undefined
             || compareVersions({ era, revision }, this.options.store.version) > 0;
-        return isUpdate && this.hasJoined && this.behindSinceMs !== undefined
-            && clock.nowMs() - this.behindSinceMs < FETCH_DELAY_MS;
-    }
-
-    private isAhead(peer: ReportingPeer): boolean {
-        const { store } = this.options;
-        const { configurationVersion, era, revision, revisionBeforeReturn } = peer.report;
-        if (era === undefined) {
-            // An earlier release reports a bare revision, which means nothing once the store has returned from a copy.
-            return store.returns === 0 && revision > store.revision;
-        }
-        const order = compareVersions({ era, revision }, store.version);
-        return order > 0
-            || configurationVersion > store.configurationVersion
-            || era === store.era && revisionBeforeReturn > store.revisionBeforeReturn
-            || order === 0 && this.knowsLonger(peer);
+        return isUpdate && this.hasJoined ? FETCH_DELAY_MS : 0;
     }
 
     private knowsLonger({ lastReportMs, report }: ReportingPeer): boolean {
@@ -203,7 +289,7 @@
             isAlive && report.revision > 0
         );
         return informed.length > 0
-            ? !informed.some(peer => this.isAhead(peer) || this.knowsLonger(peer))
+            ? !informed.some(peer => this.isBehind(peer) || this.knowsLonger(peer))
             : !expectsOthers();
     }
 }
