fix(direct): a server that sends events or framing without end does not occupy the process

What callers saw: while one server of three sent comment events at full speed, other callers got nothing for seconds, and a stream stayed open for up to 20 s at a deadline of 5 s. Endless status lines, chunk sizes and chunk extensions were read until the deadline.

Cause: each event was written on its own and each refused write registered another drain listener, so work grew with the square of the events; nothing limited how many events, or how many small pieces of a body, were read; the parser of HTTP does not count status lines and the framing of chunks. The class: a reader that bounds bytes kept, but not work done.

Change: events that arrive together are written together, with one drain listener; a stream is read on at 1,000 events and 2 MiB a second after a burst of one second (engines write less than 200 a second), other bodies at 10,000 pieces; a response that takes more than 256 KiB and eight bytes of framing for each byte of its body is given up; an event that arrives in parts is searched once.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -6,7 +6,14 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, errorMessage, sleep, splitAddress } from "@magnolialock/kernel";
+import {
+    type Address,
+    type Clock,
+    errorMessage,
+    meterReads,
+    sleep,
+    splitAddress,
+} from "@magnolialock/kernel";
 import { connect, type Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type {
@@ -41,6 +48,14 @@
 /** Most interim heads before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
+/**
+ * Bytes of a response beside its body that are read in any case. The parser limits header lines itself, but not the status
+ * line, chunk sizes and chunk extensions.
+ */
+const MAX_HEAD_BYTES = 256 * 1024;
+/** Bytes of framing for each byte of a body: a chunk of one byte takes five. */
+const MAX_FRAMING_FACTOR = 8;
+
 const RESET_END: UpstreamEnd = {
     kind: "broken",
     message: "the connection was reset before the answer's end",
@@ -66,6 +81,9 @@
      */
     public wasReset = false;
     private socket: Socket | undefined;
+    private bytesRead = 0;
+    private bodyBytes = 0;
+    private onOverlong: () => void = () => {};
 
     public constructor(address: Address) {
         const connector = buildConnector({
@@ -78,6 +96,9 @@
                 connector(options, (...result) => {
                     const [, socket] = result;
                     this.socket = socket ?? undefined;
+                    if (socket) {
+                        meterReads(socket, bytes => this.recordRead(bytes));
+                    }
                     socket?.on("error", () => this.wasReset = true);
                     socket?.on("end", () => this.wasReset ||= isReset(socket));
                     callback(...result);
@@ -93,6 +114,47 @@
         this.client.on("connectionError", () => this.close());
     }
 
+    /**
+     * Sends a request.
+     *
+     * @param request - the request
+     * @param handler - receiver of the response
+     */
+    public dispatch(
+        { body, headers, method, path }: UpstreamRequest,
+        handler: Dispatcher.DispatchHandler,
+    ): void {
+        this.client.dispatch(
+            {
+                method: method as Dispatcher.HttpMethod,
+                path,
+                headers: headers as string[],
+                body: body.length > 0 ? body : undefined,
+            },
+            handler,
+        );
+    }
+
+    /**
+     * Begins to count the bytes of the next response.
+     *
+     * @param onOverlong - called when it takes far more bytes than its body
+     */
+    public beginResponse(onOverlong: () => void): void {
+        this.bytesRead = 0;
+        this.bodyBytes = 0;
+        this.onOverlong = onOverlong;
+    }
+
+    /**
+     * Records bytes of the body of the current response.
+     *
+     * @param bytes - their number
+     */
+    public recordBody(bytes: number): void {
+        this.bodyBytes += bytes;
+    }
+
     /**
      * Resets the connection, so that data the server has not read yet is discarded. A normal close would
      * still deliver an aborted request, for instance to a server whose machine was paused.
@@ -103,6 +165,17 @@
         this.close(reason);
     }
 
+    /** Returns whether the response is read on. */
+    private recordRead(bytes: number): boolean {
+        this.bytesRead += bytes;
+        const isOverlong = this.bytesRead > MAX_HEAD_BYTES + this.bodyBytes * (1 + MAX_FRAMING_FACTOR);
+        if (isOverlong) {
+            // The parser must not lose its socket while it reads.
+            setImmediate(this.onOverlong);
+        }
+        return !isOverlong;
+    }
+
     public close(reason?: string): void {
         if (!this.isClosed) {
             this.isClosed = true;
@@ -147,6 +220,9 @@
             connection.abort(reason);
             settle({ kind: controller ? "broken" : "notSent", message: reason });
         };
+        connection.beginResponse(() =>
+            abort("the server sends a head, or the framing of a body, without end")
+        );
         const ended = new Promise<UpstreamEnd>(resolve => {
             settle = resolve;
             const handler: Dispatcher.DispatchHandler = {
@@ -170,6 +246,7 @@
                     consumer.onHead({ status, headers, isCloseDelimited, isOnReusedConnection });
                 },
                 onResponseData: (_started, bytes) => {
+                    connection.recordBody(bytes.length);
                     if (!isAborted) {
                         consumer.onData(bytes);
                     }
@@ -191,16 +268,7 @@
                     resolve({ kind: controller ? "broken" : "notSent", message: errorMessage(error) });
                 },
             };
-            const { method, path, headers, body } = request;
-            connection.client.dispatch(
-                {
-                    method: method as Dispatcher.HttpMethod,
-                    path,
-                    headers: headers as string[],
-                    body: body.length > 0 ? body : undefined,
-                },
-                handler,
-            );
+            connection.dispatch(request, handler);
         });
         return {
             ended,
--- a/packages/direct/src/shared/eventStreamSplitter.ts
+++ b/packages/direct/src/shared/eventStreamSplitter.ts
@@ -31,6 +31,8 @@
     return -1;
 };
 
+/** Bytes of the longest line ends that end an event. */
+const LONGEST_END_BYTES = 4;
 /** Largest event, in bytes; a faulty server may send bytes without end in which no event ends. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
@@ -61,11 +63,13 @@
             return [];
         }
         const bytes = this.remainderBytes === 0 ? chunk : Buffer.concat([...this.remainder, chunk]);
+        // No event ends within the remainder alone.
+        const searchedBytes = Math.max(0, this.remainderBytes - LONGEST_END_BYTES);
         this.remainder.length = 0;
         this.remainderBytes = 0;
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = eventEnd(bytes, start); end >= 0; end = eventEnd(bytes, start)) {
+        for (let end = eventEnd(bytes, searchedBytes); end >= 0; end = eventEnd(bytes, start)) {
             const event = bytes.subarray(start, end);
             const id = ID_LINE.exec(event.toString("latin1"))?.[1];
             events.push({ bytes: event, id: id === undefined ? undefined : Number(id) });
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 
-import { isFaultSeeded } from "@magnolialock/kernel";
+import { isFaultSeeded, type Timer } from "@magnolialock/kernel";
 import type {
     CallerReply,
     IncomingCall,
@@ -17,8 +17,9 @@
 import { buildAttemptHeaders, responseHeader, toCallerHead } from "./callHeaders.ts";
 import { classifyResponseHead, type ResponseHeadClass } from "./classifyResponseHead.ts";
 import type { DirectContext } from "./directContext.ts";
-import { EventStreamSplitter } from "./eventStreamSplitter.ts";
+import { EventStreamSplitter, type StreamEvent } from "./eventStreamSplitter.ts";
 import type { BufferedResponse } from "./responseBuffers.ts";
+import { BODY_PACE, type PaceLimits, STREAM_PACE, StreamPace } from "./streamPace.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Progress of the caller's stream, over all attempts. */
@@ -144,9 +145,16 @@
      */
     private isPlaceKnown: boolean;
     private eventCount = 0;
+    private readonly pace: StreamPace;
+    /** Reasons for which the response is not read on. */
+    private holds = 0;
+    private isWaitingForCaller = false;
+    private paceTimer: Timer | undefined;
+    private isEnded = false;
 
     public constructor(options: AttemptOptions) {
         this.options = options;
+        this.pace = new StreamPace(options.context.options.runtime.clock);
         this.isPlaceKnown = options.cursor.eventCount === 0;
         this.sentMs = options.context.options.runtime.clock.nowMs();
     }
@@ -247,6 +255,7 @@
         this.bufferedChunks.push(bytes);
         this.bufferedBytes += bytes.length;
         this.options.context.responseBuffers.set(this, this.bufferedBytes);
+        this.keepPace(1, bytes.length, BODY_PACE);
     }
 
     /** {@inheritDoc BufferedResponse.giveUp} */
@@ -255,44 +264,95 @@
         this.reject(reason);
     }
 
+    /** Ends the response: it is neither paused nor resumed any more. */
+    public end(): void {
+        this.isEnded = true;
+        this.paceTimer?.cancel();
+    }
+
     private forwardEvents(bytes: Buffer): void {
-        const { context, cursor, reply } = this.options;
-        for (const event of this.splitter.push(bytes)) {
-            this.recordFirstByte();
-            this.options.onProgress();
-            const { id } = event;
-            const isComment = id === undefined && COMMENTS.test(event.bytes.toString("latin1"));
-            const isInOrder = id === undefined
-                ? this.isPlaceKnown || isComment
-                : cursor.lastEventId === undefined || id === cursor.lastEventId + 1;
-            if (!isInOrder && !isFaultSeeded("direct.skip-event-order")) {
-                this.reject(`event ${id ?? "without an identifier"} came after event ${cursor.lastEventId}`);
-                return;
-            }
-            this.isPlaceKnown ||= id !== undefined;
-            this.sendHeadOnce();
-            cursor.lastEventId = id ?? cursor.lastEventId;
-            cursor.isResumable = id !== undefined || isComment && cursor.isResumable;
-            const nowMs = context.options.runtime.clock.nowMs();
-            if (cursor.eventCount > 0) {
-                cursor.longestGapMs = Math.max(cursor.longestGapMs, nowMs - cursor.lastEventMs);
-            }
-            cursor.eventCount++;
-            this.eventCount++;
-            if (this.eventCount === EVENTS_UNDER_WAY) {
-                this.options.onUnderWay();
-            }
-            cursor.lastEventMs = nowMs;
-            if (!reply.write(event.bytes)) {
-                this.upstream?.pause();
-                reply.onDrain(() => this.upstream?.resume());
-            }
+        const events = this.splitter.push(bytes);
+        const firstWrong = events.findIndex(event => !this.acceptEvent(event));
+        const accepted = firstWrong < 0 ? events : events.slice(0, firstWrong);
+        const wrong = events[firstWrong];
+        if (accepted.length > 0) {
+            this.forward(Buffer.concat(accepted.map(event => event.bytes)), accepted.length);
         }
-        if (this.splitter.isOverlong) {
+        if (wrong) {
+            const { lastEventId } = this.options.cursor;
+            this.reject(`event ${wrong.id ?? "without an identifier"} came after event ${lastEventId}`);
+        }
+        else if (this.splitter.isOverlong) {
             this.reject("an event is larger than the limit");
         }
     }
 
+    /** Moves the cursor to the next event; returns false if the event does not follow what the caller has. */
+    private acceptEvent({ bytes, id }: StreamEvent): boolean {
+        const { cursor } = this.options;
+        this.recordFirstByte();
+        const isComment = id === undefined && COMMENTS.test(bytes.toString("latin1"));
+        const isInOrder = id === undefined
+            ? this.isPlaceKnown || isComment
+            : cursor.lastEventId === undefined || id === cursor.lastEventId + 1;
+        if (!isInOrder && !isFaultSeeded("direct.skip-event-order")) {
+            return false;
+        }
+        this.isPlaceKnown ||= id !== undefined;
+        cursor.lastEventId = id ?? cursor.lastEventId;
+        cursor.isResumable = id !== undefined || isComment && cursor.isResumable;
+        cursor.eventCount++;
+        this.eventCount++;
+        if (this.eventCount === EVENTS_UNDER_WAY) {
+            this.options.onUnderWay();
+        }
+        return true;
+    }
+
+    /** Sends events that arrived together, and reads on when the caller and the pace of the stream allow it. */
+    private forward(bytes: Buffer, events: number): void {
+        const { context, cursor, onProgress, reply } = this.options;
+        const { clock } = context.options.runtime;
+        onProgress();
+        if (cursor.eventCount > events) {
+            cursor.longestGapMs = Math.max(cursor.longestGapMs, clock.nowMs() - cursor.lastEventMs);
+        }
+        cursor.lastEventMs = clock.nowMs();
+        this.sendHeadOnce();
+        if (!reply.write(bytes) && !this.isWaitingForCaller) {
+            this.isWaitingForCaller = true;
+            this.hold();
+            reply.onDrain(() => {
+                this.isWaitingForCaller = false;
+                this.release();
+            });
+        }
+        this.keepPace(events, bytes.length, STREAM_PACE);
+    }
+
+    private keepPace(items: number, bytes: number, limits: PaceLimits): void {
+        const delayMs = this.pace.record(items, bytes, limits);
+        if (delayMs > 0 && !this.paceTimer) {
+            this.hold();
+            this.paceTimer = this.options.context.options.runtime.clock.setTimer(delayMs, () => {
+                this.paceTimer = undefined;
+                this.release();
+            });
+        }
+    }
+
+    private hold(): void {
+        if (this.holds++ === 0) {
+            this.upstream?.pause();
+        }
+    }
+
+    private release(): void {
+        if (--this.holds === 0 && !this.isEnded) {
+            this.upstream?.resume();
+        }
+    }
+
     private recordFirstByte(): void {
         if (!this.hasFirstByte && this.headClass?.kind === "own") {
             this.hasFirstByte = true;
@@ -394,6 +454,7 @@
         return end;
     }
     finally {
+        handler.end();
         context.responseBuffers.set(handler, 0);
         signal.removeEventListener("abort", onAbort);
     }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,10 +6,12 @@
  */
 
 export * from "./node/address.ts";
+export * from "./node/boundedConnector.ts";
 export * from "./node/commandLine.ts";
 export * from "./node/datagramSocket.ts";
 export * from "./node/debugSink.ts";
 export * from "./node/jsonLogSink.ts";
+export * from "./node/meteredSocket.ts";
 export * from "./node/processGuard.ts";
 export * from "./node/processRuntime.ts";
 export * from "./node/settings.ts";
