fix(agent): an engine's answer without end neither ends the agent nor takes its time

What callers saw: one engine that sent a data line, or data lines of one event, without end ended the agent for lack of memory, with the calls of all its callers; a report of the load without end was kept whole, 740 MB in 8 s.

Cause: the parser of events keeps a line and an event whatever their length, and the report was read without a limit. The class is that of the entry's floods: each reader has to bound what it keeps and the work it does.

Change: an event of more than 256 KiB and a report of more than 4 MiB are given up; a stream is read on at the pace that the direct path has, which moves to the kernel (ReadPace).

--- a/packages/agent/src/node/__tests__/httpBackend.spec.ts
+++ b/packages/agent/src/node/__tests__/httpBackend.spec.ts
@@ -270,3 +270,96 @@
     // One for the first call, and two that are used in turn: one may not be free yet as the next call comes.
     t.true(ports.size <= 3, `${ports.size} connections`);
 });
+
+/** Writes the same text to a response again and again at full speed, until its connection is closed. */
+const flood = (response: ServerResponse, text: string): void => {
+    const send = (): void => {
+        while (!response.destroyed && response.write(text)) {
+            // Writes until the buffers are full.
+        }
+        response.once("drain", send);
+    };
+    send();
+};
+
+const ENDLESS_LINE = "x".repeat(65_536);
+const EVENT_STREAM = { "content-type": "text/event-stream" };
+/** Time after which an endless answer must have been given up, in milliseconds. */
+const GIVE_UP_MS = 3_000;
+/** Growth of the memory of this process, which is the server as well, in bytes. */
+const MAX_GROWTH_BYTES = 100 * 1024 * 1024;
+
+// Guards against answers without end that end the agent for lack of memory.
+for (
+    const [name, start, repeat] of [
+        ["a data line", "data: ", ENDLESS_LINE],
+        ["data lines of one event", "", `data: ${ENDLESS_LINE}\n`],
+        ["a comment", ":", ENDLESS_LINE],
+    ] as const
+) {
+    test.serial(`${name} without end is given up`, async t => {
+        const startMs = performance.now();
+        const startBytes = process.memoryUsage().rss;
+        const { error } = await runAgainst(t, (_request, response) => {
+            response.writeHead(200, EVENT_STREAM);
+            response.write(start);
+            flood(response, repeat);
+        });
+        t.true(error instanceof BackendBrokenError);
+        t.true(performance.now() - startMs < GIVE_UP_MS);
+        t.true(process.memoryUsage().rss - startBytes < MAX_GROWTH_BYTES);
+    });
+}
+
+for (const status of [200, 500]) {
+    test.serial(`a report of the load without end is given up, status ${status}`, async t => {
+        const server = createServer((_request, response) => {
+            response.writeHead(status);
+            flood(response, ENDLESS_LINE);
+        }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+        t.teardown(() => void server.close());
+        const { port } = server.address() as AddressInfo;
+        await using backend = createHttpBackend({ address: branded<Address>(`127.0.0.1:${port}`) });
+        const startBytes = process.memoryUsage().rss;
+        await t.throwsAsync(backend.readLoad(AbortSignal.timeout(2 * GIVE_UP_MS)), {
+            name: "BodyTooLargeError",
+        });
+        t.true(process.memoryUsage().rss - startBytes < MAX_GROWTH_BYTES);
+    });
+}
+
+// Guards against events at full speed that take the time of the agent's other calls.
+for (
+    const [name, repeat] of [["comments", ":\n\n".repeat(20_000)], [
+        "events without tokens",
+        'data: {"choices":[{"text":""}]}\n\n'.repeat(1_000),
+    ]] as const
+) {
+    test.serial(`${name} at full speed are read no faster than an engine writes`, async t => {
+        const stop = new AbortController();
+        clock.setTimer(2_000, () => stop.abort());
+        let sentBytes = 0;
+        const server = createServer((_request, response) => {
+            response.writeHead(200, EVENT_STREAM);
+            const send = (): void => {
+                do {
+                    sentBytes += repeat.length;
+                }
+                while (!response.destroyed && response.write(repeat));
+                response.once("drain", send);
+            };
+            send();
+        }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+        t.teardown(() => void server.close());
+        const { port } = server.address() as AddressInfo;
+        await using backend = createHttpBackend({ address: branded<Address>(`127.0.0.1:${port}`) });
+        await t.throwsAsync(async () => {
+            for await (const _event of backend.run(requestOf(), stop.signal)) {
+                // Only the head comes.
+            }
+        });
+        t.true(sentBytes < 16 * 1024 * 1024, `${sentBytes} bytes`);
+    });
+}
--- a/packages/agent/src/node/httpBackend.ts
+++ b/packages/agent/src/node/httpBackend.ts
@@ -4,7 +4,18 @@
  * @packageDocumentation
  */
 
-import { type Address, errorMessage, isAborted, ProtocolError } from "@magnolialock/kernel";
+import {
+    type Address,
+    type Clock,
+    createSystemClock,
+    errorMessage,
+    isAborted,
+    ProtocolError,
+    readBounded,
+    ReadPace,
+    sleep,
+    STREAM_PACE,
+} from "@magnolialock/kernel";
 import { createParser } from "eventsource-parser";
 import { type Dispatcher, errors, Pool } from "undici";
 import { z } from "zod";
@@ -23,10 +34,16 @@
     readonly address: Address;
     /** Maximum number of connections to it. */
     readonly maxConnections?: number;
+    /** Source of time; the system clock by default. */
+    readonly clock?: Clock;
 }
 
 const DEFAULT_MAX_CONNECTIONS = 1_024;
 const CONNECT_TIMEOUT_MS = 2_000;
+/** Largest event of a stream, in bytes. */
+const MAX_EVENT_BYTES = 256 * 1024;
+/** Largest report of the load, in bytes: it names cached prefixes. */
+const MAX_LOAD_BYTES = 4 * 1024 * 1024;
 const FIRST_ERROR_STATUS = 400;
 const REQUEST_ID_HEADER = "x-request-id";
 /** Identifier of the reads of the load. */
@@ -110,13 +127,26 @@
 };
 
 /** Reads a completion from server-sent events. */
-async function* readCompletion(body: AsyncIterable<Uint8Array>): AsyncGenerator<BackendEvent> {
+async function* readCompletion(
+    body: AsyncIterable<Uint8Array>,
+    clock: Clock,
+    signal: AbortSignal,
+): AsyncGenerator<BackendEvent> {
     let texts: string[] = [];
     let finishReason: string | undefined;
     let isDone = false;
     let lastId = 0;
+    let items = 0;
+    let bytesSinceEvent = 0;
+    const pace = new ReadPace(clock);
     const parser = createParser({
+        onComment: comment => {
+            items++;
+            bytesSinceEvent -= comment.length;
+        },
         onEvent: ({ data, id }) => {
+            items++;
+            bytesSinceEvent = 0;
             if (isDone || isDuplicate(id, lastId)) {
                 return;
             }
@@ -134,11 +164,22 @@
     });
     const decoder = new TextDecoder();
     for await (const bytes of body) {
+        bytesSinceEvent += bytes.length;
+        items = 0;
         parser.feed(decoder.decode(bytes, { stream: true }));
         if (texts.length > 0) {
             yield { kind: "tokens", texts };
             texts = [];
         }
+        if (bytesSinceEvent > MAX_EVENT_BYTES) {
+            throw new ProtocolError(
+                `an event of the engine's stream is larger than ${MAX_EVENT_BYTES} bytes`,
+            );
+        }
+        const delayMs = pace.record(items, bytes.length, STREAM_PACE);
+        if (delayMs > 0) {
+            await sleep(clock, delayMs, signal);
+        }
     }
     if (!isDone) {
         throw new ProtocolError("the engine's stream ended without its end mark");
@@ -216,6 +257,7 @@
         bodyTimeout: 0,
     });
     const identifiers = new CallIdentifiers();
+    const clock = options.clock ?? createSystemClock();
 
     const send = async (request: BackendRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> => {
         try {
@@ -259,7 +301,7 @@
             }
             const isTokens = request.isModel && response.statusCode < FIRST_ERROR_STATUS
                 && String(response.headers["content-type"]).startsWith("text/event-stream");
-            yield* isTokens ? readCompletion(response.body) : readPlainBody(response.body);
+            yield* isTokens ? readCompletion(response.body, clock, signal) : readPlainBody(response.body);
         }
         catch (error) {
             throw new BackendBrokenError(`the answer broke: ${errorMessage(error)}`, { cause: error });
@@ -275,7 +317,8 @@
             signal,
         });
         identifiers.assertLoad(response);
-        const load = loadReport.parse(await response.body.json());
+        const body = await readBounded(response.body, MAX_LOAD_BYTES);
+        const load = loadReport.parse(JSON.parse(body.toString()));
         return {
             running: load.running,
             waiting: load.waiting,
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -5,7 +5,14 @@
  * @packageDocumentation
  */
 
-import { isFaultSeeded, type Timer } from "@magnolialock/kernel";
+import {
+    BODY_PACE,
+    isFaultSeeded,
+    type PaceLimits,
+    ReadPace,
+    STREAM_PACE,
+    type Timer,
+} from "@magnolialock/kernel";
 import type {
     CallerReply,
     IncomingCall,
@@ -19,7 +26,6 @@
 import type { DirectContext } from "./directContext.ts";
 import { EventStreamSplitter, type StreamEvent } from "./eventStreamSplitter.ts";
 import type { BufferedResponse } from "./responseBuffers.ts";
-import { BODY_PACE, type PaceLimits, STREAM_PACE, StreamPace } from "./streamPace.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
 /** Progress of the caller's stream, over all attempts. */
@@ -145,7 +151,7 @@
      */
     private isPlaceKnown: boolean;
     private eventCount = 0;
-    private readonly pace: StreamPace;
+    private readonly pace: ReadPace;
     /** Reasons for which the response is not read on. */
     private holds = 0;
     private isWaitingForCaller = false;
@@ -154,7 +160,7 @@
 
     public constructor(options: AttemptOptions) {
         this.options = options;
-        this.pace = new StreamPace(options.context.options.runtime.clock);
+        this.pace = new ReadPace(options.context.options.runtime.clock);
         this.isPlaceKnown = options.cursor.eventCount === 0;
         this.sentMs = options.context.options.runtime.clock.nowMs();
     }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -35,6 +35,7 @@
 export * from "./shared/plugins.ts";
 export * from "./shared/random.ts";
 export * from "./shared/readBounded.ts";
+export * from "./shared/readPace.ts";
 export * from "./shared/resourceScope.ts";
 export * from "./shared/rulesRevision.ts";
 export * from "./shared/runtime.ts";
--- a/packages/direct/src/shared/streamPace.ts
+++ b/packages/kernel/src/shared/readPace.ts
@@ -6,7 +6,7 @@
  * @packageDocumentation
  */
 
-import type { Clock } from "@magnolialock/kernel";
+import type { Clock } from "./clock.ts";
 
 /** What one response may bring in a second in the long run. */
 export interface PaceLimits {
@@ -25,7 +25,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Tells when to read a response on. */
-export class StreamPace {
+export class ReadPace {
     /** Time up to which the allowance of the response is used up, in milliseconds. */
     private spentUntilMs = Number.NEGATIVE_INFINITY;
 
