fix: responses and calls of the store, neighbours and rank agents are bounded in all their parts

What callers saw: nothing yet; found by looking for the same cause. A store or a rank's server that sent a status line, interim heads, a chunk size or a chunk extension without end was read until the timeout of the call, up to 26 s for a watch. The answer of the own path's platform without a length, and a call to a rank agent, were kept whatever their size.

Cause: the limits stood at the reader of the body, which never sees these bytes.

Change: connections of these clients count all bytes since the last request and close beyond the largest body, a quarter more for its framing and 256 KiB. The platform's answer and calls to a rank agent are read up to 4 MiB.

Calls to a rank agent: changed by reading, without a test. Still bounded by time alone: status lines and framing of engines on the own path (the call's deadline).

--- a/packages/control/src/node/consulPlatform.ts
+++ b/packages/control/src/node/consulPlatform.ts
@@ -7,9 +7,11 @@
 import {
     type Address,
     branded,
+    createBoundedConnector,
     type DataCentreId,
     type InstanceId,
     ProtocolError,
+    readBounded,
 } from "@magnolialock/kernel";
 import type { Revision } from "@magnolialock/kernel";
 import { Agent, type Dispatcher, request } from "undici";
@@ -30,6 +32,7 @@
 const HTTP_NOT_FOUND = 404;
 /** Time that a response may take beyond the wait of a blocking query, in milliseconds. */
 const RESPONSE_GRACE_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 10_000;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 const keyEntries = z.array(z.object({ ModifyIndex: z.number().int(), Value: z.string().nullable() })).min(1);
@@ -57,7 +60,7 @@
             `the platform's response of ${length} bytes exceeds the maximum of ${MAX_RESPONSE_BYTES} bytes`,
         );
     }
-    const text = await response.body.text();
+    const text = (await readBounded(response.body, MAX_RESPONSE_BYTES)).toString();
     if (response.statusCode !== HTTP_OK && response.statusCode !== HTTP_NOT_FOUND) {
         throw new ProtocolError(`the platform responded with status ${response.statusCode}`);
     }
@@ -86,7 +89,13 @@
  * @returns the client; disposing it closes its connections
  */
 export const createConsulPlatform = (options: ConsulPlatformOptions): Platform & AsyncDisposable => {
-    const dispatcher = new Agent({ connections: 4 });
+    const dispatcher = new Agent({
+        connections: 4,
+        connect: createBoundedConnector({
+            timeoutMs: CONNECT_TIMEOUT_MS,
+            maxBodyBytes: MAX_RESPONSE_BYTES,
+        }),
+    });
     const query = async (
         path: string,
         index: number | undefined,
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -9,6 +9,7 @@
 import {
     type Address,
     branded,
+    createBoundedConnector,
     errorMessage,
     openDatagramSocket,
     PauseDetector,
@@ -21,7 +22,7 @@
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
@@ -121,8 +122,18 @@
 /** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
 const INTERNAL_CLOSE_TIMEOUT_MS = 50;
 
+const PEER_CONNECT_TIMEOUT_MS = 10_000;
+
 /** Rare calls get connections of their own: an idle one may have gone silent, which only their timeout would show. */
-const ON_OWN_CONNECTION = { reset: true };
+const ON_OWN_CONNECTION = {
+    reset: true,
+    dispatcher: new Agent({
+        connect: createBoundedConnector({
+            timeoutMs: PEER_CONNECT_TIMEOUT_MS,
+            maxBodyBytes: MAX_STATE_BYTES,
+        }),
+    }),
+};
 
 const fetchState = async (peer: Address, signal: AbortSignal): Promise<unknown> => {
     const response = await request(`http://${peer}${STATE_PATH}`, { signal, ...ON_OWN_CONNECTION });
--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -12,6 +12,7 @@
     errorMessage,
     type GroupName,
     type IncarnationId,
+    readBounded,
     ResourceScope,
     type Runtime,
 } from "@magnolialock/kernel";
@@ -44,12 +45,18 @@
 
 /** Age up to which the state of the rank is told to entries, in milliseconds; there are many entries. */
 const GROUP_MAX_AGE_MS = 200;
+/** Largest call of another agent, in bytes: far above the map of a large group. */
+const MAX_CALL_BYTES = 4 * 1024 * 1024;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
 const acceptsCompression = (context: Context): boolean =>
     context.req.header("accept-encoding")?.includes(COMPRESSED_ENCODING) ?? false;
 
+/** Reads the body of a call of another agent. */
+const readCall = ({ req: { raw: { body } } }: Context): Promise<Buffer> =>
+    body ? readBounded(body, MAX_CALL_BYTES) : Promise.resolve(Buffer.alloc(0));
+
 /** Creates the HTTP routes for the other agents of the group. */
 const createApp = (member: RankMember, holder: PassHolder, leader: GroupLeader): Hono => {
     const app = new Hono();
@@ -73,13 +80,16 @@
         CALL_PATH,
         async context => {
             const encoding = context.req.header("content-encoding");
-            const call = decodeJson(Buffer.from(await context.req.arrayBuffer()), encoding) as RoundCall;
+            const call = decodeJson(await readCall(context), encoding) as RoundCall;
             return context.json(await member.handleCall(call));
         },
     );
     app.post(
         HOLD_PATH,
-        async context => context.json(await holder.handleCall(await context.req.json<HoldCall>())),
+        async context => {
+            const call = decodeJson(await readCall(context), undefined) as HoldCall;
+            return context.json(await holder.handleCall(call));
+        },
     );
     app.onError((error, context) => context.json({ error: errorMessage(error) }, HTTP_UNAVAILABLE));
     return app;
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -11,6 +11,7 @@
     type BackendServerId,
     branded,
     type Clock,
+    createBoundedConnector,
     errorMessage,
     type EventLog,
     ProtocolError,
@@ -21,7 +22,7 @@
     timeoutSignal,
 } from "@magnolialock/kernel";
 import type { RandomSource } from "@magnolialock/kernel";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { decodeServiceServers } from "../shared/decodeServiceServers.ts";
 import { rankListFailed } from "../shared/rankEvents.ts";
 import type { HoldOrder, RankPeer } from "../shared/switchRound.ts";
@@ -58,6 +59,11 @@
 export const HOLD_PATH = "/rank/hold";
 /** Largest response of an agent or entry, in bytes: far above the map or server list of a large fleet. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 10_000;
+/** Connections to agents and entries. */
+const AGENTS = new Agent({
+    connect: createBoundedConnector({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_RESPONSE_BYTES }),
+});
 /** Time between reads of the server list, in milliseconds; a restarted server is found within this time. */
 const LIST_PERIOD_MS = 4_000;
 const LIST_TIMEOUT_MS = 1_000;
@@ -276,6 +282,7 @@
         const { origin } = new URL(url);
         const encoded = message && this.encodeMessage(message, this.compressingOrigins.has(origin));
         const response = await request(url, {
+            dispatcher: AGENTS,
             signal: timeout.signal,
             method: encoded ? "POST" : "GET",
             headers: { ...encoded?.headers, "accept-encoding": COMPRESSED_ENCODING },
