fix(direct): callers that send without end neither hold connections nor the time of other callers

What callers saw: nothing reported; found by looking for the class of the floods. A caller that sent the digits of a chunk's size, or empty lines, without end was read at full speed for as long as it liked (740 and 980 MB in 3 s, other answers in 33 to 63 ms instead of 5), and the rest of a body that is too large, in chunks of a byte, took 1.3 to 1.5 s of the loop in one go. Requests sent ahead of their answers were kept without a limit.

Cause: the parser of Node.js limits neither; what a caller sends was compared with nothing; the rest of a body was read by a flowing stream.

Change: every 50 ms a connection that has brought 1 MiB more than its heads, and nine times its bodies, account for, or more than 1,000 unanswered requests, is closed. The rest of a body that is too large is dropped piece by piece, for a second at most, and not at all if it is mostly framing.

--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -10,6 +10,17 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
+/** Bytes that belong to no request, and those of a head or a body that are not parsed yet. */
+const MAX_STRAY_BYTES = 1024 * 1024;
+/** Largest head of a request, in bytes; the parser limits it. */
+const MAX_HEAD_BYTES = 64 * 1024;
+/** Bytes of framing for each byte of a body: a chunk of one byte takes five. */
+const MAX_FRAMING_FACTOR = 8;
+/** Bytes of framing, and read in advance, of a body that is read on although it is too large. */
+const MAX_FRAMING_BYTES = 64 * 1024;
+/** Requests that a caller may send before it has the answers to them. */
+const MAX_OPEN_REQUESTS = 1_000;
+
 const withResolvers = (): { readonly promise: Promise<void>; readonly resolve: () => void; } => {
     let resolve = (): void => {};
     const promise = new Promise<void>(onResolved => resolve = onResolved);
@@ -21,6 +32,10 @@
     private openRequests = 0;
     private lastEnded: Promise<void> = Promise.resolve();
     private hasBegunClose = false;
+    /** Bytes that the requests so far account for. */
+    private expectedBytes = MAX_STRAY_BYTES;
+    /** Bytes of heads, at most, and of bodies. */
+    private contentBytes = 0;
 
     /**
      * @param socket - its socket
@@ -41,6 +56,38 @@
         return this.hasBegunClose || this.socket.destroyed;
     }
 
+    /**
+     * Whether its caller has sent far more than its requests hold: the parser limits neither the digits of a chunk's size nor
+     * empty lines before a request. A caller with very many unanswered requests counts as well.
+     */
+    public get isFlooding(): boolean {
+        return this.socket.bytesRead > this.expectedBytes || this.openRequests > MAX_OPEN_REQUESTS;
+    }
+
+    /**
+     * Records bytes of the body of a request.
+     *
+     * @param bytes - their number
+     */
+    public recordBody(bytes: number): void {
+        this.expectedBytes += bytes * (1 + MAX_FRAMING_FACTOR);
+        this.contentBytes += bytes;
+    }
+
+    /**
+     * Records bytes of a body that is too large; a caller that goes on for long counts as flooding.
+     *
+     * @param bytes - their number
+     */
+    public recordDropped(bytes: number): void {
+        this.contentBytes += bytes;
+    }
+
+    /** Whether its bodies have come in chunks of few bytes each. */
+    public get isFramingHeavy(): boolean {
+        return this.socket.bytesRead - this.contentBytes > MAX_FRAMING_BYTES;
+    }
+
     /**
      * Counts a request until all bytes of its answer have left, or the connection has ended, and waits for its turn.
      * Node's HTTP server hands out pipelined requests at once, also those behind an answer that closes the
@@ -52,6 +99,8 @@
      */
     public async takeTurn(response: ServerResponse, onEnd: (hasLeft: boolean) => void): Promise<boolean> {
         this.openRequests++;
+        this.expectedBytes += MAX_HEAD_BYTES;
+        this.contentBytes += MAX_HEAD_BYTES;
         const previousEnded = this.lastEnded;
         const { promise, resolve } = withResolvers();
         this.lastEnded = promise;
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -5,10 +5,18 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, sleep, splitAddress } from "@magnolialock/kernel";
+import {
+    type Address,
+    type Clock,
+    settlesWithin,
+    sleep,
+    splitAddress,
+    type Timer,
+} from "@magnolialock/kernel";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
 import { CallerConnection } from "./callerConnection.ts";
@@ -40,6 +48,10 @@
 const TIMEOUT_MARGIN_MS = 2_000;
 /** Maximum size of headers that the parser accepts, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
+/** Time between checks of the connections for floods, in milliseconds. */
+const FLOOD_CHECK_PERIOD_MS = 50;
+/** Longest time for which the rest of a body that is too large is read, in milliseconds. */
+const MAX_DROP_MS = 1_000;
 const HTTP_TOO_LARGE = 413;
 /** Time for callers to close their connections at the end of a stop before they are destroyed, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 150;
@@ -69,11 +81,40 @@
 
 type RequestBody =
     | { readonly kind: "whole"; readonly bytes: Buffer; }
-    | { readonly kind: "tooLarge"; }
+    /** Its rest is being dropped; `rest` resolves once that is done. */
+    | { readonly kind: "tooLarge"; readonly rest: Promise<void>; }
     /** The caller closed its connection within the body. */
     | { readonly kind: "incomplete"; };
 
-const readBody = async (request: IncomingMessage, maxBytes: number): Promise<RequestBody> => {
+/**
+ * Reads the rest of a body and drops it, or the caller would not come to read the answer. Other callers get a turn after each
+ * piece. A body of tiny chunks is not read on: it costs far more time than its bytes.
+ */
+const dropRest = async (chunks: AsyncIterator<Buffer>, connection: CallerConnection): Promise<void> => {
+    try {
+        for (let next = await chunks.next(); !next.done; next = await chunks.next()) {
+            connection.recordDropped(next.value.length);
+            if (connection.isFramingHeavy) {
+                connection.destroy();
+                return;
+            }
+            await setImmediate();
+        }
+    }
+    catch {
+        // The caller has closed its connection within the body; its close is handled there.
+    }
+};
+
+const chunksOf = (request: IncomingMessage): AsyncIterator<Buffer> =>
+    // The connection still carries the answer to a body that is too large.
+    request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
+
+const readBody = async (
+    request: IncomingMessage,
+    maxBytes: number,
+    connection: CallerConnection,
+): Promise<RequestBody> => {
     const { "content-length": length, "transfer-encoding": encoding } = request.headers;
     if (length === undefined && encoding === undefined) {
         return { kind: "whole", bytes: Buffer.alloc(0) };
@@ -81,13 +122,13 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     try {
-        // The connection still carries the answer to a body that is too large.
-        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+        const reader = chunksOf(request);
+        for (let next = await reader.next(); !next.done; next = await reader.next()) {
+            const chunk = next.value;
             bytes += chunk.length;
+            connection.recordBody(chunk.length);
             if (bytes > maxBytes) {
-                // The rest is read and dropped, or the caller would not come to read the answer.
-                setImmediate(() => request.resume());
-                return { kind: "tooLarge" };
+                return { kind: "tooLarge", rest: dropRest(reader, connection) };
             }
             chunks.push(chunk);
         }
@@ -111,6 +152,7 @@
     private readonly connections = new Map<Socket, CallerConnection>();
     private readonly server: Server;
     private limits = DEFAULT_LIMITS;
+    private check: Timer | undefined;
     private isStopping = false;
     private isClosingIdle = false;
 
@@ -137,6 +179,7 @@
         const { host, port } = splitAddress(this.options.address);
         this.server.listen(port, host);
         await once(this.server, "listening");
+        this.scheduleCheck();
     }
 
     public applyLimits(limits: CallerLimits): void {
@@ -145,6 +188,18 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs + TIMEOUT_MARGIN_MS;
     }
 
+    /** Ends connections whose callers send without end what belongs to no request. */
+    private scheduleCheck(): void {
+        this.check = this.options.clock.setTimer(FLOOD_CHECK_PERIOD_MS, () => {
+            for (const connection of this.connections.values()) {
+                if (connection.isFlooding) {
+                    connection.destroy();
+                }
+            }
+            this.scheduleCheck();
+        });
+    }
+
     public beginStop(): void {
         this.isStopping = true;
     }
@@ -169,6 +224,7 @@
         while (this.connections.size > 0 && clock.nowMs() < deadlineMs) {
             await sleep(clock, CLOSE_POLL_MS);
         }
+        this.check?.cancel();
         for (const connection of this.connections.values()) {
             connection.destroy();
         }
@@ -183,19 +239,22 @@
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedMs = this.options.clock.nowMs();
         const connection = this.connections.get(request.socket);
+        if (!connection) {
+            // It closed before the request came.
+            request.resume();
+            return;
+        }
         let call: IncomingCall | undefined;
-        const turn = connection?.takeTurn(response, hasLeft => {
+        const turn = connection.takeTurn(response, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
             this.closeIfIdle(connection);
         });
         // The body is read at once: a connection that is not read does not show that its caller has left.
-        const reading = readBody(request, this.limits.bodyBytes);
-        const mayServe = await turn;
-        if (!connection || !mayServe) {
-            // Its connection closes after the answer before it, or closed before the request came.
-            request.resume();
+        const reading = readBody(request, this.limits.bodyBytes, connection);
+        if (!await turn) {
+            // Its connection closes after the answer before it.
             return;
         }
         // Requests that were read before the head of an answer is sent are answered on the same connection.
@@ -203,8 +262,15 @@
         const body = await reading;
         switch (body.kind) {
             case "tooLarge":
-                response.setHeader("connection", "close");
-                reply.sendWhole({ status: HTTP_TOO_LARGE, headers: {} }, Buffer.alloc(0));
+                // The head is the whole answer. Once it has ended, Node.js reads the rest of the body without a pause.
+                response.writeHead(HTTP_TOO_LARGE, { connection: "close", "content-length": "0" });
+                response.flushHeaders();
+                if (await settlesWithin(this.options.clock, body.rest, MAX_DROP_MS)) {
+                    response.end();
+                }
+                else {
+                    connection.destroy();
+                }
                 return;
             case "incomplete":
                 // There is no complete request, and nobody to respond to.
