--- a/packages/direct/src/node/__tests__/floodingServer.ts
+++ b/packages/direct/src/node/__tests__/floodingServer.ts
@@ -46,14 +46,17 @@
     socket.once("close", () => state.open--);
     socket.write((flood.fields === undefined ? "" : headFor(received, flood.fields)) + (flood.start ?? ""));
     const send = () => {
-        while (!socket.destroyed && socket.writable) {
-            const text = next();
-            sent += text.length;
-            state.mostSentBytes = Math.max(state.mostSentBytes, sent);
-            if (!socket.write(text)) {
-                socket.once("drain", send);
-                return;
-            }
+        if (socket.destroyed || !socket.writable) {
+            return;
+        }
+        const text = next();
+        sent += text.length;
+        state.mostSentBytes = Math.max(state.mostSentBytes, sent);
+        // The proper answers come from this thread, too: they get a turn after each write.
+        if (socket.write(text)) {
+            setImmediate(send);
+        } else {
+            socket.once("drain", () => setImmediate(send));
         }
     };
     send();
