feat(direct): the end of an outage of the store logs how often it was asked, and when last

It now has calls, the number of calls since the store was lost, and sinceCallMs, the age of the latest call.

--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -126,6 +126,9 @@
     private removalsEra: StoreEra | undefined;
     private failingSinceMs: number | undefined;
     private lastOutageEndMs = Number.NEGATIVE_INFINITY;
+    /** Calls of the current outage, and the time at which the latest call began; both are logged. */
+    private outageCalls = 0;
+    private lastCallMs = Number.NEGATIVE_INFINITY;
     /** Time at which the current watch ends; undefined while there is none. */
     private watchEndMs: number | undefined;
     /** Whether the other instances begin their next watches at about the same time as this one. */
@@ -307,6 +310,8 @@
         const secondEnd = new AbortController();
         using firstSignal = timeoutSignal(clock, call.timeoutMs, signal, firstEnd.signal);
         using secondSignal = timeoutSignal(clock, call.timeoutMs, signal, secondEnd.signal);
+        this.outageCalls++;
+        this.lastCallMs = clock.nowMs();
         let isFirstOpen = true;
         const first = call.make(firstSignal.signal).finally(() => isFirstOpen = false);
         if (await settlesWithin(clock, first, call.overdueMs)) {
@@ -316,6 +321,8 @@
         }
         const lastVerifiedMs = this.verifiedMs;
         this.reconnect();
+        this.outageCalls++;
+        this.lastCallMs = clock.nowMs();
         const second = call.check(secondSignal.signal);
         const answer = await Promise.any([first, second]).catch(() => first);
         // An answer to the first call that this process has not read yet shows that its connection works.
@@ -419,15 +426,23 @@
 
     private recordSuccess(): void {
         const { runtime, store } = this.options;
+        const calls = this.outageCalls;
+        this.outageCalls = 0;
         if (this.failingSinceMs === undefined) {
             return;
         }
         const awayMs = runtime.clock.nowMs() - this.failingSinceMs;
+        const sinceCallMs = Math.round(runtime.clock.nowMs() - this.lastCallMs);
         if (awayMs >= MIN_OUTAGE_MS) {
             this.lastOutageEndMs = runtime.clock.nowMs();
         }
         this.failingSinceMs = undefined;
-        runtime.events.emit(platformFound, { awayMs: Math.round(awayMs), revision: store.revision });
+        runtime.events.emit(platformFound, {
+            awayMs: Math.round(awayMs),
+            revision: store.revision,
+            calls,
+            sinceCallMs,
+        });
     }
 
     private recordFailure(error: string): void {
