--- a/packages/direct/src/shared/__tests__/publishedFleet.ts
+++ b/packages/direct/src/shared/__tests__/publishedFleet.ts
@@ -57,7 +57,10 @@
     public isStoreDown = false;
     /** Changes each time connections to the store are closed. */
     public life = 0;
-    /** Time at which the connections to the store that were open then have gone silent; negative if they have not. */
+    /**
+     * Time at which the connections to the store that were open then have gone silent; negative if they have not, infinite
+     * while the store answers nobody.
+     */
     public silentSinceMs = -1;
     /** Promises that were broken, one line each. */
     public readonly violations = new Set<string>();
@@ -169,6 +172,13 @@
         this.isStoreDown = false;
     }
 
+    /** The store answers nobody for a time; calls that are open meanwhile, or begin then, are never answered. */
+    public async silenceStore(durationMs: number): Promise<void> {
+        this.silentSinceMs = Number.POSITIVE_INFINITY;
+        await this.clock.advance(durationMs);
+        this.silentSinceMs = this.clock.nowMs();
+    }
+
     /** The operator writes again what it had written. */
     public rewriteOperatorItems(): void {
         this.writeConfiguration(this.writtenConfiguration);
--- a/packages/direct/src/shared/__tests__/stateInstance.ts
+++ b/packages/direct/src/shared/__tests__/stateInstance.ts
@@ -43,7 +43,10 @@
     readonly isStoreDown: boolean;
     /** Changes each time connections to the store are closed. */
     readonly life: number;
-    /** Time at which the connections to the store that were open then have gone silent; negative if they have not. */
+    /**
+     * Time at which the connections to the store that were open then have gone silent; negative if they have not, infinite
+     * while the store answers nobody.
+     */
     readonly silentSinceMs: number;
     addressOf(index: number): Address;
     dataCentreOf(index: number): DataCentreId;
