fix(direct): a newer configuration does not wait behind fetches that brought nothing new

After a fetch that brought nothing new the next one waited twice as long, up to 5 s, also if a newer version was reported meanwhile; an instance that the store does not answer had that version late. The delay now holds for what had been reported when the state was last fetched.

Test, failed before: eraOrder.spec, 'a newer configuration waits behind fetches that brought nothing new' (a fetch within 1 s of the report; up to 5 s before). The limit on fetches for a report that no state bears out stays (5 to 20 a minute, same spec).

--- a/packages/direct/src/shared/__tests__/eraOrder.spec.ts
+++ b/packages/direct/src/shared/__tests__/eraOrder.spec.ts
@@ -150,6 +150,42 @@
     t.true(fetches >= 5 && fetches <= 20, `${fetches} fetches in a minute`);
 });
 
+test.serial("a newer configuration waits behind fetches that brought nothing new", async t => {
+    const { runtime, store } = createStore();
+    let written = 1;
+    let reported = 9;
+    const catchUp = new StateCatchUp({
+        runtime,
+        store,
+        peers: () =>
+            peerWith({
+                era: branded<StoreEra>(1),
+                revision: branded<Revision>(19 + written),
+                configurationVersion: reported,
+            }),
+        expectsOthers: () => false,
+        isStoreSilent: () => false,
+        fetchState: async () =>
+            readAt(1, 19 + written, { config: `${written}` }) as unknown as PublishedState,
+        onFetched: () => {},
+    });
+    store.replace(readAt(1, 20, { config: "1" }), "platform");
+    const { signal } = new AbortController();
+    const hearReports = async (durationMs: number): Promise<void> => {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 200) {
+            await catchUp.catchUp(signal);
+            await runtime.clock.advance(200);
+        }
+    };
+    // A report that no state bears out.
+    await hearReports(20_000);
+    written = 10;
+    reported = 10;
+    // One report, the time that the store has to deliver the change first, and the fetch.
+    await hearReports(1_000);
+    t.is(store.configurationVersion, 10);
+});
+
 test.serial("a report without an era leads back to the era of before", async t => {
     const { runtime, store } = createStore();
     const fetched: Address[] = [];
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -88,6 +88,13 @@
 
 type PeerEntry = readonly [Address, ReportingPeer];
 
+/** The newest of each that some instances report. */
+interface NewestReported {
+    readonly era: number;
+    readonly revision: number;
+    readonly configurationVersion: number;
+}
+
 /** Keeps the published state level with the other instances. */
 export class StateCatchUp implements Disposable {
     private readonly options: StateCatchUpOptions;
@@ -98,6 +105,8 @@
     private isJoined = false;
     private retryDelayMs = 0;
     private nextFetchMs = Number.NEGATIVE_INFINITY;
+    /** The newest that others reported when the state was last fetched. */
+    private reported: NewestReported | undefined;
 
     /** @param options - store and other instances */
     public constructor(options: StateCatchUpOptions) {
@@ -151,6 +160,13 @@
             return;
         }
         this.behindSinceMs ??= clock.nowMs();
+        if (this.retryDelayMs > MIN_RETRY_DELAY_MS && this.isMoreReported()) {
+            // The delay is for what was reported, and not handed on, before.
+            this.retryDelayMs = 0;
+            this.nextFetchMs = Number.NEGATIVE_INFINITY;
+            this.check?.cancel();
+            this.check = undefined;
+        }
         const dueMs = Math.max(this.nextFetchMs, this.behindSinceMs + this.platformDelayMs(first[1]));
         if (this.isFetching || clock.nowMs() < dueMs) {
             this.scheduleCheck(dueMs, signal);
@@ -158,6 +174,7 @@
         }
         this.isFetching = true;
         const known = this.describeKnowledge();
+        this.reported = this.newestReported();
         const isFetched = await this.fetchFromAny(sources, signal);
         this.isFetching = false;
         if (isFetched) {
@@ -173,10 +190,31 @@
         this.check?.cancel();
     }
 
+    private peersAhead(): PeerEntry[] {
+        return [...this.options.peers()].filter(([, peer]) => peer.isAlive && this.isBehind(peer));
+    }
+
+    private newestReported(): NewestReported {
+        const reports = this.peersAhead().map(([, { report }]) => report);
+        return {
+            era: Math.max(0, ...reports.map(({ era }) => era ?? 0)),
+            revision: Math.max(0, ...reports.map(({ revision }) => revision)),
+            configurationVersion: Math.max(0, ...reports.map(report => report.configurationVersion)),
+        };
+    }
+
+    /** Whether others report more than they did when the state was last fetched. */
+    private isMoreReported(): boolean {
+        const newest = this.newestReported();
+        const { reported } = this;
+        return reported === undefined || newest.era > reported.era || newest.revision > reported.revision
+            || newest.configurationVersion > reported.configurationVersion;
+    }
+
     /** Draws a few instances that know more from those heard last: others may have ended since. */
     private selectSources(): readonly PeerEntry[] {
-        const { peers, runtime: { random } } = this.options;
-        const ahead = [...peers()].filter(([, peer]) => peer.isAlive && this.isBehind(peer));
+        const { random } = this.options.runtime;
+        const ahead = this.peersAhead();
         const heardLast = ahead.sort(([, left], [, right]) => right.lastReportMs - left.lastReportMs)
             .slice(0, Math.max(MAX_SOURCES, Math.ceil(ahead.length / 2)));
         return shuffled(random, heardLast).slice(0, MAX_SOURCES);
