fix: calls to a silent host end with their timeout, also while the connection is being opened

A host without power, or behind a partition, does not even refuse one, so a call with a timeout of 60 ms to 2 s went on for up to 10 s, the time allowed for opening connections: an instance that fetched the state from three silent others could fetch it from nobody else meanwhile, agents read no statuses or server lists, and a leader that had sent an order to hold a pass to another machine did nothing else.

untilAborted ends the wait at the abort; the request itself is not sent when its connection opens later. Opening a connection may take as long as the longest call. The calls to other processes of an entry are in peerClient.ts now.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -9,21 +9,15 @@
 import {
     type Address,
     branded,
-    createBoundedConnector,
     errorMessage,
     openDatagramSocket,
     PauseDetector,
-    ProtocolError,
-    readBounded,
     ResourceScope,
     type ServiceName,
     sleep,
-    splitAddress,
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
-import { Agent, request } from "undici";
-import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     answerUnsent,
@@ -34,7 +28,7 @@
     directStopping,
     directUnexpected,
 } from "../shared/directEvents.ts";
-import { GroupDirectory, type ReadServerGroup } from "../shared/groupDirectory.ts";
+import { GroupDirectory } from "../shared/groupDirectory.ts";
 import { PeerExchange } from "../shared/peerExchange.ts";
 import { CHANGE_BATCH_DELAY_MS, PlatformWatcher } from "../shared/platformWatcher.ts";
 import { PublishedStateStore } from "../shared/publishedStateStore.ts";
@@ -43,13 +37,9 @@
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings } from "../types/directSettings.ts";
-import {
-    type PublishedSource,
-    SERVER_GROUP_PATH,
-    SERVICE_SERVERS_PATH,
-    type ServiceServers,
-} from "../types/publishedState.ts";
+import { type PublishedSource, SERVICE_SERVERS_PATH, type ServiceServers } from "../types/publishedState.ts";
 import { type CallerListener, openCallerListener } from "./callerListener.ts";
+import { createServerGroupReader, fetchState, STATE_PATH } from "./peerClient.ts";
 import { createPromMetrics, type PromMetrics } from "./promMetrics.ts";
 import { ServerConnections } from "./serverConnections.ts";
 
@@ -85,13 +75,7 @@
 
 /** Path at which rank agents read the servers of their service, with the name of the service. */
 const SERVICE_SERVERS_ROUTE = `${SERVICE_SERVERS_PATH}:service`;
-/** Path at which other instances fetch the published state. */
-const STATE_PATH = "/state";
 const METRICS_PATH = "/metrics";
-/** Largest published state that is taken from another instance, in bytes: that of the largest fleet is far smaller. */
-const MAX_STATE_BYTES = 16 * 1024 * 1024;
-/** Largest answer about the group of a server, in bytes. */
-const MAX_GROUP_BYTES = 4_096;
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 /** Time between adaptations of the retry budgets to the size of the fleet, in milliseconds. */
@@ -122,41 +106,6 @@
 /** Time for running responses on each internal port to end at the end of a stop, in milliseconds. */
 const INTERNAL_CLOSE_TIMEOUT_MS = 50;
 
-const PEER_CONNECT_TIMEOUT_MS = 10_000;
-
-/** Rare calls get connections of their own: an idle one may have gone silent, which only their timeout would show. */
-const ON_OWN_CONNECTION = {
-    reset: true,
-    dispatcher: new Agent({
-        connect: createBoundedConnector({
-            timeoutMs: PEER_CONNECT_TIMEOUT_MS,
-            maxBodyBytes: MAX_STATE_BYTES,
-        }),
-    }),
-};
-
-const fetchState = async (peer: Address, signal: AbortSignal): Promise<unknown> => {
-    const response = await request(`http://${peer}${STATE_PATH}`, { signal, ...ON_OWN_CONNECTION });
-    return JSON.parse((await readBounded(response.body, MAX_STATE_BYTES)).toString());
-};
-
-/** Creates the reader of groups: rank agents listen on the port that is the entries' for their peers. */
-const readServerGroup = ({ peers }: DirectSettings): ReadServerGroup => {
-    const { port } = splitAddress(peers);
-    return async ({ address }, signal) => {
-        const { host } = splitAddress(address);
-        const response = await request(`http://${host}:${port}${SERVER_GROUP_PATH}`, {
-            signal,
-            ...ON_OWN_CONNECTION,
-        });
-        const body = await readBounded(response.body, MAX_GROUP_BYTES);
-        if (response.statusCode !== HTTP_OK) {
-            throw new ProtocolError(`the rank agent answered with status ${response.statusCode}`);
-        }
-        return decodeServerGroup(JSON.parse(body.toString()));
-    };
-};
-
 /** Creates the components that hold the published state and reach the backend servers. */
 const createComponents = (
     options: DirectEntryOptions,
@@ -422,7 +371,7 @@
     );
     // Disposed of before the socket to which it sends.
     void scope.use(exchange).run(socket);
-    void scope.use(new GroupDirectory(context, readServerGroup(settings))).run();
+    void scope.use(new GroupDirectory(context, createServerGroupReader(settings))).run();
     startBackgroundTasks(context, watcher, listener, scope);
     events.emit(directStarted, { dataCentre: settings.dataCentre, callers: settings.callers });
 
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./node/statsdMetrics.ts";
 export * from "./node/systemClock.ts";
 export * from "./node/tcpNetwork.ts";
+export * from "./shared/abortable.ts";
 export * from "./shared/asyncQueue.ts";
 export * from "./shared/batches.ts";
 export * from "./shared/brand.ts";
--- a/packages/rank/src/node/__tests__/rankPeers.spec.ts
+++ b/packages/rank/src/node/__tests__/rankPeers.spec.ts
@@ -8,9 +8,10 @@
     type GroupName,
     ResourceScope,
 } from "@magnolialock/kernel";
-import { findFreePort } from "@magnolialock/test-support";
+import { findFreePort, openSilentHost } from "@magnolialock/test-support";
 import test from "ava";
 import { Hono } from "hono";
+import { setTimeout as delay } from "node:timers/promises";
 import type { RankStatus } from "../../types/rankMessages.ts";
 import type { GroupMembership } from "../../types/rankServer.ts";
 import { COMPRESSED_ENCODING, decodeJson, encodeJson } from "../compressedJson.ts";
@@ -144,3 +145,30 @@
     t.deepEqual(await member?.sendCall({ ...call } as never) as unknown, call);
     t.deepEqual(agent?.callEncodings, [undefined, COMPRESSED_ENCODING]);
 });
+
+// Guards against agents without a server list for seconds after the entries have returned.
+test.serial("an agent waits on for an entry that was silent and has returned", async t => {
+    const body = { servers: [{ id: "i-1", address: "127.0.0.1:9999" }] };
+    await using host = await openSilentHost({ body });
+    using peers = new RankPeers({
+        clock,
+        events: new EventLog({ clock, instance: "agent" }),
+        random: createRandomSource(1),
+        settings: {
+            instance: branded("side-1"),
+            service: branded("drafts"),
+            server: branded<Address>("127.0.0.1:9999"),
+            listen: branded<Address>("127.0.0.1:9998"),
+            entries: [host.address],
+        },
+        openServer: () => {
+            throw new Error("not used");
+        },
+    });
+    void peers.run();
+    await delay(3_000);
+    await host.return();
+    // A read that is under way, and the next one.
+    await delay(1_500);
+    t.is(peers.view?.servers.length, 1);
+});
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -20,6 +20,7 @@
     sleep,
     splitAddress,
     timeoutSignal,
+    untilAborted,
 } from "@magnolialock/kernel";
 import type { RandomSource } from "@magnolialock/kernel";
 import { Agent, request } from "undici";
@@ -59,7 +60,8 @@
 export const HOLD_PATH = "/rank/hold";
 /** Largest response of an agent or entry, in bytes: far above the map or server list of a large fleet. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
-const CONNECT_TIMEOUT_MS = 10_000;
+/** Time for opening a connection, in milliseconds; no call waits longer. */
+const CONNECT_TIMEOUT_MS = 1_500;
 /** Connections to agents and entries. */
 const AGENTS = new Agent({
     connect: createBoundedConnector({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_RESPONSE_BYTES }),
@@ -281,13 +283,16 @@
         using timeout = timeoutSignal(this.options.clock, timeoutMs);
         const { origin } = new URL(url);
         const encoded = message && this.encodeMessage(message, this.compressingOrigins.has(origin));
-        const response = await request(url, {
-            dispatcher: AGENTS,
-            signal: timeout.signal,
-            method: encoded ? "POST" : "GET",
-            headers: { ...encoded?.headers, "accept-encoding": COMPRESSED_ENCODING },
-            ...encoded && { body: encoded.body },
-        });
+        const response = await untilAborted(
+            request(url, {
+                dispatcher: AGENTS,
+                signal: timeout.signal,
+                method: encoded ? "POST" : "GET",
+                headers: { ...encoded?.headers, "accept-encoding": COMPRESSED_ENCODING },
+                ...encoded && { body: encoded.body },
+            }),
+            timeout.signal,
+        );
         const encoding = response.headers["content-encoding"]?.toString();
         if (encoding === COMPRESSED_ENCODING) {
             this.compressingOrigins.add(origin);
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./node/freePort.ts";
 export * from "./node/programProcess.ts";
 export * from "./node/rawCaller.ts";
+export * from "./node/silentHost.ts";
 export * from "./shared/cutAnswers.ts";
 export * from "./shared/endpoint.ts";
 export * from "./shared/link.ts";
