--- a/packages/control/src/node/__tests__/consulPlatform.spec.ts
+++ b/packages/control/src/node/__tests__/consulPlatform.spec.ts
@@ -1,4 +1,5 @@
 import { type Address, branded } from "@magnolialock/kernel";
+import { openSilentHost } from "@magnolialock/test-support";
 import test from "ava";
 import { once } from "node:events";
 import { createServer } from "node:http";
@@ -34,3 +35,19 @@
     await t.throwsAsync(platform.watchRules(undefined, 100, signal), { name: "BodyTooLargeError" });
     t.true(process.memoryUsage().rss - startBytes < MAX_GROWTH_BYTES);
 });
+
+// Guards against rules that come into force late since a read waits for a connection to a platform that was silent.
+test.serial("a read of a silent platform goes on for longer than its wait and two seconds", async t => {
+    await using host = await openSilentHost({
+        body: [{ ModifyIndex: 1, Value: "e30=" }],
+        headers: { "x-consul-index": "1" },
+    });
+    await using platform = createConsulPlatform({ address: host.address, key: "rules", service: "entry" });
+    const startedMs = performance.now();
+    await t.throwsAsync(platform.watchRules(undefined, 100, AbortSignal.timeout(20_000)));
+    const elapsedMs = Math.round(performance.now() - startedMs);
+    t.true(elapsedMs <= 100 + 2_000 + GIVE_UP_MS / 3, `${elapsedMs} ms`);
+    await host.return();
+    const published = await platform.watchRules(undefined, 100, AbortSignal.timeout(GIVE_UP_MS));
+    t.is(Number(published?.revision), 1);
+});
--- a/packages/control/src/node/consulPlatform.ts
+++ b/packages/control/src/node/consulPlatform.ts
@@ -32,7 +32,8 @@
 const HTTP_NOT_FOUND = 404;
 /** Time that a response may take beyond the wait of a blocking query, in milliseconds. */
 const RESPONSE_GRACE_MS = 2_000;
-const CONNECT_TIMEOUT_MS = 10_000;
+/** Time for opening a connection, in milliseconds: a read takes no longer than its wait and this time. */
+const CONNECT_TIMEOUT_MS = RESPONSE_GRACE_MS;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 const keyEntries = z.array(z.object({ ModifyIndex: z.number().int(), Value: z.string().nullable() })).min(1);
--- a/packages/test-support/src/node/silentHost.ts
+++ b/packages/test-support/src/node/silentHost.ts
@@ -25,6 +25,8 @@
 export interface SilentHostOptions {
     /** JSON with which each request is answered once the host has returned. */
     readonly body: unknown;
+    /** Headers of these answers; the type of the content by default. */
+    readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Connections that fill a queue of one. */
@@ -36,7 +38,7 @@
 const { parentPort, workerData } = require("node:worker_threads");
 const server = createServer((request, response) => {
     request.resume();
-    response.setHeader("content-type", "application/json");
+    response.writeHead(200, { "content-type": "application/json", ...workerData.headers });
     response.end(workerData.body);
 });
 server.listen({ host: "127.0.0.1", port: 0, backlog: 1 }, () => {
@@ -52,9 +54,12 @@
  *
  * @param options - what it answers once it has returned
  */
-export const openSilentHost = async ({ body }: SilentHostOptions): Promise<SilentHost> => {
+export const openSilentHost = async ({ body, headers = {} }: SilentHostOptions): Promise<SilentHost> => {
     const gate = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
-    const worker = new Worker(WORKER, { eval: true, workerData: { gate, body: JSON.stringify(body) } });
+    const worker = new Worker(WORKER, {
+        eval: true,
+        workerData: { gate, body: JSON.stringify(body), headers },
+    });
     const port = await new Promise<number>(resolve => worker.once("message", resolve));
     const fillers: Socket[] = [];
     for (let index = 0; index < FILLING_CONNECTIONS; index++) {
