fix(direct): a fetch from other instances goes on with those that are heard while it waits

The state was asked for at up to three instances, drawn as the first call began; if none of these calls was answered, the next began 2.2 s after the first, although all were heard again meanwhile.

An instance to ask is now drawn every 0.4 s, from those that have not been asked or have reported since. The whole still ends after 2 s.

At most five calls are open at once, three before.

--- a/packages/direct/src/shared/__tests__/stateFromPeers.spec.ts
+++ b/packages/direct/src/shared/__tests__/stateFromPeers.spec.ts
@@ -81,3 +81,33 @@
     }
     t.deepEqual(late, []);
 });
+
+// Guards against an instance that waits on for calls into a silence, although the others are heard again.
+test("a configuration reaches an instance late whose calls to the others were all lost", async t => {
+    const latestMs: number[] = [];
+    for (let seed = 1; seed <= 10; seed++) {
+        using fleet = await startFleet(7, seed);
+        const { clock } = fleet;
+        const [deaf] = fleet.instances;
+        if (!deaf) {
+            throw new Error("the fleet is empty");
+        }
+        DEAFNESS["turned away by the store"]?.(deaf);
+        fleet.writeConfiguration(2);
+        // All calls of the instance are lost, and then nothing comes through, until the silence ends.
+        const silenceMs = 150 * seed;
+        await clock.advance(450);
+        fleet.isCut = from => from === 0;
+        await clock.advance(500);
+        fleet.isCut = (from, to) => from === 0 || to === 0;
+        await clock.advance(silenceMs);
+        fleet.isCut = () => false;
+        const returnedMs = clock.nowMs();
+        while (deaf.version < 2 && clock.nowMs() - returnedMs < 5_000) {
+            await clock.advance(10);
+        }
+        latestMs.push(clock.nowMs() - returnedMs);
+    }
+    t.log(`after ${latestMs.join(", ")} ms`);
+    t.true(Math.max(...latestMs) <= 1_500);
+});
--- a/packages/direct/src/shared/stateCatchUp.ts
+++ b/packages/direct/src/shared/stateCatchUp.ts
@@ -66,9 +66,9 @@
  * its report.
  */
 const FETCH_OVERDUE_MS = 400;
-/** Instances from which the state is fetched at the same time, at most. */
-const MAX_SOURCES = 3;
-/** Timeout for fetching a state, in milliseconds; large configurations take a while on slow links. */
+/** Instances heard last among which the one to ask is drawn, at least. */
+const MIN_SOURCES = 3;
+/** Timeout for fetching a state from any instance, in milliseconds; large configurations take a while on slow links. */
 const FETCH_TIMEOUT_MS = 2_000;
 /** Shortest time until this instance compares itself with the others again, in milliseconds. */
 const MIN_CHECK_DELAY_MS = 50;
@@ -86,6 +86,8 @@
  */
 const LONGER_KNOWLEDGE_MS = 2_000;
 
+const NOBODY_ASKED: ReadonlyMap<Address, number> = new Map();
+
 type PeerEntry = readonly [Address, ReportingPeer];
 
 /** The newest of each that some instances report. */
@@ -153,8 +155,7 @@
     public async catchUp(signal: AbortSignal): Promise<void> {
         this.isJoined ||= this.mayJoin();
         const { clock } = this.options.runtime;
-        const sources = this.selectSources();
-        const [first] = sources;
+        const first = this.selectSource(NOBODY_ASKED);
         if (!first) {
             this.behindSinceMs = undefined;
             return;
@@ -175,7 +176,7 @@
         this.isFetching = true;
         const known = this.describeKnowledge();
         this.reported = this.newestReported();
-        const isFetched = await this.fetchFromAny(sources, signal);
+        const isFetched = await this.fetchFromAny(signal);
         this.isFetching = false;
         if (isFetched) {
             this.behindSinceMs = undefined;
@@ -211,13 +212,18 @@
             || newest.configurationVersion > reported.configurationVersion;
     }
 
-    /** Draws a few instances that know more from those heard last: others may have ended since. */
-    private selectSources(): readonly PeerEntry[] {
-        const { random } = this.options.runtime;
-        const ahead = this.peersAhead();
+    /**
+     * Draws an instance that knows more from those heard last: others may have ended since.
+     *
+     * @param askedMs - when instances were asked; they come into question again once they have reported since
+     */
+    private selectSource(askedMs: ReadonlyMap<Address, number>): PeerEntry | undefined {
+        const ahead = this.peersAhead().filter(([address, { lastReportMs }]) =>
+            lastReportMs > (askedMs.get(address) ?? Number.NEGATIVE_INFINITY)
+        );
         const heardLast = ahead.sort(([, left], [, right]) => right.lastReportMs - left.lastReportMs)
-            .slice(0, Math.max(MAX_SOURCES, Math.ceil(ahead.length / 2)));
-        return shuffled(random, heardLast).slice(0, MAX_SOURCES);
+            .slice(0, Math.max(MIN_SOURCES, Math.ceil(ahead.length / 2)));
+        return shuffled(this.options.runtime.random, heardLast)[0];
     }
 
     private scheduleCheck(dueMs: number, signal: AbortSignal): void {
@@ -240,23 +246,31 @@
         return isNew ? 0 : Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, 2 * this.retryDelayMs));
     }
 
-    /** Fetches from the first source, and from the next one as well while none has answered; tells whether one has. */
-    private async fetchFromAny(sources: readonly PeerEntry[], signal: AbortSignal): Promise<boolean> {
+    /**
+     * Fetches from one instance that knows more, and from another one as well while none has answered; tells whether one has.
+     * Those that have reported since are alive, so they come into question again.
+     */
+    private async fetchFromAny(signal: AbortSignal): Promise<boolean> {
         const { clock } = this.options.runtime;
         const ended = new AbortController();
+        const askedMs = new Map<Address, number>();
         const fetches: Promise<void>[] = [];
+        const endMs = clock.nowMs() + FETCH_TIMEOUT_MS;
         let isFetched = false;
-        for (const source of sources) {
-            fetches.push(this.fetchFrom(source, signal, ended.signal));
+        while (!isFetched && clock.nowMs() < endMs && !signal.aborted) {
+            const source = this.selectSource(askedMs);
+            if (source) {
+                askedMs.set(source[0], clock.nowMs());
+                fetches.push(this.fetchFrom(source, signal, ended.signal));
+            }
             const succeeded = Promise.any(fetches).then(() => {
                 isFetched = true;
             });
-            await settlesWithin(clock, succeeded, FETCH_OVERDUE_MS);
-            if (isFetched) {
+            const hasFailed = await settlesWithin(clock, succeeded, FETCH_OVERDUE_MS) && !isFetched;
+            if (hasFailed && !this.selectSource(askedMs)) {
                 break;
             }
         }
-        await Promise.allSettled([Promise.any(fetches)]);
         ended.abort();
         return isFetched;
     }
