--- a/packages/direct/src/shared/__tests__/storeReturns.spec.ts
+++ b/packages/direct/src/shared/__tests__/storeReturns.spec.ts
@@ -26,6 +26,8 @@
 /** Versions that waited for the store, and the time between two of them: each is sent as the one before is confirmed. */
 const QUEUED_VERSIONS = 12;
 const CONFIRMATION_MS = 116;
+/** Calls that the store answers in a second, of all instances. */
+const READS_PER_S = 2_000;
 /** Part of the bound that is left to slow processes and links. */
 const RESERVE_SHARE = 0.5;
 
@@ -64,6 +66,7 @@
             const late: string[] = [];
             let version = 1;
             let latestMs = 0;
+            let mostCallsPerS = 0;
             for (const silenceMs of silencesMs) {
                 for (
                     const sinceMs of instances > MAX_SMALL_FLEET
@@ -73,7 +76,9 @@
                     fleet.writeConfiguration(++version);
                     await fleet.clock.advance(sinceMs);
                     await fleet.silenceStore(silenceMs);
+                    const returnedMs = fleet.clock.nowMs();
                     const delaysMs = await writeQueue(fleet, version + 1);
+                    mostCallsPerS = Math.max(mostCallsPerS, fleet.mostCallsPerS(returnedMs));
                     version += QUEUED_VERSIONS;
                     const longestMs = Math.max(...delaysMs);
                     latestMs = Math.max(latestMs, longestMs);
@@ -86,6 +91,10 @@
                 }
             }
             t.log(`in force everywhere ${latestMs} ms after the confirmation at the latest`);
+            t.log(
+                `at most ${mostCallsPerS} calls in a second after the return, ${fleet.calls.length} in all`,
+            );
+            t.true(mostCallsPerS <= READS_PER_S);
             t.deepEqual(late, []);
         },
     );
