--- a/packages/direct/src/shared/__tests__/storeReturns.spec.ts
+++ b/packages/direct/src/shared/__tests__/storeReturns.spec.ts
@@ -100,6 +100,25 @@
     );
 }
 
+// Guards against an old version in force since instances pause between calls that the store refuses.
+test("a configuration written when a store that refused all calls returns is in force in time", async t => {
+    using fleet = new PublishedFleet({ instances: 7, servers: 1, dataCentres: 3, seed: 7 });
+    await fleet.clock.advance(SETTLE_MS);
+    const latestMs: number[] = [];
+    let version = 1;
+    for (const refusedMs of [300, 1_000, 2_500, 4_000, 9_000]) {
+        fleet.isStoreDown = true;
+        fleet.life++;
+        await fleet.clock.advance(refusedMs);
+        fleet.isStoreDown = false;
+        latestMs.push(Math.max(...await writeQueue(fleet, version + 1)));
+        version += QUEUED_VERSIONS;
+        await fleet.clock.advance(SETTLE_MS);
+    }
+    t.log(`in force everywhere after ${latestMs.join(", ")} ms at the latest`);
+    t.true(Math.max(...latestMs) <= 2_000 * RESERVE_SHARE);
+});
+
 // Guards against requests that are refused since a sound server counts as gone shortly before its entry is read again.
 test("a server that publishes itself two seconds after the return counts as gone for a moment", async t => {
     using fleet = new PublishedFleet({ instances: 7, servers: 2, dataCentres: 3, seed: 1 });
