--- a/packages/direct/src/shared/platformWatcher.ts
+++ b/packages/direct/src/shared/platformWatcher.ts
@@ -229,7 +229,7 @@
         this.connection[Symbol.dispose]();
     }
 
-    /** Returns the pause until the next call, in milliseconds. */
+    /** Reads what is due, or waits for changes; returns the pause until the next call, in milliseconds. */
     private async syncOnce(signal: AbortSignal): Promise<number> {
         const { runtime, store } = this.options;
         if (!this.hasFullState) {
