test(support): processes under test that run at the same time choose their ports among different ones

All test processes drew from the same 20,000 ports; each now draws from 2,000 by its process identifier.

--- a/packages/test-support/src/node/freePort.ts
+++ b/packages/test-support/src/node/freePort.ts
@@ -15,6 +15,12 @@
  */
 const FIRST_PORT = 10_000;
 const PORT_COUNT = 20_000;
+/**
+ * Ports among which one process chooses: between the choice and its use another process may take a port, so those that run at
+ * the same time choose among different ones, as far as their identifiers differ.
+ */
+const PORTS_PER_PROCESS = 2_000;
+const OWN_FIRST_PORT = FIRST_PORT + process.pid * PORTS_PER_PROCESS % PORT_COUNT;
 const MAX_TRIES = 100;
 
 const returned = new Set<number>();
@@ -45,7 +51,7 @@
  */
 export const findFreePort = async (host = "127.0.0.1"): Promise<number> => {
     for (let tries = 0; tries < MAX_TRIES; tries++) {
-        const port = FIRST_PORT + randomInt(PORT_COUNT);
+        const port = OWN_FIRST_PORT + randomInt(PORTS_PER_PROCESS);
         if (!returned.has(port) && await isFree(port, host)) {
             returned.add(port);
             return port;
