feat(direct): reserve slots for more urgent requests of a service

While a service is overloaded, less urgent requests took every slot as it became free, and a more urgent request that arrived a moment later waited for the end of one of them and missed its target.

Where the routes of a service differ in priority, the admission queue now measures arrivals and run times by priority. It reserves as many free slots as the more urgent arrivals are likely to exceed the ends of running requests within the time that they may wait. Requests that can still be in time go by priority, then by accounts within their equal share, then by remaining time; a less urgent request that would probably miss its target is refused at once. Each priority keeps 5 % of the admissions. Other services keep their decisions.

--- a/packages/direct/src/shared/admissionQueue.ts
+++ b/packages/direct/src/shared/admissionQueue.ts
@@ -5,12 +5,14 @@
  * queue them in order of arrival, so that soon every stream starts late. This queue admits the newest request
  * that can still meet its latency target first. A request that can no longer meet it gets a slot only while
  * slots are to spare, since it would take the slot from the next request; a few late requests wait for that,
- * the others are refused at once.
+ * the others are refused at once. Where the routes of the service differ in priority, {@link UrgencyPolicy}
+ * decides about the order and reserves slots for the more urgent requests.
  *
  * @packageDocumentation
  */
 
-import { type Clock, type RandomSource, sleep } from "@magnolialock/kernel";
+import { type ClientAccountId, type Clock, type RandomSource, sleep } from "@magnolialock/kernel";
+import { type SlotUse, UrgencyPolicy } from "./admission/urgency.ts";
 
 /** Options of an {@link AdmissionQueue}. */
 export interface AdmissionQueueOptions {
@@ -23,6 +25,11 @@
      * at most once per {@link LIMIT_REFRESH_MS}.
      */
     readonly limit: () => number;
+    /**
+     * Returns whether the routes of the service differ in priority, so that slots are reserved for the more urgent
+     * requests; polled as the limit is. False when absent.
+     */
+    readonly hasUrgency?: () => boolean;
 }
 
 /** Properties of a request that determine its position in the queue. */
@@ -37,6 +44,8 @@
     readonly deadlineMs: number;
     /** Priority of the request; 0 is the most urgent. */
     readonly priority: number;
+    /** Client account; undefined if the request has none. */
+    readonly account?: ClientAccountId | undefined;
 }
 
 /** Result of waiting for a slot. */
@@ -73,6 +82,11 @@
 const RUN_TIME_WEIGHT = 0.1;
 /** Callers honour `Retry-After` only up to this share of their remaining time. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
+/**
+ * Time after which a request that found the free slots reserved is considered again, in milliseconds: a small
+ * part of the shortest usual wait of 200 ms.
+ */
+const RESERVE_POLL_MS = 40;
 
 /**
  * Selects the request that is admitted next.
@@ -117,6 +131,9 @@
     private currentLimit = 0;
     private limitReadMs = Number.NEGATIVE_INFINITY;
     private lastShortageMs = Number.NEGATIVE_INFINITY;
+    private readonly urgency = new UrgencyPolicy();
+    private hasUrgency = false;
+    private isPollPending = false;
 
     /** @param options - clock and limit */
     public constructor(options: AdmissionQueueOptions) {
@@ -150,6 +167,7 @@
             return "refused";
         }
         const { clock } = this.options;
+        this.urgency.recordArrival(call, clock.nowMs());
         const waitEnded = new AbortController();
         const result = await new Promise<AdmissionResult>(resolve => {
             const waiter: Waiter = {
@@ -165,6 +183,13 @@
             if (this.waiters.has(waiter) && clock.nowMs() < call.targetStartMs) {
                 this.lastShortageMs = clock.nowMs();
                 void this.dispatchAfterShortage();
+                if (
+                    this.hasUrgency
+                    && this.urgency.isHopeless(call, this.waiters, this.slotUse(), clock.nowMs())
+                ) {
+                    waiter.settle("refused");
+                    return;
+                }
             }
             void this.refuseOnceLate(waiter, waitEnded.signal);
         });
@@ -185,9 +210,13 @@
      *
      * @param runMs - time for which the slot was held, in milliseconds; undefined when the request was not
      * served
+     * @param call - the request that waited for the slot; undefined if it was taken at once
      */
-    public release(runMs: number | undefined): void {
+    public release(runMs: number | undefined, call?: QueuedCall): void {
         this.runningCalls--;
+        if (call) {
+            this.urgency.recordEnd(call, runMs);
+        }
         if (runMs !== undefined) {
             this.meanRunMs += RUN_TIME_WEIGHT * (runMs - this.meanRunMs);
         }
@@ -217,6 +246,7 @@
         if (nowMs - this.limitReadMs >= LIMIT_REFRESH_MS) {
             this.limitReadMs = nowMs;
             this.currentLimit = this.options.limit();
+            this.hasUrgency = this.options.hasUrgency?.() ?? false;
         }
         return this.currentLimit;
     }
@@ -224,7 +254,9 @@
     private dispatch(): void {
         const nowMs = this.options.clock.nowMs();
         while (this.waiters.size > 0 && this.runningCalls < this.limit()) {
-            const next = pickNext(this.waiters, nowMs);
+            const next = this.hasUrgency
+                ? this.urgency.pickNext(this.waiters, nowMs)
+                : pickNext(this.waiters, nowMs);
             const isLate = next !== undefined && nowMs >= next.call.targetStartMs;
             if (!next || isLate && nowMs - this.lastShortageMs < SHORTAGE_HOLD_MS) {
                 return;
@@ -233,11 +265,39 @@
                 next.settle("refused");
                 continue;
             }
+            if (this.isReserved(next.call, nowMs)) {
+                void this.dispatchLater();
+                return;
+            }
             this.runningCalls++;
+            this.urgency.recordAdmission(next.call, nowMs);
             next.settle("admitted");
         }
     }
 
+    private slotUse(): SlotUse {
+        return { limit: this.limit(), running: this.runningCalls, meanRunMs: this.meanRunMs };
+    }
+
+    /** Tells whether the free slots are reserved for requests that are more urgent than the given one. */
+    private isReserved({ priority }: QueuedCall, nowMs: number): boolean {
+        if (!this.hasUrgency) {
+            return false;
+        }
+        const use = this.slotUse();
+        return this.runningCalls >= use.limit - this.urgency.reserveFor(priority, use, nowMs);
+    }
+
+    /** Considers the waiting requests again when the measured demand for reserved slots may have fallen. */
+    private async dispatchLater(): Promise<void> {
+        if (!this.isPollPending) {
+            this.isPollPending = true;
+            await sleep(this.options.clock, RESERVE_POLL_MS);
+            this.isPollPending = false;
+            this.dispatch();
+        }
+    }
+
     /**
      * Admits late requests after a shortage; without it they would wait until another request ends although
      * slots are free.
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -176,12 +176,13 @@
         signal: AbortSignal,
     ): Promise<NextStep> {
         const { admissionQueue } = this.state;
-        if (this.cursor.isHeadSent) {
+        const queuedCall = this.cursor.isHeadSent ? undefined : this.queuedCall();
+        if (!queuedCall) {
             admissionQueue.acquireAtOnce();
         }
         else {
             const queuedAtMs = this.nowMs;
-            const admission = await admissionQueue.acquire(this.queuedCall(), signal);
+            const admission = await admissionQueue.acquire(queuedCall, signal);
             this.progress.queuedMs += Math.round(this.nowMs - queuedAtMs);
             if (admission === "released") {
                 return { kind: "again" };
@@ -204,7 +205,7 @@
             return step;
         }
         finally {
-            admissionQueue.release(isServed ? this.nowMs - startMs : undefined);
+            admissionQueue.release(isServed ? this.nowMs - startMs : undefined, queuedCall);
         }
     }
 
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -10,6 +10,7 @@
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings, SafetyBounds } from "../types/directSettings.ts";
 import type { ServiceSpec } from "../types/publishedState.ts";
+import { differsInPriority } from "./admission/urgency.ts";
 import { AdmissionQueue } from "./admissionQueue.ts";
 import { CallerRetryDetector } from "./callerRetryDetector.ts";
 import type { CallMetrics } from "./callMetrics.ts";
@@ -172,6 +173,11 @@
                     clock,
                     random,
                     limit: () => this.concurrencyLimit(service),
+                    hasUrgency: () =>
+                        differsInPriority(
+                            this.options.store.configuration?.configuration.routes ?? [],
+                            service,
+                        ),
                 }),
                 retryBudget: new RetryBudget({
                     clock,
--- a/packages/direct/src/shared/queuedCall.ts
+++ b/packages/direct/src/shared/queuedCall.ts
@@ -33,4 +33,5 @@
     latestStartMs: receivedMs + streamStallLimitMs(route) - route.targetLatencyMs,
     deadlineMs,
     priority: account?.priority ?? route.priority,
+    account: account?.account,
 });
