fix(rank): scale time limits and cycles with the size of a group

Change: these limits grow with the size of a group above 24 ranks. Calls of a round count as a sign of life of its leader. The leader waits 2.5 times as long as it took to read the ranks, from 300 ms, instead of always 720 ms. The demand estimate of more ranks has a shorter half-life, since more requests vary less. Groups of up to 24 ranks keep all values; orders and their sequence are the same.

--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -81,7 +81,11 @@
         async context => {
             const encoding = context.req.header("content-encoding");
             const call = decodeJson(await readCall(context), encoding) as RoundCall;
-            return context.json(await member.handleCall(call));
+            const reply = await member.handleCall(call);
+            if (reply.kind === "done") {
+                leader.noteRoundCall(call);
+            }
+            return context.json(reply);
         },
     );
     app.post(
--- a/packages/rank/src/node/rankPeers.ts
+++ b/packages/rank/src/node/rankPeers.ts
@@ -25,6 +25,7 @@
 import type { RandomSource } from "@magnolialock/kernel";
 import { Agent, request } from "undici";
 import { decodeServiceServers } from "../shared/decodeServiceServers.ts";
+import { statusTimeoutMs } from "../shared/groupTiming.ts";
 import { rankListFailed } from "../shared/rankEvents.ts";
 import type { HoldOrder, RankPeer } from "../shared/switchRound.ts";
 import type { HoldCall, HoldReply, RankStatus, RoundCall, RoundReply } from "../types/rankMessages.ts";
@@ -76,11 +77,8 @@
  * switch is possible without them.
  */
 const INCOMPLETE_LIST_PERIOD_MS = 500;
-/**
- * Timeout of a status read, in milliseconds: a slower agent is busy or gone, and the other ranks wait
- * meanwhile.
- */
-const STATUS_TIMEOUT_MS = 500;
+/** Timeout of a read of the state of one rank, in milliseconds. */
+const REPORT_TIMEOUT_MS = 500;
 /** Timeout of a call of a round, in milliseconds; each of the rank's orders may need a second attempt. */
 const CALL_TIMEOUT_MS = 800;
 /**
@@ -243,13 +241,13 @@
         return await server.order({ kind: "hold", pass }, epoch, token, timeout.signal);
     }
 
-    private readStatus(address: Address, { name, rank }: GroupMembership): Promise<RankStatus> {
+    private readStatus(address: Address, { name, rank, size }: GroupMembership): Promise<RankStatus> {
         const query = new URLSearchParams({ group: name, rank: String(rank) });
-        return this.call(`http://${address}${STATUS_PATH}?${query}`, undefined, STATUS_TIMEOUT_MS);
+        return this.call(`http://${address}${STATUS_PATH}?${query}`, undefined, statusTimeoutMs(size));
     }
 
     private readReport(address: Address): Promise<RankReport> {
-        return this.call(`http://${address}${REPORT_PATH}`, undefined, STATUS_TIMEOUT_MS);
+        return this.call(`http://${address}${REPORT_PATH}`, undefined, REPORT_TIMEOUT_MS);
     }
 
     private sendCall(address: Address, call: RoundCall): Promise<RoundReply> {
--- a/packages/rank/src/shared/__tests__/virtualGroup.ts
+++ b/packages/rank/src/shared/__tests__/virtualGroup.ts
@@ -210,7 +210,14 @@
                     return agent.member.status(this.rank.rank);
                 }),
             report: () => call(500, agent => agent.member.readReport()),
-            sendCall: message => call(800, agent => agent.member.handleCall(message)),
+            sendCall: message =>
+                call(800, async agent => {
+                    const reply = await agent.member.handleCall(message);
+                    if (reply.kind === "done") {
+                        agent.leader.noteRoundCall(message);
+                    }
+                    return reply;
+                }),
             sendHoldCall: message => call(1_500, agent => agent.holder.handleCall(message)),
             hold: order => this.hold(rank, order),
         };
--- a/packages/rank/src/shared/expertDemand.ts
+++ b/packages/rank/src/shared/expertDemand.ts
@@ -7,33 +7,35 @@
 import type { ExpertSpec } from "@magnolialock/direct/src/types/publishedState.ts";
 import { PopularityEstimate } from "@magnolialock/maps/src/shared/popularity.ts";
 import type { RankStatus } from "../types/rankMessages.ts";
+import { demandHalfLifeMs } from "./groupTiming.ts";
 
 /**
- * Half-life of a selection in the estimate, in milliseconds. Popularity shifts within a second; with a much
- * shorter half-life the few requests in progress would dominate the estimate.
+ * Mean number of selections for each expert that must have been counted before the shares are meaningful, with
+ * the longest half-life. A shorter half-life must not require more selections per second.
  */
-const HALF_LIFE_MS = 500;
-/** Mean number of selections for each expert that must have been counted before the shares are meaningful. */
 const MIN_SELECTIONS_PER_EXPERT = 20;
 
 /** Estimates the demand for experts in one group. */
 export class ExpertDemand {
     private readonly estimate: PopularityEstimate;
+    private readonly minSelections: number;
 
     /**
      * @param spec - limits of maps
      * @param ranks - number of ranks
      */
     public constructor(private readonly spec: ExpertSpec, ranks: number) {
+        const halfLifeMs = demandHalfLifeMs(ranks);
+        this.minSelections = MIN_SELECTIONS_PER_EXPERT * spec.experts * halfLifeMs / demandHalfLifeMs(1);
         this.estimate = new PopularityEstimate({
             shape: { ranks, experts: spec.experts, layers: spec.sets, slotsPerRank: spec.placesPerRank },
-            halfLifeMs: HALF_LIFE_MS,
+            halfLifeMs,
         });
     }
 
     /** Whether enough selections were counted for a meaningful estimate. */
     public get hasEnoughSamples(): boolean {
-        return this.estimate.samplesPerLayer() >= MIN_SELECTIONS_PER_EXPERT * this.spec.experts;
+        return this.estimate.samplesPerLayer() >= this.minSelections;
     }
 
     /**
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -7,10 +7,11 @@
 
 import type { ExpertSpec } from "@magnolialock/direct/src/types/publishedState.ts";
 import { type Clock, errorMessage, type EventLog, sleep } from "@magnolialock/kernel";
-import type { Ballot, RankStatus } from "../types/rankMessages.ts";
+import type { Ballot, RankStatus, RoundCall } from "../types/rankMessages.ts";
 import type { ExpertPlacement, GroupMembership } from "../types/rankServer.ts";
 import { compareBallots, nextVersion } from "./ballots.ts";
 import { ExpertDemand } from "./expertDemand.ts";
+import { leaderCycleMs, leaderTimeoutMs, longestCycleMs } from "./groupTiming.ts";
 import { improvePlacement, skewOf } from "./improvePlacement.ts";
 import { createLocalPeer, OWN_RANK } from "./localPeer.ts";
 import { PassDurationMeter } from "./passDurationMeter.ts";
@@ -48,20 +49,10 @@
     readonly spec: () => ExpertSpec | undefined;
 }
 
-/** Shortest time between two cycles, in milliseconds; popularity shifts within a second. */
-const MIN_CYCLE_MS = 150;
-/** Time between two cycles for each rank of the group, in milliseconds: a cycle of the leader reads all ranks. */
-const CYCLE_PER_RANK_MS = 10;
 /**
  * Time between two cycles until the demand is known, in milliseconds: a newly formed group is at its slowest.
  */
 const WARM_UP_CYCLE_MS = 60;
-/**
- * Time without a status request from a lower rank after which an agent takes over as leader, in milliseconds.
- */
-const LEADER_TIMEOUT_MS = 700;
-/** Additional time for each rank, in milliseconds, so that the agents do not all become leaders at once. */
-const LEADER_TIMEOUT_PER_RANK_MS = 200;
 /**
  * Longest time that one rank copies for one plan, in milliseconds: the plan must still fit when the copies
  * are done.
@@ -78,7 +69,8 @@
     private lowerRankSeenMs: number;
     private isServerUnreachable = false;
     private isLeading = false;
-    private cycleMs = MIN_CYCLE_MS;
+    private cycleMs = longestCycleMs(0);
+    private rank: number | undefined;
     private epoch: number | undefined;
     private demand: ExpertDemand | undefined;
     private readonly passMeter = new PassDurationMeter();
@@ -107,6 +99,19 @@
         }
     }
 
+    /**
+     * Records a call of a round that this agent has carried out: while a round lasts, its leader requests no
+     * statuses.
+     *
+     * @param call - the call
+     */
+    public noteRoundCall({ ballot, kind }: RoundCall): void {
+        // An agent that abandons another agent's round sends disarm calls without being the leader.
+        if (kind !== "disarm" && this.rank !== undefined) {
+            this.noteStatusRequest(ballot.rank, this.rank);
+        }
+    }
+
     /** Stops the task after the current round. */
     public async [Symbol.asyncDispose](): Promise<void> {
         this.stopping.abort();
@@ -148,7 +153,8 @@
             this.demand = undefined;
             events.emit(groupFormed, { group: group.name, epoch: group.epoch, rank: group.rank });
         }
-        this.cycleMs = Math.max(MIN_CYCLE_MS, group.size * CYCLE_PER_RANK_MS);
+        this.rank = group.rank;
+        this.cycleMs = longestCycleMs(group.size);
         if (this.isLeading) {
             this.passMeter.add(report.pass, report.runningRequests, clock.nowMs());
         }
@@ -160,21 +166,23 @@
             return;
         }
         const limits = spec();
-        if (!this.mayLead(group.rank) || !limits) {
+        if (!this.mayLead(group) || !limits) {
             return;
         }
         const peers = await peersOf(group);
+        const startMs = clock.nowMs();
         const statuses = await this.collectStatuses(peers);
+        this.cycleMs = leaderCycleMs(group.size, clock.nowMs() - startMs);
         this.demand ??= new ExpertDemand(limits, group.size);
         this.demand.add(statuses, clock.nowMs());
         await this.planAndSwitch(group, [createLocalPeer(this.options, group), ...peers], statuses, limits);
     }
 
-    private mayLead(rank: number): boolean {
+    private mayLead({ rank, size }: GroupMembership): boolean {
         const { clock, events } = this.options;
         const unseenMs = clock.nowMs() - this.lowerRankSeenMs;
         // No rank precedes rank 0, so after a restart of the whole group it leads without waiting.
-        const mayLead = rank === 0 || unseenMs > LEADER_TIMEOUT_MS + rank * LEADER_TIMEOUT_PER_RANK_MS;
+        const mayLead = rank === 0 || unseenMs > leaderTimeoutMs(size, rank);
         if (mayLead !== this.isLeading) {
             this.isLeading = mayLead;
             this.demand = undefined;
--- a/packages/rank/src/shared/passHolder.ts
+++ b/packages/rank/src/shared/passHolder.ts
@@ -13,6 +13,7 @@
 import type { Ballot, HoldCall, HoldReply } from "../types/rankMessages.ts";
 import type { GroupMembership, PassNumber } from "../types/rankServer.ts";
 import { compareBallots } from "./ballots.ts";
+import { peerCheckTimeoutMs } from "./groupTiming.ts";
 import { createLocalPeer } from "./localPeer.ts";
 import { holdFound, roundAborted } from "./rankEvents.ts";
 import type { RankMember } from "./rankMember.ts";
@@ -40,11 +41,6 @@
  * abandoned.
  */
 const GRANT_TIMEOUT_MS = 250;
-/**
- * Time within which all agents must answer before any rank is armed, in milliseconds: a rank whose agent is
- * suspended could not be disarmed again.
- */
-const PEER_CHECK_TIMEOUT_MS = 100;
 /**
  * Time between two attempts to reach the own server or other agents while a pass may be held, in
  * milliseconds.
@@ -223,7 +219,10 @@
     /** Checks whether all agents answer within the time limit. */
     private async allPeersAnswer(peers: readonly RankPeer[]): Promise<boolean> {
         const answers = Promise.all(peers.map(peer => peer.report())).then(() => true, () => false);
-        return Promise.race([answers, sleep(this.options.clock, PEER_CHECK_TIMEOUT_MS).then(() => false)]);
+        return Promise.race([
+            answers,
+            sleep(this.options.clock, peerCheckTimeoutMs(peers.length)).then(() => false),
+        ]);
     }
 
     /** Retries until the rank is known to hold nothing, since no other agent can release the pass. */
