--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -12,7 +12,6 @@
 import { compareBallots, nextVersion } from "./ballots.ts";
 import { ExpertDemand } from "./expertDemand.ts";
 import { leaderCycleMs, leaderTimeoutMs, longestCycleMs } from "./groupTiming.ts";
-import { improvePlacement, skewOf } from "./improvePlacement.ts";
 import { createLocalPeer, OWN_RANK } from "./localPeer.ts";
 import { PassDurationMeter } from "./passDurationMeter.ts";
 import type { PassHolder } from "./passHolder.ts";
@@ -26,7 +25,7 @@
     roundAborted,
 } from "./rankEvents.ts";
 import type { RankMember } from "./rankMember.ts";
-import { imbalanceTolerance, isWorthCopying, needsRebalancing } from "./rebalancePolicy.ts";
+import { planRebalancing } from "./rebalancePolicy.ts";
 import { type RankPeer, runSwitchRound } from "./switchRound.ts";
 
 /** Options of a {@link GroupLeader}. */
@@ -53,14 +52,6 @@
  * Time between two cycles until the demand is known, in milliseconds: a newly formed group is at its slowest.
  */
 const WARM_UP_CYCLE_MS = 60;
-/**
- * Longest time that one rank copies for one plan, in milliseconds: the plan must still fit when the copies
- * are done.
- */
-const COPY_BUDGET_MS = 280;
-/** Copies that a rank may load for one plan even if they take longer; with fewer, plans hardly reduce the skew. */
-const MIN_COPIES_PER_RANK = 3;
-
 /** Monitors one rank and leads the group's map switches while its agent is the leader. */
 export class GroupLeader implements AsyncDisposable {
     private readonly options: GroupLeaderOptions;
@@ -211,18 +202,14 @@
         if (!current || peers.length !== group.size || !this.demand?.hasEnoughSamples) {
             return;
         }
-        const shares = this.demand.shares();
-        const slowness = slownessByRank(statuses);
-        if (!needsRebalancing(skewOf(current, shares, slowness), this.passMeter.passMs)) {
-            return;
-        }
-        const plan = improvePlacement(current, shares, {
+        const plan = planRebalancing({
+            current,
             limits,
-            slowness,
-            maxCopiesPerRank: Math.max(MIN_COPIES_PER_RANK, Math.floor(COPY_BUDGET_MS / limits.copyMs)),
-            tolerance: imbalanceTolerance(this.passMeter.passMs),
+            passMs: this.passMeter.passMs,
+            shares: this.demand.shares(),
+            slowness: slownessByRank(statuses),
         });
-        if (!isWorthCopying(plan, limits.copyMs)) {
+        if (!plan) {
             return;
         }
         const versions = statuses.flatMap(({ report }) => [report.mapVersion, report.preparedVersion ?? 0]);
--- a/packages/rank/src/shared/rebalancePolicy.ts
+++ b/packages/rank/src/shared/rebalancePolicy.ts
@@ -7,7 +7,9 @@
  * @packageDocumentation
  */
 
-import type { PlacementPlan } from "./improvePlacement.ts";
+import type { ExpertSpec } from "@magnolialock/direct/src/types/publishedState.ts";
+import type { ExpertPlacement } from "../types/rankServer.ts";
+import { improvePlacement, type PlacementPlan, skewOf } from "./improvePlacement.ts";
 
 /**
  * Pass duration from which a group counts as busy, in milliseconds: at 120 ms streams are late, and a map
@@ -41,6 +43,27 @@
  * passes down.
  */
 const SKEW_REDUCTION_PER_COPY_MS = 5.6e-5;
+/**
+ * Longest time that one rank copies for one plan, in milliseconds: the plan must still fit when the copies
+ * are done.
+ */
+const COPY_BUDGET_MS = 280;
+/** Copies that a rank may load for one plan even if they take longer; with fewer, plans hardly reduce the skew. */
+const MIN_COPIES_PER_RANK = 3;
+
+/** What a leader knows when it decides about the next map. */
+export interface RebalancingInput {
+    /** Map in force. */
+    readonly current: ExpertPlacement;
+    /** Share of the tokens that each expert gets, by set. */
+    readonly shares: readonly (readonly number[])[];
+    /** Factor by which each rank is slower than its nominal speed. */
+    readonly slowness: readonly number[];
+    /** Limits of maps. */
+    readonly limits: ExpertSpec;
+    /** Mean duration of a pass, in milliseconds; undefined before the first measurement. */
+    readonly passMs: number | undefined;
+}
 
 /**
  * Tells whether the skew justifies planning a new map.
@@ -72,3 +95,23 @@
 ): boolean =>
     plan.skewBefore - plan.skewAfter
         >= MIN_SKEW_REDUCTION + plan.copies * copyMs * SKEW_REDUCTION_PER_COPY_MS;
+
+/**
+ * Plans the next map if the group needs one and the plan is worth its copies.
+ *
+ * @param input - map in force, demand and limits
+ * @returns the plan; undefined if the group keeps its map
+ */
+export const planRebalancing = (input: RebalancingInput): PlacementPlan | undefined => {
+    const { current, limits, passMs, shares, slowness } = input;
+    if (!needsRebalancing(skewOf(current, shares, slowness), passMs)) {
+        return undefined;
+    }
+    const plan = improvePlacement(current, shares, {
+        limits,
+        slowness,
+        maxCopiesPerRank: Math.max(MIN_COPIES_PER_RANK, Math.floor(COPY_BUDGET_MS / limits.copyMs)),
+        tolerance: imbalanceTolerance(passMs),
+    });
+    return isWorthCopying(plan, limits.copyMs) ? plan : undefined;
+};
