feat(rank): let the event loop run while a map is planned

Cause: the first plan of a process for 72 ranks takes 183 ms of processor time since its code is not compiled yet; at 0.405 of a core the agent answered no call for 450 ms.

Change: a plan is made in slices of 1,000 evaluated moves, and the leader yields to the event loop between them. A round whose state has changed in the meantime is refused by the agents, as before.

--- a/packages/rank/src/node/rankAgent.ts
+++ b/packages/rank/src/node/rankAgent.ts
@@ -17,6 +17,7 @@
     type Runtime,
 } from "@magnolialock/kernel";
 import { type Context, Hono } from "hono";
+import { setImmediate } from "node:timers/promises";
 import { GroupLeader } from "../shared/groupLeader.ts";
 import { PassHolder } from "../shared/passHolder.ts";
 import { rankStarted, rankStopped } from "../shared/rankEvents.ts";
@@ -131,6 +132,7 @@
         holder,
         peersOf: group => peers.peersOf(group),
         spec: () => peers.view?.experts,
+        yieldToEventLoop: () => setImmediate(),
     });
     scope.use(
         await listenHttp({
--- a/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
+++ b/packages/rank/src/shared/__tests__/improvePlacement.spec.ts
@@ -2,7 +2,7 @@
 import { createRandomSource } from "@magnolialock/kernel";
 import test from "ava";
 import type { ExpertPlacement } from "../../types/rankServer.ts";
-import { improvePlacement, skewOf } from "../improvePlacement.ts";
+import { improvePlacement, planInSlices, skewOf } from "../improvePlacement.ts";
 
 const RANKS = 12;
 const SPEC: ExpertSpec = { sets: 3, experts: 96, placesPerRank: 11, newPerPreparation: 4, copyMs: 142 };
@@ -122,3 +122,23 @@
     t.true(plan.skewAfter < 1.6, `${plan.skewAfter}`);
     t.true(plan.copiesOfFullestRank <= 15);
 });
+
+// Guards against plans of large groups that keep the agent from answering calls for their whole duration.
+test("a plan of a large group comes in slices of at most 1,100 evaluated moves", t => {
+    const spec: ExpertSpec = { sets: 12, experts: 96, placesPerRank: 3, newPerPreparation: 2, copyMs: 16 };
+    const current = Array.from(
+        { length: spec.sets },
+        () => Array.from({ length: 72 }, (_, rank) => rank < 24 ? [rank, rank + 72] : [rank]),
+    );
+    const demand = Array.from({ length: spec.sets }, (_, set) => drawShares(set)[0] ?? []);
+    const options = { limits: spec, maxCopiesPerRank: 17, tolerance: 0.15 };
+    const slices = planInSlices(current, demand, options);
+    let pauses = 0;
+    let step = slices.next();
+    for (; !step.done; step = slices.next()) {
+        pauses += 1;
+    }
+    t.true(pauses >= 3);
+    t.true(step.value.evaluatedMoves <= (pauses + 1) * 1_100);
+    t.deepEqual(step.value, improvePlacement(current, demand, options));
+});
--- a/packages/rank/src/shared/__tests__/shiftReplay.spec.ts
+++ b/packages/rank/src/shared/__tests__/shiftReplay.spec.ts
@@ -13,13 +13,13 @@
 const LARGE: ExpertSpec = { sets: 12, experts: 144, placesPerRank: 3, newPerPreparation: 2, copyMs: 16 };
 
 /** Replays the decisions of a leader; returns the means over all seeds, and the largest plan. */
-const replay = (spec: ExpertSpec, ranks: number, seeds: number): ReplayResult => {
-    const results = Array.from({ length: seeds }, (_, index) => {
+const replay = async (spec: ExpertSpec, ranks: number, seeds: number): Promise<ReplayResult> => {
+    const results = await Promise.all(Array.from({ length: seeds }, (_, index) => {
         const demand = new ExpertDemand(spec, ranks);
         return replayShifts(spec, ranks, index + 1, {
             cycleMs: Math.max(MIN_CYCLE_MS, leaderCycleMs(ranks, statusSweepMs(ranks))),
             add: (counts, nowMs) => demand.add([{ newCounts: [...counts] } as unknown as RankStatus], nowMs),
-            plan: (current, passMs) =>
+            plan: async (current, passMs) =>
                 demand.hasEnoughSamples
                     ? planRebalancing({
                         current,
@@ -27,10 +27,10 @@
                         limits: spec,
                         shares: demand.shares(),
                         slowness: [],
-                    })
+                    }, () => Promise.resolve())
                     : undefined,
         });
-    });
+    }));
     const mean = (value: (result: ReplayResult) => number): number =>
         results.reduce((sum, result) => sum + value(result), 0) / results.length;
     return {
@@ -91,8 +91,8 @@
 for (const { copiesBefore, largestPlanBefore, ranks, seeds, skewBefore, spec } of CASES) {
     // Guards against cheaper plans that balance worse, copy more in small groups, or grow with the square of the
     // number of ranks again.
-    test(`maps of ${ranks} ranks follow shifts of popularity better than before, with cheaper plans`, t => {
-        const { copies, largestPlan, meanSkew, switches } = replay(spec, ranks, seeds);
+    test(`maps of ${ranks} ranks follow shifts of popularity better than before, with cheaper plans`, async t => {
+        const { copies, largestPlan, meanSkew, switches } = await replay(spec, ranks, seeds);
         t.log(`skew ${meanSkew.toFixed(3)}, copies ${copies}, switches ${switches}, moves ${largestPlan}`);
         t.true(largestPlan <= largestPlanBefore / 2);
         if (ranks <= SMALL_RANKS) {
--- a/packages/rank/src/shared/__tests__/shiftReplay.ts
+++ b/packages/rank/src/shared/__tests__/shiftReplay.ts
@@ -24,7 +24,7 @@
     /** Adds the counts of a cycle, by set, then expert, at a time in milliseconds. */
     readonly add: (counts: Float64Array, nowMs: number) => void;
     /** Plans the next map for a pass duration in milliseconds; undefined keeps the map. */
-    readonly plan: (current: ExpertPlacement, passMs: number) => PlacementPlan | undefined;
+    readonly plan: (current: ExpertPlacement, passMs: number) => Promise<PlacementPlan | undefined>;
 }
 
 /** Result of a replay. */
@@ -147,12 +147,12 @@
  * @param seed - seed of the demand
  * @param leader - the leader
  */
-export const replayShifts = (
+export const replayShifts = async (
     spec: ExpertSpec,
     ranks: number,
     seed: number,
     leader: ReplayedLeader,
-): ReplayResult => {
+): Promise<ReplayResult> => {
     const random = createRandomSource(seed);
     const demand = new Demand(random.fork("demand"), drawTopics(random.fork("topics"), spec), ranks);
     const noise = random.fork("noise");
@@ -185,7 +185,7 @@
         leader.add(counts, nowMs);
         counts.fill(0);
         const passMs = EVEN_PASS_MS * (1 - EXPERT_SHARE + EXPERT_SHARE * skew);
-        const plan = leader.plan(placement, passMs);
+        const plan = await leader.plan(placement, passMs);
         const planMs = statusSweepMs(ranks) + (plan?.evaluatedMoves ?? 0) * MOVE_MS / CORE_SHARE;
         readMs = nowMs + planMs + leader.cycleMs;
         result.largestPlan = Math.max(result.largestPlan, plan?.evaluatedMoves ?? 0);
--- a/packages/rank/src/shared/__tests__/virtualGroup.ts
+++ b/packages/rank/src/shared/__tests__/virtualGroup.ts
@@ -87,6 +87,7 @@
             holder: this.holder,
             peersOf: async () => this.peers(),
             spec: () => SPEC,
+            yieldToEventLoop: () => sleep(clock, 1),
         });
         this.leader.start();
     }
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -46,6 +46,8 @@
     readonly peersOf: (group: GroupMembership) => Promise<readonly RankPeer[]>;
     /** Limits of maps; undefined while they are not known. */
     readonly spec: () => ExpertSpec | undefined;
+    /** Lets the event loop run between two slices of a plan. */
+    readonly yieldToEventLoop: () => Promise<void>;
 }
 
 /**
@@ -202,13 +204,13 @@
         if (!current || peers.length !== group.size || !this.demand?.hasEnoughSamples) {
             return;
         }
-        const plan = planRebalancing({
+        const plan = await planRebalancing({
             current,
             limits,
             passMs: this.passMeter.passMs,
             shares: this.demand.shares(),
             slowness: slownessByRank(statuses),
-        });
+        }, this.options.yieldToEventLoop);
         if (!plan) {
             return;
         }
--- a/packages/rank/src/shared/improvePlacement.ts
+++ b/packages/rank/src/shared/improvePlacement.ts
@@ -43,6 +43,12 @@
     readonly evaluatedMoves: number;
 }
 
+/**
+ * Moves that are evaluated in one slice: 1 to 8 ms of processor time at 72 ranks, the longer while the code of a
+ * new process is not compiled yet.
+ */
+const MOVES_PER_SLICE = 1_000;
+
 /**
  * Measures the load skew of a map.
  *
@@ -99,19 +105,24 @@
     return most;
 };
 
+const countEvaluatedMoves = (planners: readonly ExpertSetPlanner[]): number =>
+    planners.reduce((sum, { evaluatedMoves }) => sum + evaluatedMoves, 0);
+
 /**
- * Plans the next map.
+ * Plans the next map in slices of about equal processor time, so that the caller can do other work between
+ * them.
  *
  * @param current - map in force
  * @param shares - share of the tokens that each expert gets, by set
  * @param options - limits of maps and of the plan
- * @returns the plan; its map equals the one in force when no move gains enough
+ * @returns a generator that yields after each slice and returns the plan; its map equals the one in force when
+ * no move gains enough
  */
-export const improvePlacement = (
+export const planInSlices = function*(
     current: ExpertPlacement,
     shares: readonly (readonly number[])[],
     options: ImprovePlacementOptions,
-): PlacementPlan => {
+): Generator<undefined, PlacementPlan> {
     const { limits, maxCopiesPerRank, slowness = [], tolerance } = options;
     const newCopiesByRank = new Int32Array(current[0]?.length ?? 0);
     const planners = current.map((experts, set) =>
@@ -128,6 +139,7 @@
     // Each move goes to the set that is the most uneven at that time: if one set after the other were finished,
     // the limited number of new copies for each rank would be used up before the last sets.
     const improvable = new Set(planners);
+    let sliceEnd = MOVES_PER_SLICE;
     for (let next = mostUneven(improvable); next; next = mostUneven(improvable)) {
         if (next.relativePeak <= 1 + tolerance) {
             break;
@@ -135,6 +147,11 @@
         if (!next.applyBestMove()) {
             improvable.delete(next);
         }
+        const evaluatedMoves = countEvaluatedMoves(planners);
+        if (evaluatedMoves >= sliceEnd) {
+            sliceEnd = evaluatedMoves + MOVES_PER_SLICE;
+            yield;
+        }
     }
     return {
         placement: planners.map(planner => planner.placement()),
@@ -142,6 +159,27 @@
         copiesOfFullestRank: newCopiesByRank.reduce((most, count) => Math.max(most, count), 0),
         skewBefore,
         skewAfter: skewOfPlanners(planners),
-        evaluatedMoves: planners.reduce((sum, { evaluatedMoves }) => sum + evaluatedMoves, 0),
+        evaluatedMoves: countEvaluatedMoves(planners),
     };
 };
+
+/**
+ * Plans the next map at once.
+ *
+ * @param current - map in force
+ * @param shares - share of the tokens that each expert gets, by set
+ * @param options - limits of maps and of the plan
+ * @returns the plan; its map equals the one in force when no move gains enough
+ */
+export const improvePlacement = (
+    current: ExpertPlacement,
+    shares: readonly (readonly number[])[],
+    options: ImprovePlacementOptions,
+): PlacementPlan => {
+    const slices = planInSlices(current, shares, options);
+    let step = slices.next();
+    while (!step.done) {
+        step = slices.next();
+    }
+    return step.value;
+};
--- a/packages/rank/src/shared/rebalancePolicy.ts
+++ b/packages/rank/src/shared/rebalancePolicy.ts
@@ -9,7 +9,7 @@
 
 import type { ExpertSpec } from "@magnolialock/direct/src/types/publishedState.ts";
 import type { ExpertPlacement } from "../types/rankServer.ts";
-import { improvePlacement, type PlacementPlan, skewOf } from "./improvePlacement.ts";
+import { type PlacementPlan, planInSlices, skewOf } from "./improvePlacement.ts";
 
 /**
  * Pass duration from which a group counts as busy, in milliseconds: at 120 ms streams are late, and a map
@@ -100,18 +100,28 @@
  * Plans the next map if the group needs one and the plan is worth its copies.
  *
  * @param input - map in force, demand and limits
+ * @param pause - waits between two slices of the plan, so that calls of other agents are answered
  * @returns the plan; undefined if the group keeps its map
  */
-export const planRebalancing = (input: RebalancingInput): PlacementPlan | undefined => {
+export const planRebalancing = async (
+    input: RebalancingInput,
+    pause: () => Promise<void>,
+): Promise<PlacementPlan | undefined> => {
     const { current, limits, passMs, shares, slowness } = input;
     if (!needsRebalancing(skewOf(current, shares, slowness), passMs)) {
         return undefined;
     }
-    const plan = improvePlacement(current, shares, {
+    const slices = planInSlices(current, shares, {
         limits,
         slowness,
         maxCopiesPerRank: Math.max(MIN_COPIES_PER_RANK, Math.floor(COPY_BUDGET_MS / limits.copyMs)),
         tolerance: imbalanceTolerance(passMs),
     });
+    let step = slices.next();
+    while (!step.done) {
+        await pause();
+        step = slices.next();
+    }
+    const plan = step.value;
     return isWorthCopying(plan, limits.copyMs) ? plan : undefined;
 };
