feat(build): code cache for the programs of the platform

A start compiles a bundle of 1.1 MB (entry) or 0.9 MB (rank agent) anew, and the module loader for ES modules is loaded for nothing. The build now writes each program as a loader, a classic script and the code cache that V8 made after a recorded start with the flags of the deployment.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,11 +1,14 @@
 /**
  * Bundles each program into one file in `dist/`. `--out DIR` writes to another folder; `--only NAME` limits
- * the build to some programs.
+ * the build to some programs. The programs of the platform get a code cache, see
+ * `docs/design/process-start.md`.
  */
 
-import { build } from "esbuild";
-import { chmod } from "node:fs/promises";
+import { build, type BuildOptions } from "esbuild";
+import { access, chmod, mkdir, rm, writeFile } from "node:fs/promises";
 import yargs from "yargs";
+import { buildCachedProgram } from "./programs/cachedBundle.ts";
+import { CACHED_PROGRAMS } from "./programs/cachedPrograms.ts";
 
 const programs = {
     "magnolialock-entry": "packages/entry/src/node/entryMain.ts",
@@ -26,27 +29,51 @@
     .strict()
     .parse();
 
+const exists = (path: string): Promise<boolean> => access(path).then(() => true, () => false);
+
+await mkdir(out, { recursive: true });
 for (
     const [name, entryPoint] of Object.entries(programs).filter(([name]) =>
         only === undefined || only.includes(name)
     )
 ) {
     const outfile = `${out}/${name}.js`;
-    await build({
+    const options: BuildOptions = {
         entryPoints: [entryPoint],
-        outfile,
         bundle: true,
         minify: true,
         platform: "node",
-        format: "esm",
         target: "node20",
         external: ["unix-dgram"],
         define: { "process.env.MAGNOLIALOCK_TEST_BUILD": '"false"' },
-        banner: {
-            js: '#!/usr/bin/env node\nimport { createRequire as __createRequire } from "node:module";'
-                + "const require = __createRequire(import.meta.url);",
-        },
-    });
-    await chmod(outfile, 0o755);
+    };
+    const cachedProgram = CACHED_PROGRAMS.get(name);
+    if (cachedProgram) {
+        await buildCachedProgram(outfile, options, cachedProgram);
+    }
+    else {
+        await build({
+            ...options,
+            outfile,
+            format: "esm",
+            banner: {
+                js: '#!/usr/bin/env node\nimport { createRequire as __createRequire } from "node:module";'
+                    + "const require = __createRequire(import.meta.url);",
+            },
+        });
+        await chmod(outfile, 0o755);
+    }
     console.log(`built ${outfile}`);
 }
+
+// Loaders run as both kinds of module, and the loader of ES modules costs about 15 ms of a start. The other
+// programs are ES modules, as the package.json of the repository says.
+const hasModules = await Promise.all(
+    Object.keys(programs).filter(name => !CACHED_PROGRAMS.has(name)).map(name => exists(`${out}/${name}.js`)),
+);
+const packageFile = `${out}/package.json`;
+await (hasModules.includes(true)
+    ? rm(packageFile, { force: true })
+    : writeFile(packageFile, '{ "type": "commonjs" }\n'));
+// The stand-ins of the recording may keep connections open.
+process.exit();
