fix(build): record the code cache with requests that are served

fetch does not send the host header, so the recorded entry answered 404 and its cache lacked the functions of the request path. The build now repeats a plain request and a stream until both are answered with 200, else it goes on without a cache.

--- a/scripts/programs/recordCodeCache.ts
+++ b/scripts/programs/recordCodeCache.ts
@@ -13,6 +13,7 @@
 import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 import type { Readable } from "node:stream";
+import { request } from "undici";
 
 /** Program whose code cache is recorded. */
 export interface RecordedProgram {
@@ -34,6 +35,7 @@
 /** Time that the program runs on after it is ready, in milliseconds: its first reports and reads belong to a start. */
 const SETTLE_MS = 1_500;
 const POLL_MS = 20;
+const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 /** File descriptor on which the loader writes the cache. */
 const CACHE_FD = 3;
@@ -85,13 +87,18 @@
     });
     const [frontend, readiness, peers] = [await findFreePort(), await findFreePort(), await findFreePort()];
     const ask = (name: string): Promise<number> =>
-        fetch(`http://127.0.0.1:${frontend}/${name}/1`, {
+        request(`http://127.0.0.1:${frontend}/${name}/1`, {
             method: "POST",
             body: "{}",
-            headers: { "x-request-id": name, "x-request-deadline": "4000", "x-credential": "key-1" },
+            headers: {
+                host: "shop.example",
+                "x-request-id": clock.nowMs().toString(),
+                "x-request-deadline": "4000",
+                "x-credential": "key-1",
+            },
         }).then(async answer => {
-            await answer.arrayBuffer();
-            return answer.status;
+            await answer.body.dump();
+            return answer.statusCode;
         }, () => 0);
     return {
         settings: {
@@ -108,11 +115,11 @@
             },
         },
         untilReady: async signal => {
-            while (!signal.aborted && await ask("ready") === 0) {
-                await sleep(clock, POLL_MS);
+            for (const name of ["once", "stream"]) {
+                while (await ask(name) !== HTTP_OK) {
+                    await sleep(clock, POLL_MS, signal);
+                }
             }
-            await ask("once");
-            await ask("stream");
         },
     };
 };
