--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -129,7 +129,7 @@
     ...changes,
 });
 
-const ENGINE: ServiceSpec["engine"] = { experts: undefined };
+const ENGINE: ServiceSpec["engine"] = { experts: undefined, timing: undefined };
 
 export const configuration = (changes: Partial<FleetConfiguration> = {}): FleetConfiguration => ({
     version: 1,
--- a/packages/direct/src/shared/__tests__/directFleet.ts
+++ b/packages/direct/src/shared/__tests__/directFleet.ts
@@ -159,7 +159,9 @@
         }
         this.spec = options.isPlain
             ? serviceSpec(ORDERS)
-            : serviceSpec(DRAFTS, { engine: { experts: groupCount > 0 ? EXPERTS : undefined } });
+            : serviceSpec(DRAFTS, {
+                engine: { experts: groupCount > 0 ? EXPERTS : undefined, timing: undefined },
+            });
         for (let index = 0; index < options.instances; index++) {
             this.startEntry(index);
         }
--- a/packages/direct/src/shared/__tests__/severalGroups.spec.ts
+++ b/packages/direct/src/shared/__tests__/severalGroups.spec.ts
@@ -8,7 +8,7 @@
 const GROUPS: Readonly<Record<string, string>> = { a: "left", bb: "left", ccc: "right", dddd: "right" };
 
 const createFixture = (): DirectFixture => {
-    const drafts = serviceSpec(DRAFTS, { engine: { experts: LIMITS } });
+    const drafts = serviceSpec(DRAFTS, { engine: { experts: LIMITS, timing: undefined } });
     const fixture = new DirectFixture(configuration({ services: [serviceSpec(ORDERS), drafts] }));
     fixture.addServers(DRAFTS, ...Object.keys(GROUPS));
     return fixture;
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -73,10 +73,36 @@
     readonly copyMs: number;
 }
 
+/** Timing of a model engine, as published by the operator. */
+export interface EngineTiming {
+    /** Fixed part of a step, in milliseconds. */
+    readonly stepMs: number;
+    /** Part of a step for each request that generates output, in milliseconds. */
+    readonly perRequestMs: number;
+    /** Part of a step for each 1,000 tokens of context of these requests, in milliseconds. */
+    readonly perThousandContextMs: number;
+    /** Prompt tokens that a server reads per millisecond. */
+    readonly readTokensPerMs: number;
+    /** Additional time to read a prompt for each million pairs of a token and an earlier token, in milliseconds. */
+    readonly perMillionPairsMs: number;
+    /** Maximum number of prompt tokens that a server reads between two steps. */
+    readonly readTokensPerStep: number;
+    /** Steps of a pass while requests generate output; each of them sends one event per pass. */
+    readonly stepsPerPass: number;
+    /** Tokens that the memory of a server holds. */
+    readonly memoryTokens: number;
+    /** Mean number of prompt tokens of a request. */
+    readonly usualPromptTokens: number;
+    /** Mean number of output tokens of a request. */
+    readonly usualAnswerTokens: number;
+}
+
 /** The model engine of a service's servers. */
 export interface EngineSpec {
     /** Limits of expert maps; undefined where the servers form no groups. */
     readonly experts: ExpertSpec | undefined;
+    /** Timing of the engine; undefined where the configuration does not give all of it. */
+    readonly timing: EngineTiming | undefined;
 }
 
 /** A service of the configuration. */
