feat(direct): run only as many requests as keep the pauses of streams below their target

Cause: pauses between events exceed the gap target while all slots are full, since nothing compares the duration of passes with it. Instances that know each other's load only from reports all pick the same least loaded server until the next report, so ranks queue requests and lengthen the passes of their group. Change: a model predicts the duration of a pass from the engine's timing, and each group has a pace, the measured pause divided by the prediction. servableRequests() counts the requests that keep pace times prediction below the gap target less 10 ms, at most the slots and at least 0.3 of them; it begins to apply once measured pauses exceed the target. Requests are spread at random so that the starts of all instances between two reports fill the servers to an equal level. Without the timing nothing changes. Events 8070 to 8072 and three gauges show it.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -193,6 +193,9 @@
     readonly alivePeers: () => number;
 }
 
+const sumOf = <T>(items: readonly T[], value: (item: T) => number): number =>
+    items.reduce((sum, item) => sum + value(item), 0);
+
 const createEntryMetrics = ({ context, store, upstreams, ...counts }: MetricsSources): PromMetrics =>
     createPromMetrics({
         ...counts,
@@ -204,6 +207,15 @@
         openedConnections: () => upstreams.opened,
         limitedServers: () => context().limits.size,
         restingServers: () => context().limits.restingCount,
+        passLimitedGroups: () =>
+            sumOf([...context().serviceStates().values()], ({ passBudget }) => passBudget.limitedGroups),
+        servableRequests: () =>
+            sumOf(
+                store.configuration?.configuration.services.filter(({ engine }) => engine) ?? [],
+                ({ name }) => context().servableRequests(name),
+            ),
+        unreadPromptTokens: () =>
+            sumOf([...context().options.directory.all()], server => server.unreadPromptTokens),
         quarantinedParts: () => context().quarantine.parts.length,
         quarantinedRequests: () => context().quarantine.requests.length,
     });
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -29,6 +29,12 @@
     readonly limitedServers: () => number;
     /** Number of backend servers that have asked this instance for a pause. */
     readonly restingServers: () => number;
+    /** Number of groups of model servers whose pass budget applies. */
+    readonly passLimitedGroups: () => number;
+    /** Requests that the model servers of all services may run at once, from all instances together. */
+    readonly servableRequests: () => number;
+    /** Prompt tokens of this instance's requests that servers have not read yet. */
+    readonly unreadPromptTokens: () => number;
     /** Number of prompt parts in quarantine. */
     readonly quarantinedParts: () => number;
     /** Number of whole requests in quarantine. */
@@ -87,6 +93,21 @@
     );
     gauge("magnolialock_limited_servers", "Backend servers that name a limit", readers.limitedServers);
     gauge("magnolialock_resting_servers", "Backend servers that asked for a pause", readers.restingServers);
+    gauge(
+        "magnolialock_pass_limited_groups",
+        "Groups of model servers whose pass budget applies",
+        readers.passLimitedGroups,
+    );
+    gauge(
+        "magnolialock_servable_requests",
+        "Requests that the model servers may run at once, from all instances together",
+        readers.servableRequests,
+    );
+    gauge(
+        "magnolialock_unread_prompt_tokens",
+        "Prompt tokens of own requests that servers have not read yet",
+        readers.unreadPromptTokens,
+    );
     gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
     gauge("magnolialock_quarantined_requests", "Whole requests in quarantine", readers.quarantinedRequests);
 };
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -53,6 +53,7 @@
     targetServer: "x-server",
     notRun: "x-not-run",
     refusingServer: "x-fault",
+    tokenUsage: "x-tokens",
     promptParts: "x-parts",
     serverLimit: "x-limit",
     leaving: "x-leaving",
--- a/packages/direct/src/shared/chooseServer.ts
+++ b/packages/direct/src/shared/chooseServer.ts
@@ -5,8 +5,17 @@
  */
 
 import type { DataCentreId, RandomSource } from "@magnolialock/kernel";
+import { spreadStart } from "./placement/spreadStarts.ts";
 import type { TrackedServer } from "./trackedServer.ts";
 
+/** How requests are spread over servers whose engine has a known timing. */
+export interface SpreadRule {
+    /** Requests that other instances start between two of their reports. */
+    readonly expectedStarts: number;
+    /** Returns the load of a server beyond what it may run at once, in requests; negative while it has room. */
+    readonly excessOf: (server: TrackedServer) => number;
+}
+
 /** Inputs of the selection besides the servers. */
 export interface ChoiceContext {
     /** Data centre of this instance. */
@@ -21,6 +30,8 @@
     readonly isLimitCheckDue: (server: TrackedServer) => boolean;
     /** Servers that earlier attempts of this request used. */
     readonly tried: ReadonlySet<TrackedServer>;
+    /** How requests are spread; undefined selects the least loaded server. */
+    readonly spread: SpreadRule | undefined;
 }
 
 /**
@@ -40,7 +51,7 @@
 };
 
 /**
- * Selects the server with the lowest cost among those that may get another request now.
+ * Selects the server with the lowest cost among those that may get another request now, or spreads the requests.
  *
  * @param candidates - servers of the service that accept new requests
  * @param context - data centre, earlier attempts and rate limit
@@ -65,10 +76,33 @@
     const usual = elsewhere.length > 0 ? elsewhere : healthy;
     const due = usual.filter(context.isLimitCheckDue);
     const preferred = due.length > 0 ? due : usual;
+    const selectable = preferred.length > 0 ? preferred : eligible;
+    return context.spread
+        ? chooseSpread(selectable, context, context.spread)
+        : chooseCheapest(selectable, context, isSpeedCompared);
+};
+
+const chooseSpread = (
+    servers: readonly TrackedServer[],
+    { dataCentre, random }: ChoiceContext,
+    { excessOf, expectedStarts }: SpreadRule,
+): TrackedServer | undefined => {
+    const loads = servers.map(server =>
+        excessOf(server) + (server.entry.dataCentre === dataCentre ? 0 : REMOTE_PENALTY_REQUESTS)
+    );
+    const index = spreadStart(loads, expectedStarts, random);
+    return index === undefined ? undefined : servers[index];
+};
+
+const chooseCheapest = (
+    servers: readonly TrackedServer[],
+    context: ChoiceContext,
+    isSpeedCompared: boolean,
+): TrackedServer | undefined => {
     let best: TrackedServer | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     let ties = 0;
-    for (const server of preferred.length > 0 ? preferred : eligible) {
+    for (const server of servers) {
         const cost = costOf(server, context, isSpeedCompared);
         if (cost > bestCost) {
             continue;
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -9,17 +9,20 @@
 import type { UpstreamClient } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
 import type { DirectSettings, SafetyBounds } from "../types/directSettings.ts";
-import type { ServiceSpec } from "../types/publishedState.ts";
+import type { EngineTiming, ServiceSpec } from "../types/publishedState.ts";
 import { differsInPriority } from "./admission/urgency.ts";
 import { AdmissionQueue } from "./admissionQueue.ts";
 import { CallerRetryDetector } from "./callerRetryDetector.ts";
 import type { CallMetrics } from "./callMetrics.ts";
-import { chooseServer } from "./chooseServer.ts";
+import { chooseServer, type SpreadRule } from "./chooseServer.ts";
 import { concurrencyLimit, shareOfFleet } from "./concurrencyLimit.ts";
 import type { HeardSources } from "./configurationEvidence.ts";
 import { CrashQuarantine } from "./crashQuarantine.ts";
 import { FleetAllotment, type FleetView } from "./fleetAllotment.ts";
 import { FleetNews } from "./fleetNews.ts";
+import { PassBudget, type PassLimits } from "./placement/passBudget.ts";
+import { CurrentPassLimits } from "./placement/passLimits.ts";
+import { UnreadPrompts } from "./placement/unreadPrompts.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
@@ -61,6 +64,10 @@
 export interface ServiceState {
     /** Health of its groups of model servers. */
     readonly groups: ServiceGroups;
+    /** How many requests its model servers may run at once for the pauses between events. */
+    readonly passBudget: PassBudget;
+    /** Prompts that its model servers have not read yet. */
+    readonly unreadPrompts: UnreadPrompts;
     /** Budget for retries. */
     readonly retryBudget: RetryBudget;
     /** Requests that wait for a slot at its model servers. */
@@ -88,6 +95,11 @@
  */
 const COLD_RATE_SHARE = 0.6;
 
+/**
+ * Time between two reports of another instance, in milliseconds: 200 within a data centre, five times as long to others.
+ * The replays change little from half to four times of it.
+ */
+const REPORT_AGE_MS = 400;
 /** Share of a server's connection limit for idle connections; the rest is for bursts. */
 const IDLE_CONNECTION_SHARE = 0.5;
 /**
@@ -166,8 +178,17 @@
         if (!state) {
             const { clock, events, random } = this.options.runtime;
             const { retryRatio } = this.bounds;
+            const currentLimits = new CurrentPassLimits(service);
+            const limits = (): PassLimits | undefined =>
+                currentLimits.of(this.options.store.configuration?.configuration);
+            const servers = (): readonly TrackedServer[] => this.options.directory.candidates(service);
+            const passBudget = new PassBudget({ clock, events, service, limits, servers });
+            const timing = (): EngineTiming | undefined => limits()?.timing;
+            const names = this.options.headers;
             state = {
                 groups: new ServiceGroups({ clock, events, random, service }),
+                passBudget,
+                unreadPrompts: new UnreadPrompts({ clock, events, names, timing, budget: passBudget }),
                 callerRetries: new CallerRetryDetector(),
                 admissionQueue: new AdmissionQueue({
                     clock,
@@ -223,10 +244,20 @@
             isWithinLimit: (server: TrackedServer) => this.limits.allows(server),
             isLimitCheckDue: (server: TrackedServer) => this.limits.isCheckDue(server),
             tried,
+            spread: spec?.engine?.timing && this.spreadRule(servers, spec.name),
         };
         return chooseServer(servers, choice, spec?.engine === undefined);
     }
 
+    private spreadRule(servers: readonly TrackedServer[], service: ServiceName): SpreadRule {
+        const { admissionQueue, passBudget } = this.service(service);
+        const peerRunning = servers.reduce((sum, server) => sum + server.peerRunning, 0);
+        return {
+            expectedStarts: peerRunning * REPORT_AGE_MS / admissionQueue.meanDurationMs,
+            excessOf: server => server.running - passBudget.requestsOf(server),
+        };
+    }
+
     /**
      * Returns how many requests this instance may start at a backend server per second. The limit applies at
      * all times, because a server may turn cold before any instance knows.
@@ -260,15 +291,34 @@
         return Math.min(MAX_IDLE_CONNECTIONS, this.allotment.unitsOf(`${id} connections`, total));
     }
 
-    private concurrencyLimit(service: ServiceName): number {
-        const { peerDataCentres, directory, settings } = this.options;
-        const candidates = directory.candidates(service);
+    /**
+     * Returns how many requests the model servers of a service may run at once, from all instances together: the slots
+     * of the groups that are up, within the pass budget.
+     *
+     * @param service - the service
+     * @returns the number of requests, not rounded
+     */
+    public servableRequests(service: ServiceName): number {
+        const { passBudget } = this.service(service);
+        return this.usableServers(service).reduce(
+            (sum, server) => sum + Math.min(this.usableSlots(server), passBudget.requestsOf(server)),
+            0,
+        );
+    }
+
+    private usableServers(service: ServiceName): readonly TrackedServer[] {
+        const candidates = this.options.directory.candidates(service);
         const usable = this.service(service).groups.usable(candidates);
-        const servers = usable.length > 0 ? usable : candidates;
+        return usable.length > 0 ? usable : candidates;
+    }
+
+    private concurrencyLimit(service: ServiceName): number {
+        const { peerDataCentres, settings } = this.options;
+        const servers = this.usableServers(service);
         const sum = (value: (server: TrackedServer) => number): number =>
             servers.reduce((total, server) => total + value(server), 0);
         return concurrencyLimit({
-            slots: sum(server => this.usableSlots(server)),
+            slots: this.servableRequests(service),
             ownRunning: sum(({ health }) => health.running),
             peerRunning: sum(({ peerRunning }) => peerRunning),
             share: shareOfFleet(settings.dataCentre, peerDataCentres()),
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -23,7 +23,7 @@
 import type { AccountSpec, RouteRule } from "../types/publishedState.ts";
 import { buildAttemptHeaders, responseHeader, toCallerHead } from "./callHeaders.ts";
 import { classifyResponseHead, type ResponseHeadClass } from "./classifyResponseHead.ts";
-import type { DirectContext } from "./directContext.ts";
+import type { DirectContext, ServiceState } from "./directContext.ts";
 import { EventStreamSplitter, type StreamEvent } from "./eventStreamSplitter.ts";
 import type { BufferedResponse } from "./responseBuffers.ts";
 import type { TrackedServer } from "./trackedServer.ts";
@@ -144,6 +144,9 @@
     private readonly bufferedChunks: Buffer[] = [];
     private bufferedBytes = 0;
     private readonly sentMs: number;
+    private readonly state: ServiceState;
+    /** Records that the server has read the prompt. */
+    private readonly endReading: () => void;
     private hasFirstByte = false;
     /**
      * Whether the next event is known to follow what the caller has. A run that continues a stream shows it by the
@@ -155,11 +158,18 @@
     /** Reasons for which the response is not read on. */
     private holds = 0;
     private isWaitingForCaller = false;
+    /** Time of the latest event of this attempt, in milliseconds; undefined before the first. */
+    private lastEventMs: number | undefined;
+    /** Whether the response was not read on for a while since then. */
+    private wasHeld = false;
     private paceTimer: Timer | undefined;
     private isEnded = false;
 
     public constructor(options: AttemptOptions) {
         this.options = options;
+        const { call, context, server } = options;
+        this.state = context.service(server.entry.service);
+        this.endReading = this.state.unreadPrompts.begin(server, call.headers);
         this.pace = new ReadPace(options.context.options.runtime.clock);
         this.isPlaceKnown = options.cursor.eventCount === 0;
         this.sentMs = options.context.options.runtime.clock.nowMs();
@@ -273,6 +283,7 @@
     /** Ends the response: it is neither paused nor resumed any more. */
     public end(): void {
         this.isEnded = true;
+        this.endReading();
         this.paceTimer?.cancel();
     }
 
@@ -320,6 +331,7 @@
         const { context, cursor, onProgress, reply } = this.options;
         const { clock } = context.options.runtime;
         onProgress();
+        this.recordPause();
         if (cursor.eventCount > events) {
             cursor.longestGapMs = Math.max(cursor.longestGapMs, clock.nowMs() - cursor.lastEventMs);
         }
@@ -336,6 +348,17 @@
         this.keepPace(events, bytes.length, STREAM_PACE);
     }
 
+    /** Records the time since the server's previous event, unless the stream was held up on the way to the caller. */
+    private recordPause(): void {
+        const { context, server } = this.options;
+        const nowMs = context.options.runtime.clock.nowMs();
+        if (this.lastEventMs !== undefined && !this.wasHeld) {
+            this.state.passBudget.recordPause(server.groupName, nowMs - this.lastEventMs);
+        }
+        this.lastEventMs = nowMs;
+        this.wasHeld = this.holds > 0;
+    }
+
     private keepPace(items: number, bytes: number, limits: PaceLimits): void {
         const delayMs = this.pace.record(items, bytes, limits);
         if (delayMs > 0 && !this.paceTimer) {
@@ -348,6 +371,7 @@
     }
 
     private hold(): void {
+        this.wasHeld = true;
         if (this.holds++ === 0) {
             this.upstream?.pause();
         }
@@ -362,6 +386,7 @@
     private recordFirstByte(): void {
         if (!this.hasFirstByte && this.headClass?.kind === "own") {
             this.hasFirstByte = true;
+            this.endReading();
             const { context, onFirstByte, server } = this.options;
             onFirstByte();
             server.recordLatency(context.options.runtime.clock.nowMs() - this.sentMs);
--- a/packages/direct/src/shared/trackedServer.ts
+++ b/packages/direct/src/shared/trackedServer.ts
@@ -29,6 +29,8 @@
     public isAddressReused = false;
     /** Requests that other instances run there, according to their latest reports. */
     public peerRunning = 0;
+    /** Prompt tokens of this instance's requests there whose answers have not begun. */
+    public unreadPromptTokens = 0;
     /** Group that the server belongs to; undefined while it is not known, or if there is none. */
     public groupName: string | undefined;
     /** Key of the server in the reports between instances. */
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -24,6 +24,8 @@
     readonly notRun: string;
     /** On responses: address of the backend server that refuses because its group cannot run. */
     readonly refusingServer: string;
+    /** Token counts that the caller declares: `<prompt>,<maximum output>`; forwarded unchanged. */
+    readonly tokenUsage: string;
     /** Parts of the request's prompt, in order: a list of `<identifier>:<tokens>`. */
     readonly promptParts: string;
     /** On responses: requests per second that the server takes from all instances together. */
