feat(direct): send prompts to servers that read none

Cause: a request of 2,900 prompt tokens counts the same as one of 60 when a server is chosen, so prompts wait behind long ones at servers with free slots while others read nothing. Change: the unread prompt tokens of an instance's own requests add to the load of a server, one pass full of them like four running requests, at most two passes.

--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -22,6 +22,7 @@
 import { FleetNews } from "./fleetNews.ts";
 import { PassBudget, type PassLimits } from "./placement/passBudget.ts";
 import { CurrentPassLimits } from "./placement/passLimits.ts";
+import { placementLoad } from "./placement/placementLoad.ts";
 import { UnreadPrompts } from "./placement/unreadPrompts.ts";
 import type { PublishedStateStore } from "./publishedStateStore.ts";
 import { ResponseBuffers } from "./responseBuffers.ts";
@@ -244,17 +245,21 @@
             isWithinLimit: (server: TrackedServer) => this.limits.allows(server),
             isLimitCheckDue: (server: TrackedServer) => this.limits.isCheckDue(server),
             tried,
-            spread: spec?.engine?.timing && this.spreadRule(servers, spec.name),
+            spread: spec?.engine?.timing && this.spreadRule(servers, spec.name, spec.engine.timing),
         };
         return chooseServer(servers, choice, spec?.engine === undefined);
     }
 
-    private spreadRule(servers: readonly TrackedServer[], service: ServiceName): SpreadRule {
+    private spreadRule(
+        servers: readonly TrackedServer[],
+        service: ServiceName,
+        timing: EngineTiming,
+    ): SpreadRule {
         const { admissionQueue, passBudget } = this.service(service);
         const peerRunning = servers.reduce((sum, server) => sum + server.peerRunning, 0);
         return {
             expectedStarts: peerRunning * REPORT_AGE_MS / admissionQueue.meanDurationMs,
-            excessOf: server => server.running - passBudget.requestsOf(server),
+            excessOf: server => placementLoad(server, passBudget.requestsOf(server), timing),
         };
     }
 
--- a/packages/direct/src/shared/placement/__tests__/fakeDeployments.ts
+++ b/packages/direct/src/shared/placement/__tests__/fakeDeployments.ts
@@ -5,6 +5,7 @@
 import { type ChoiceContext, chooseServer } from "../../chooseServer.ts";
 import type { TrackedServer } from "../../trackedServer.ts";
 import { PassBudget } from "../passBudget.ts";
+import { placementLoad } from "../placementLoad.ts";
 import type { FakeEntryView, FakeOptions, FakePolicy } from "./fakeGroups.ts";
 
 /** The usual answers follow from 188 and 167 requests/s at 504 busy slots. */
@@ -114,11 +115,18 @@
             const peerRunning = servers.reduce((sum, server) => sum + server.peerRunning, 0);
             const spread = {
                 expectedStarts: peerRunning * REPORT_AGE_MS / MEAN_RUN_MS,
-                excessOf: (server: TrackedServer): number => server.running - budget.requestsOf(server),
+                excessOf: (server: TrackedServer): number =>
+                    placementLoad(server, budget.requestsOf(server), timing),
             };
             return chooseServer(servers, { ...choiceContext(entry), spread }, false);
         },
-        onSent: ({ prompt }) => budget.recordPrompt(prompt),
+        onSent: ({ prompt }, server) => {
+            budget.recordPrompt(prompt);
+            server.unreadPromptTokens += prompt;
+        },
+        onFirstEvent: ({ prompt }, server) => {
+            server.unreadPromptTokens -= prompt;
+        },
         onPause: ({ groupName }, pauseMs) => budget.recordPause(groupName, pauseMs),
     };
 };
