fix(direct): an answer whose status is not 100 to 599 is no answer and does not stall the process

Cause: undici takes a status below 100 for interim and then fails an assertion; so does an unrequested 101. An assertion of Node.js without a message reads and parses its source file, which takes 4.5 to 5.4 s in the minified program. Statuses of 600 and more were forwarded.

Change: the attempt fails on such a status, by the usual way of broken answers. The bundles use assertions that do not read the source, which covers the store, peers and rank servers too. An attempt also ends when its socket closes and undici, after a failed assertion, reports nothing.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -11,6 +11,7 @@
     type Clock,
     errorMessage,
     meterReads,
+    ProtocolError,
     sleep,
     splitAddress,
 } from "@magnolialock/kernel";
@@ -45,6 +46,11 @@
 
 /** Heads with a lower status are interim: the answer follows them. */
 const FIRST_FINAL_STATUS = 200;
+/** Lowest and highest status that HTTP defines; a head with another one is no answer. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+/** Interim status that ends HTTP on a connection; no request asks for it. */
+const HTTP_SWITCHING_PROTOCOLS = 101;
 /** Most interim heads before an answer. */
 const MAX_INTERIM_HEADS = 16;
 
@@ -56,6 +62,9 @@
 /** Bytes of framing for each byte of a body: a chunk of one byte takes five. */
 const MAX_FRAMING_FACTOR = 8;
 
+const isValidStatus = (status: number): boolean =>
+    status >= MIN_STATUS && status <= MAX_STATUS && status !== HTTP_SWITCHING_PROTOCOLS;
+
 const RESET_END: UpstreamEnd = {
     kind: "broken",
     message: "the connection was reset before the answer's end",
@@ -84,6 +93,7 @@
     private bytesRead = 0;
     private bodyBytes = 0;
     private onOverlong: () => void = () => {};
+    private onSocketClosed: () => void = () => {};
 
     public constructor(address: Address) {
         const connector = buildConnector({
@@ -98,6 +108,9 @@
                     this.socket = socket ?? undefined;
                     if (socket) {
                         meterReads(socket, bytes => this.recordRead(bytes));
+                        // Before the listeners of undici: an assertion that fails in one of them keeps the next ones from
+                        // being called, and the request without an end.
+                        socket.once("close", () => setImmediate(() => this.onSocketClosed()));
                     }
                     socket?.on("error", () => this.wasReset = true);
                     socket?.on("end", () => this.wasReset ||= isReset(socket));
@@ -139,11 +152,13 @@
      * Begins to count the bytes of the next response.
      *
      * @param onOverlong - called when it takes far more bytes than its body
+     * @param onSocketClosed - called after the socket has closed, also if the HTTP client reports nothing
      */
-    public beginResponse(onOverlong: () => void): void {
+    public beginResponse(onOverlong: () => void, onSocketClosed: () => void): void {
         this.bytesRead = 0;
         this.bodyBytes = 0;
         this.onOverlong = onOverlong;
+        this.onSocketClosed = onSocketClosed;
     }
 
     /**
@@ -220,8 +235,9 @@
             connection.abort(reason);
             settle({ kind: controller ? "broken" : "notSent", message: reason });
         };
-        connection.beginResponse(() =>
-            abort("the server sends a head, or the framing of a body, without end")
+        connection.beginResponse(
+            () => abort("the server sends a head, or the framing of a body, without end"),
+            () => settle({ kind: "broken", message: "the connection closed before the answer's end" }),
         );
         const ended = new Promise<UpstreamEnd>(resolve => {
             settle = resolve;
@@ -234,6 +250,10 @@
                     controller = started;
                 },
                 onResponseStart: (_started, status, headers) => {
+                    if (!isValidStatus(status)) {
+                        // undici aborts the request: it takes a status below 100 for interim, and fails an assertion later.
+                        throw new ProtocolError(`the server answers with the invalid status ${status}`);
+                    }
                     if (status < FIRST_FINAL_STATUS) {
                         if (++interimHeads > MAX_INTERIM_HEADS) {
                             abort("the server sends interim responses without end");
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -4,8 +4,9 @@
  * `docs/design/process-start.md`.
  */
 
-import { build, type BuildOptions } from "esbuild";
+import { build, type BuildOptions, type Plugin } from "esbuild";
 import { access, chmod, mkdir, rm, writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import yargs from "yargs";
 import { buildCachedProgram } from "./programs/cachedBundle.ts";
 import { CACHED_PROGRAMS } from "./programs/cachedPrograms.ts";
@@ -31,6 +32,19 @@
 
 const exists = (path: string): Promise<boolean> => access(path).then(() => true, () => false);
 
+const ASSERTIONS = join(import.meta.dirname, "assertions.cjs");
+
+/** Replaces the assertions of the libraries, see `assertions.cjs`. */
+const replaceAssertions: Plugin = {
+    name: "replace-assertions",
+    setup: ({ onResolve }) => {
+        onResolve(
+            { filter: /^(node:)?assert$/ },
+            ({ importer, path }) => importer === ASSERTIONS ? { path, external: true } : { path: ASSERTIONS },
+        );
+    },
+};
+
 await mkdir(out, { recursive: true });
 for (
     const [name, entryPoint] of Object.entries(programs).filter(([name]) =>
@@ -45,6 +59,7 @@
         platform: "node",
         target: "node20",
         external: ["unix-dgram"],
+        plugins: [replaceAssertions],
         define: { "process.env.MAGNOLIALOCK_TEST_BUILD": '"false"' },
     };
     const cachedProgram = CACHED_PROGRAMS.get(name);
--- a/scripts/programs/cachedBundle.ts
+++ b/scripts/programs/cachedBundle.ts
@@ -108,7 +108,7 @@
         charset: "ascii",
         supported: { "dynamic-import": false },
         define: { ...options.define, "import.meta": "importMeta" },
-        plugins: [requireBuiltins, useUndiciSubset, evaluateStringWidthLate],
+        plugins: [...options.plugins ?? [], requireBuiltins, useUndiciSubset, evaluateStringWidthLate],
     });
     const bundle = resolve(`${outfile}.bundle`);
     const cache = `${bundle}.cache`;
