fix(direct): one account per process bounds what it holds for callers

Cause: bodies were kept as one object per chunk, each with the buffer that was read; pipelined requests were handed out as fast as they were parsed; nothing summed up over connections.

Change: bodies are collected in segments; a connection with 16 open requests is not read; the parser gets slices, and costly ones wait for turns; an account with bounds from limits.memory_mb and limits.file_descriptors closes the most expensive connection first. A caller that sends 256 requests in a row before it has its answers is a flood; it was 1,000 open requests.

Processor time per request was not measured.

--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -9,6 +9,9 @@
 import type { Clock } from "@magnolialock/kernel";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { SegmentPool } from "../shared/callers/bodyCollector.ts";
+import type { CallerAccount, CallerHolding, CloseCause } from "../shared/callers/callerAccount.ts";
+import { CallerReader, type ReadTurns } from "./callerReader.ts";
 
 /** Bytes that belong to no request, and those of a head or a body that are not parsed yet. */
 const MAX_STRAY_BYTES = 1024 * 1024;
@@ -18,8 +21,12 @@
 const MAX_FRAMING_FACTOR = 8;
 /** Bytes of framing, and read in advance, of a body that is read on although it is too large. */
 const MAX_FRAMING_BYTES = 64 * 1024;
-/** Requests that a caller may send before it has the answers to them. */
-const MAX_OPEN_REQUESTS = 1_000;
+/** Requests of one connection that are read before the answers to them have left. */
+const MAX_PIPELINED = 16;
+/** Bytes that a connection may hold before it is read in turns while the process holds much: buffers are freed with a delay. */
+const MAX_UNPACED_BYTES = 64 * 1024;
+/** Requests that a caller may send in a row, each before it has the answer to the one before. */
+const MAX_REQUESTS_IN_ROW = 256;
 
 const withResolvers = (): { readonly promise: Promise<void>; readonly resolve: () => void; } => {
     let resolve = (): void => {};
@@ -27,9 +34,27 @@
     return { promise, resolve };
 };
 
+/** Options of a {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Account of the process. */
+    readonly account: CallerAccount;
+    /** Turns of the process. */
+    readonly turns: ReadTurns;
+    /** Segments of bodies of the process. */
+    readonly segments: SegmentPool;
+    /** Called when the connection is closed because of what it or all connections hold. */
+    readonly onClosed: (cause: CloseCause) => void;
+}
+
 /** One connection of a caller. */
 export class CallerConnection {
     private openRequests = 0;
+    /** Requests since none was open. */
+    private requestsInRow = 0;
+    private readonly holding: CallerHolding;
+    private readonly reader: CallerReader;
     private lastEnded: Promise<void> = Promise.resolve();
     private hasBegunClose = false;
     /** Bytes that the requests so far account for. */
@@ -39,13 +64,31 @@
 
     /**
      * @param socket - its socket
-     * @param clock - source of time
+     * @param options - source of time, account and turns of the process
      */
-    public constructor(private readonly socket: Socket, private readonly clock: Clock) {
+    public constructor(private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
+        const { account, clock, onClosed, turns } = options;
+        this.holding = account.open(cause => {
+            onClosed(cause);
+            this.destroy();
+        }, clock.nowMs());
+        this.reader = new CallerReader(
+            socket,
+            turns,
+            () => this.openRequests < MAX_PIPELINED,
+            () => account.isCrowded && this.holding.bytes > MAX_UNPACED_BYTES,
+        );
+        socket.on("data", () => this.holding.activeMs = clock.nowMs());
+        socket.once("close", () => this.holding.close());
         // Node's HTTP server calls it after an answer with `Connection: close`.
         socket.destroySoon = () => this.close();
     }
 
+    /** Segments for the bodies of its requests. */
+    public get segments(): SegmentPool {
+        return this.options.segments;
+    }
+
     /** Number of requests whose head was read and whose answer has not left completely. */
     public get pending(): number {
         return this.openRequests;
@@ -58,10 +101,28 @@
 
     /**
      * Whether its caller has sent far more than its requests hold: the parser limits neither the digits of a chunk's size nor
-     * empty lines before a request. A caller with very many unanswered requests counts as well.
+     * empty lines before a request. A caller that goes on to send requests before it has its answers counts as well.
      */
     public get isFlooding(): boolean {
-        return this.socket.bytesRead > this.expectedBytes || this.openRequests > MAX_OPEN_REQUESTS;
+        return this.socket.bytesRead > this.expectedBytes || this.requestsInRow > MAX_REQUESTS_IN_ROW;
+    }
+
+    /** Counts what is in the buffers of its socket, and closes it if its caller is flooding. */
+    public check(): void {
+        this.holding.setBuffered(this.socket.writableLength + this.socket.readableLength);
+        if (this.isFlooding && !this.socket.destroyed) {
+            this.options.onClosed("flood");
+            this.destroy();
+        }
+    }
+
+    /**
+     * Counts memory that a body takes until the requests of the connection have ended.
+     *
+     * @param bytes - its size; negative when it is given back
+     */
+    public addBody(bytes: number): void {
+        this.holding.addBody(bytes);
     }
 
     /**
@@ -70,6 +131,7 @@
      * @param bytes - their number
      */
     public recordBody(bytes: number): void {
+        this.reader.recordItem();
         this.expectedBytes += bytes * (1 + MAX_FRAMING_FACTOR);
         this.contentBytes += bytes;
     }
@@ -80,6 +142,7 @@
      * @param bytes - their number
      */
     public recordDropped(bytes: number): void {
+        this.reader.recordItem();
         this.contentBytes += bytes;
     }
 
@@ -98,7 +161,13 @@
      * @returns whether the request may be served: all answers before it have left, and the connection is open
      */
     public async takeTurn(response: ServerResponse, onEnd: (hasLeft: boolean) => void): Promise<boolean> {
+        if (this.openRequests === 0) {
+            this.requestsInRow = 0;
+        }
         this.openRequests++;
+        this.requestsInRow++;
+        this.holding.addRequests(1);
+        this.reader.recordItem();
         this.expectedBytes += MAX_HEAD_BYTES;
         this.contentBytes += MAX_HEAD_BYTES;
         const previousEnded = this.lastEnded;
@@ -108,7 +177,9 @@
             response.off("finish", end);
             response.off("close", end);
             this.openRequests--;
+            this.holding.addRequests(-1);
             resolve();
+            this.reader.recordRoom();
             // Node.js also emits `finish` when the socket was destroyed before the last write.
             onEnd(response.writableEnded && !this.socket.destroyed);
         };
@@ -128,7 +199,7 @@
             return;
         }
         this.hasBegunClose = true;
-        lingeringClose(this.socket, this.clock);
+        lingeringClose(this.socket, this.options.clock);
     }
 
     /** Closes the connection at once; bytes that have not left are lost. */
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -16,10 +16,13 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
-import { setImmediate } from "node:timers/promises";
+import { SegmentPool } from "../shared/callers/bodyCollector.ts";
+import { CallerAccount, type CallerBounds, type CloseCause } from "../shared/callers/callerAccount.ts";
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
+import { RequestBodyReader } from "./callerBody.ts";
 import { CallerConnection } from "./callerConnection.ts";
+import { ReadTurns } from "./callerReader.ts";
 import { HttpReply } from "./httpReply.ts";
 
 /** Options of {@link openCallerListener}. */
@@ -32,6 +35,10 @@
     readonly serve: (call: IncomingCall, reply: CallerReply) => Promise<void>;
     /** Called for a request whose connection ended before all bytes of its answer had left. */
     readonly onUnsent: (call: IncomingCall) => void;
+    /** Bounds on what the process holds for callers. */
+    readonly bounds: CallerBounds;
+    /** Called when a connection is closed because of what it or all connections hold. */
+    readonly onClosed: (cause: CloseCause) => void;
 }
 
 /** Limits until a configuration is known. */
@@ -61,6 +68,8 @@
 export interface CallerListener extends AsyncDisposable {
     /** Number of requests whose head was received and whose answer has not left completely. */
     readonly running: number;
+    /** What the process holds for callers. */
+    readonly account: CallerAccount;
     /**
      * Applies the limits of a configuration.
      *
@@ -79,66 +88,6 @@
     close(timeoutMs: number): Promise<void>;
 }
 
-type RequestBody =
-    | { readonly kind: "whole"; readonly bytes: Buffer; }
-    /** Its rest is being dropped; `rest` resolves once that is done. */
-    | { readonly kind: "tooLarge"; readonly rest: Promise<void>; }
-    /** The caller closed its connection within the body. */
-    | { readonly kind: "incomplete"; };
-
-/**
- * Reads the rest of a body and drops it, or the caller would not come to read the answer. Other callers get a turn after each
- * piece. A body of tiny chunks is not read on: it costs far more time than its bytes.
- */
-const dropRest = async (chunks: AsyncIterator<Buffer>, connection: CallerConnection): Promise<void> => {
-    try {
-        for (let next = await chunks.next(); !next.done; next = await chunks.next()) {
-            connection.recordDropped(next.value.length);
-            if (connection.isFramingHeavy) {
-                connection.destroy();
-                return;
-            }
-            await setImmediate();
-        }
-    }
-    catch {
-        // The caller has closed its connection within the body; its close is handled there.
-    }
-};
-
-const chunksOf = (request: IncomingMessage): AsyncIterator<Buffer> =>
-    // The connection still carries the answer to a body that is too large.
-    request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
-
-const readBody = async (
-    request: IncomingMessage,
-    maxBytes: number,
-    connection: CallerConnection,
-): Promise<RequestBody> => {
-    const { "content-length": length, "transfer-encoding": encoding } = request.headers;
-    if (length === undefined && encoding === undefined) {
-        return { kind: "whole", bytes: Buffer.alloc(0) };
-    }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    try {
-        const reader = chunksOf(request);
-        for (let next = await reader.next(); !next.done; next = await reader.next()) {
-            const chunk = next.value;
-            bytes += chunk.length;
-            connection.recordBody(chunk.length);
-            if (bytes > maxBytes) {
-                return { kind: "tooLarge", rest: dropRest(reader, connection) };
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        return { kind: "incomplete" };
-    }
-    return { kind: "whole", bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) };
-};
-
 const joinRepeatedHeaders = (request: IncomingMessage): Record<string, string | undefined> => {
     const headers: Record<string, string | undefined> = {};
     for (const [name, value] of Object.entries(request.headers)) {
@@ -149,6 +98,7 @@
 
 /** Listener on Node's HTTP server. */
 class HttpCallerListener implements CallerListener {
+    public readonly account: CallerAccount;
     private readonly connections = new Map<Socket, CallerConnection>();
     private readonly server: Server;
     private limits = DEFAULT_LIMITS;
@@ -157,6 +107,15 @@
     private isClosingIdle = false;
 
     public constructor(private readonly options: CallerListenerOptions) {
+        const { bounds, clock, onClosed } = options;
+        this.account = new CallerAccount(bounds);
+        const connectionOptions = {
+            account: this.account,
+            clock,
+            onClosed,
+            segments: new SegmentPool(),
+            turns: new ReadTurns(clock),
+        };
         this.server = createServer(
             { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
             (request, response) => {
@@ -164,7 +123,7 @@
             },
         );
         this.server.on("connection", (socket: Socket) => {
-            this.connections.set(socket, new CallerConnection(socket, options.clock));
+            this.connections.set(socket, new CallerConnection(socket, connectionOptions));
             socket.once("close", () => this.connections.delete(socket));
         });
         this.server.requestTimeout = 0;
@@ -188,13 +147,11 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs + TIMEOUT_MARGIN_MS;
     }
 
-    /** Ends connections whose callers send without end what belongs to no request. */
+    /** Counts buffers, and ends connections whose callers send without end what belongs to no request. */
     private scheduleCheck(): void {
         this.check = this.options.clock.setTimer(FLOOD_CHECK_PERIOD_MS, () => {
             for (const connection of this.connections.values()) {
-                if (connection.isFlooding) {
-                    connection.destroy();
-                }
+                connection.check();
             }
             this.scheduleCheck();
         });
@@ -245,27 +202,29 @@
             return;
         }
         let call: IncomingCall | undefined;
+        const body = new RequestBodyReader(request, connection);
         const turn = connection.takeTurn(response, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
+            connection.addBody(-body.heldBytes);
             this.closeIfIdle(connection);
         });
         // The body is read at once: a connection that is not read does not show that its caller has left.
-        const reading = readBody(request, this.limits.bodyBytes, connection);
+        const reading = body.read(this.limits.bodyBytes);
         if (!await turn) {
             // Its connection closes after the answer before it.
             return;
         }
         // Requests that were read before the head of an answer is sent are answered on the same connection.
         const reply = new HttpReply(response, () => this.isStopping && connection.pending === 1);
-        const body = await reading;
-        switch (body.kind) {
+        const result = await reading;
+        switch (result.kind) {
             case "tooLarge":
                 // The head is the whole answer. Once it has ended, Node.js reads the rest of the body without a pause.
                 response.writeHead(HTTP_TOO_LARGE, { connection: "close", "content-length": "0" });
                 response.flushHeaders();
-                if (await settlesWithin(this.options.clock, body.rest, MAX_DROP_MS)) {
+                if (await settlesWithin(this.options.clock, result.rest, MAX_DROP_MS)) {
                     response.end();
                 }
                 else {
@@ -282,7 +241,7 @@
                     path: request.url ?? "/",
                     headers: joinRepeatedHeaders(request),
                     rawHeaders: request.rawHeaders,
-                    body: body.bytes,
+                    body: result.bytes,
                     receivedMs,
                 };
                 await this.options.serve(call, reply);
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -18,6 +18,7 @@
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
+import { callerBounds, DEFAULT_MACHINE } from "../shared/callers/callerAccount.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     answerUnsent,
@@ -39,6 +40,7 @@
 import type { DirectSettings } from "../types/directSettings.ts";
 import { type PublishedSource, SERVICE_SERVERS_PATH, type ServiceServers } from "../types/publishedState.ts";
 import { type CallerListener, openCallerListener } from "./callerListener.ts";
+import { closedCallersRecorder } from "./closedCallers.ts";
 import { createServerGroupReader, fetchState, STATE_PATH } from "./peerClient.ts";
 import { createPromMetrics, type PromMetrics } from "./promMetrics.ts";
 import { ServerConnections } from "./serverConnections.ts";
@@ -191,6 +193,7 @@
     readonly context: () => DirectContext;
     readonly running: () => number;
     readonly alivePeers: () => number;
+    readonly callers: () => CallerListener["account"];
 }
 
 const sumOf = <T>(items: readonly T[], value: (item: T) => number): number =>
@@ -325,11 +328,7 @@
     const { headers, runtime, settings } = options;
     const { clock, events } = runtime;
     const scope = new ResourceScope();
-    const { directory, watcher, store, upstreams } = createComponents(
-        options,
-        () => exchange,
-        scope,
-    );
+    const { directory, watcher, store, upstreams } = createComponents(options, () => exchange, scope);
     let isStopping = false;
     const isReady = (): boolean => !isStopping && exchange.hasJoined;
     const metrics = createEntryMetrics({
@@ -338,6 +337,7 @@
         context: () => context,
         running: () => listener.running,
         alivePeers: () => exchange.aliveCount,
+        callers: () => listener.account,
     });
     const context: DirectContext = new DirectContext({
         runtime,
@@ -374,6 +374,8 @@
             clock,
             address: settings.callers,
             serve: (call, reply) => serveSafely(context, call, reply),
+            bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE),
+            onClosed: closedCallersRecorder(runtime, metrics),
             onUnsent: call => events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
         }),
     );
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -5,6 +5,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CallerAccount, CloseCause } from "../shared/callers/callerAccount.ts";
 import type { CallMetrics } from "../shared/callMetrics.ts";
 
 /** Functions that read the values of gauges when metrics are collected. */
@@ -39,6 +40,8 @@
     readonly quarantinedParts: () => number;
     /** Number of whole requests in quarantine. */
     readonly quarantinedRequests: () => number;
+    /** What the process holds for callers. */
+    readonly callers: () => CallerAccount;
 }
 
 /**
@@ -52,6 +55,12 @@
 export interface PromMetrics extends CallMetrics {
     /** All metrics, in the Prometheus text format. */
     text(): Promise<string>;
+    /**
+     * Counts a connection of a caller that was closed because of what is held.
+     *
+     * @param cause - why
+     */
+    countClosedCaller(cause: CloseCause): void;
     /** Media type of the text. */
     readonly contentType: string;
 }
@@ -110,6 +119,15 @@
     );
     gauge("magnolialock_quarantined_parts", "Prompt parts in quarantine", readers.quarantinedParts);
     gauge("magnolialock_quarantined_requests", "Whole requests in quarantine", readers.quarantinedRequests);
+    const { callers } = readers;
+    gauge("magnolialock_caller_bytes", "Bytes held for callers", () => callers().bytes);
+    gauge("magnolialock_caller_bytes_limit", "Most bytes held for callers", () => callers().bounds.bytes);
+    gauge("magnolialock_caller_connections", "Connections of callers", () => callers().connections);
+    gauge(
+        "magnolialock_caller_connections_limit",
+        "Most connections of callers",
+        () => callers().bounds.connections,
+    );
 };
 
 /**
@@ -157,6 +175,12 @@
         help: "Requests refused because they or a part of their prompt are in quarantine",
         registers,
     });
+    const closedCallers = new Counter({
+        name: "magnolialock_callers_closed_total",
+        help: "Connections of callers closed because of what they hold",
+        labelNames: ["cause"],
+        registers,
+    });
     registerGauges(registry, readers);
     return {
         countCall: (result, service, status, durationMs) => {
@@ -167,6 +191,7 @@
         countAttempt: (service, result) => attempts.inc({ service, result }),
         countCrashReport: () => crashReports.inc(),
         countQuarantined: () => quarantined.inc(),
+        countClosedCaller: cause => closedCallers.inc({ cause }),
         text: () => registry.metrics(),
         contentType: registry.contentType,
     };
--- /dev/null
+++ b/packages/direct/src/shared/callers/__tests__/callerAccount.spec.ts
@@ -0,0 +1,62 @@
+import test from "ava";
+import { BodyCollector, SegmentPool } from "../bodyCollector.ts";
+import { CallerAccount, callerBounds, type CloseCause, DEFAULT_MACHINE } from "../callerAccount.ts";
+
+const MIB = 1_048_576;
+
+test("the default bounds hold several bodies of the largest published size", t => {
+    const { bytes, connections } = callerBounds(DEFAULT_MACHINE);
+    t.true(bytes >= 4 * 4 * MIB, `${bytes}`);
+    t.true(connections >= 1_000, `${connections}`);
+    t.true(callerBounds({ memoryBytes: 1, descriptors: 1 }).bytes >= 12 * MIB);
+});
+
+// Guards against a sum that drifts: a connection that closes returns all that it held.
+test("the most expensive connection is closed first, and a closed one gives back what it held", t => {
+    const account = new CallerAccount({ bytes: MIB, connections: 10 });
+    const closed: string[] = [];
+    const open = (name: string) => account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), 0);
+    const [small, large] = [open("small"), open("large")];
+    small.addRequests(1);
+    small.addBody(300_000);
+    large.addBody(500_000);
+    large.setBuffered(200_000);
+    t.deepEqual(closed, []);
+    small.addBody(100_000);
+    t.deepEqual(closed, ["large: memory"]);
+    large.addBody(-500_000);
+    large.close();
+    t.is(account.bytes, small.bytes);
+    small.close();
+    t.is(account.bytes, 0);
+    t.is(account.connections, 0);
+});
+
+test("a further connection closes the one without a request that has been silent for longest", t => {
+    const account = new CallerAccount({ bytes: MIB, connections: 3 });
+    const closed: string[] = [];
+    const open = (name: string, nowMs: number) =>
+        account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), nowMs);
+    open("busy", 0).addRequests(1);
+    open("idle", 1);
+    open("newer", 2);
+    open("further", 3);
+    t.deepEqual(closed, ["idle: descriptors"]);
+    t.is(account.connections, 3);
+});
+
+// Guards against one object for each chunk of a body.
+test("the segments of a body depend on its size, not on its chunks", t => {
+    const counts = [1, 64, 16_384].map(chunkBytes => {
+        let segments = 0;
+        const collector = new BodyCollector(undefined, new SegmentPool(), () => segments++);
+        const body = Buffer.from(Array.from({ length: 300_000 }, (_, index) => index % 251));
+        for (let start = 0; start < body.length; start += chunkBytes) {
+            collector.add(body.subarray(start, start + chunkBytes));
+        }
+        t.deepEqual(collector.take(), body);
+        return segments;
+    });
+    t.is(new Set(counts).size, 1);
+    t.true((counts[0] ?? 0) <= 8, `${counts[0]}`);
+});
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -413,3 +413,12 @@
     level: "warning",
     summary: "A datagram on the port for peer reports could not be decoded.",
 });
+
+/** Connections of callers were closed because of what they hold. */
+export const callersClosed = defineEvent({
+    number: 8073,
+    name: "direct.callers.closed",
+    level: "warning",
+    summary:
+        "Connections of callers were closed because of the memory or descriptors that they hold, or as floods.",
+});
--- a/packages/direct/src/types/directSettings.ts
+++ b/packages/direct/src/types/directSettings.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Address, DataCentreId, InstanceId } from "@magnolialock/kernel";
+import type { MachineLimits } from "../shared/callers/callerAccount.ts";
 
 /** Bounds that an installation guarantees or requires. */
 export interface SafetyBounds {
@@ -40,4 +41,6 @@
     readonly seeds: readonly Address[];
     /** Bounds of the installation. */
     readonly bounds: SafetyBounds;
+    /** Resources of the machine that the process may use; undefined for those of the smallest machine. */
+    readonly machine?: MachineLimits;
 }
