feat(direct): show waiting requests and refusals by urgency as metrics

Cause: neither the number of requests that wait for a slot nor that of requests refused at once for more urgent ones could be read.

--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -221,6 +221,13 @@
             sumOf([...context().options.directory.all()], server => server.unreadPromptTokens),
         quarantinedParts: () => context().quarantine.parts.length,
         quarantinedRequests: () => context().quarantine.requests.length,
+        waitingCalls: () =>
+            sumOf([...context().serviceStates().values()], ({ admissionQueue }) => admissionQueue.waiting),
+        refusedAtOnce: () =>
+            sumOf(
+                [...context().serviceStates().values()],
+                ({ admissionQueue }) => admissionQueue.refusedAtOnceCount,
+            ),
     });
 
 /** Sources of the readiness, state and metrics endpoints. */
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -42,6 +42,10 @@
     readonly quarantinedRequests: () => number;
     /** What the process holds for callers. */
     readonly callers: () => CallerAccount;
+    /** Number of requests that wait for a slot at model servers. */
+    readonly waitingCalls: () => number;
+    /** Number of requests refused at once so far, because more urgent ones would have made them late. */
+    readonly refusedAtOnce: () => number;
 }
 
 /**
@@ -128,6 +132,16 @@
         "Most connections of callers",
         () => callers().bounds.connections,
     );
+    gauge(
+        "magnolialock_calls_waiting",
+        "Requests that wait for a slot at model servers",
+        readers.waitingCalls,
+    );
+    gauge(
+        "magnolialock_calls_refused_at_once",
+        "Requests refused at once because more urgent ones would have made them late",
+        readers.refusedAtOnce,
+    );
 };
 
 /**
--- a/packages/direct/src/shared/admissionQueue.ts
+++ b/packages/direct/src/shared/admissionQueue.ts
@@ -134,6 +134,7 @@
     private readonly urgency = new UrgencyPolicy();
     private hasUrgency = false;
     private isPollPending = false;
+    private refusedAtOnce = 0;
 
     /** @param options - clock and limit */
     public constructor(options: AdmissionQueueOptions) {
@@ -145,6 +146,11 @@
         return this.waiters.size;
     }
 
+    /** Number of requests refused at once so far, because more urgent ones would have made them late. */
+    public get refusedAtOnceCount(): number {
+        return this.refusedAtOnce;
+    }
+
     /** Number of requests that hold a slot. */
     public get running(): number {
         return this.runningCalls;
@@ -187,6 +193,7 @@
                     this.hasUrgency
                     && this.urgency.isHopeless(call, this.waiters, this.slotUse(), clock.nowMs())
                 ) {
+                    this.refusedAtOnce++;
                     waiter.settle("refused");
                     return;
                 }
