--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -41,8 +41,9 @@
 import { type PublishedSource, SERVICE_SERVERS_PATH, type ServiceServers } from "../types/publishedState.ts";
 import { type CallerListener, openCallerListener } from "./callerListener.ts";
 import { closedCallersRecorder } from "./closedCallers.ts";
+import { createEntryMetrics } from "./entryMetrics.ts";
 import { createServerGroupReader, fetchState, STATE_PATH } from "./peerClient.ts";
-import { createPromMetrics, type PromMetrics } from "./promMetrics.ts";
+import type { PromMetrics } from "./promMetrics.ts";
 import { ServerConnections } from "./serverConnections.ts";
 
 /** Options of {@link startDirectEntry}. */
@@ -186,50 +187,6 @@
     void watcher.run();
 };
 
-/** What the metrics of an entry read; some of it is created after them. */
-interface MetricsSources {
-    readonly store: PublishedStateStore;
-    readonly upstreams: ServerConnections;
-    readonly context: () => DirectContext;
-    readonly running: () => number;
-    readonly alivePeers: () => number;
-    readonly callers: () => CallerListener["account"];
-}
-
-const sumOf = <T>(items: readonly T[], value: (item: T) => number): number =>
-    items.reduce((sum, item) => sum + value(item), 0);
-
-const createEntryMetrics = ({ context, store, upstreams, ...counts }: MetricsSources): PromMetrics =>
-    createPromMetrics({
-        ...counts,
-        era: () => store.era,
-        revision: () => store.revision,
-        storeReturns: () => store.returns,
-        missingItems: () => store.missingCount,
-        configurationVersion: () => store.configuration?.configuration.version ?? 0,
-        openedConnections: () => upstreams.opened,
-        limitedServers: () => context().limits.size,
-        restingServers: () => context().limits.restingCount,
-        passLimitedGroups: () =>
-            sumOf([...context().serviceStates().values()], ({ passBudget }) => passBudget.limitedGroups),
-        servableRequests: () =>
-            sumOf(
-                store.configuration?.configuration.services.filter(({ engine }) => engine) ?? [],
-                ({ name }) => context().servableRequests(name),
-            ),
-        unreadPromptTokens: () =>
-            sumOf([...context().options.directory.all()], server => server.unreadPromptTokens),
-        quarantinedParts: () => context().quarantine.parts.length,
-        quarantinedRequests: () => context().quarantine.requests.length,
-        waitingCalls: () =>
-            sumOf([...context().serviceStates().values()], ({ admissionQueue }) => admissionQueue.waiting),
-        refusedAtOnce: () =>
-            sumOf(
-                [...context().serviceStates().values()],
-                ({ admissionQueue }) => admissionQueue.refusedAtOnceCount,
-            ),
-    });
-
 /** Sources of the readiness, state and metrics endpoints. */
 interface OperatorEndpoints extends DirectEntryOptions {
     readonly isReady: () => boolean;
