fix(direct): pipelining callers that wait for their answers never count as floods

Cause: a connection was closed after 256 requests in a row without a moment in which none was open, which a caller that always has two or three requests open reaches within the published limits. Change: a request counts only while more than eight are open, half of what is read of a connection at once.

--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -25,7 +25,9 @@
 const MAX_PIPELINED = 16;
 /** Bytes that a connection may hold before it is read in turns while the process holds much: buffers are freed with a delay. */
 const MAX_UNPACED_BYTES = 64 * 1024;
-/** Requests that a caller may send in a row, each before it has the answer to the one before. */
+/** Open requests from which a further one counts as sent in a row; a caller that waits for its answers has fewer. */
+const ROW_OPEN_REQUESTS = MAX_PIPELINED / 2;
+/** Requests that a caller may send in a row while it has this many open. */
 const MAX_REQUESTS_IN_ROW = 256;
 
 const withResolvers = (): { readonly promise: Promise<void>; readonly resolve: () => void; } => {
@@ -51,7 +53,7 @@
 /** One connection of a caller. */
 export class CallerConnection {
     private openRequests = 0;
-    /** Requests since none was open. */
+    /** Requests since none was open that were sent while many others were. */
     private requestsInRow = 0;
     private readonly holding: CallerHolding;
     private readonly reader: CallerReader;
@@ -165,7 +167,7 @@
             this.requestsInRow = 0;
         }
         this.openRequests++;
-        this.requestsInRow++;
+        this.requestsInRow += this.openRequests > ROW_OPEN_REQUESTS ? 1 : 0;
         this.holding.addRequests(1);
         this.reader.recordItem();
         this.expectedBytes += MAX_HEAD_BYTES;
