fix(rank): hold the first pass on a new map far enough ahead to arm all ranks of a large group

Cause: the pass was held three passes ahead in groups of any size. Change: above 24 ranks the number of passes follows from the time that the latest switch took and the duration of a pass, from 3 to 12; before the first switch 5 ms for each rank. The order of the calls is the same.

--- a/packages/rank/src/shared/__tests__/groupTiming.spec.ts
+++ b/packages/rank/src/shared/__tests__/groupTiming.spec.ts
@@ -3,6 +3,7 @@
     demandHalfLifeMs,
     leaderCycleMs,
     leaderTimeoutMs,
+    leadPasses,
     longestCycleMs,
     peerCheckTimeoutMs,
     statusTimeoutMs,
@@ -16,6 +17,7 @@
         t.is(peerCheckTimeoutMs(size), 100);
         t.is(statusTimeoutMs(size), 500);
         t.is(demandHalfLifeMs(size), 500);
+        t.is(leadPasses(size, { armMs: 550, passMs: 20 }), 3);
     }
 });
 
@@ -30,3 +32,18 @@
     t.is(leaderCycleMs(72, 200), 500);
     t.is(leaderCycleMs(72, 800), 720);
 });
+
+test("a large group does not reach the held pass before its ranks are armed", t => {
+    for (const passMs of [50, 76, 120, 190]) {
+        for (const armMs of [212, 261, 513, 550]) {
+            t.true(
+                leadPasses(72, { armMs, passMs }) * passMs >= armMs,
+                `${armMs} ms, passes of ${passMs} ms`,
+            );
+        }
+        t.true(leadPasses(72, { armMs: undefined, passMs }) * passMs >= 360);
+    }
+    t.is(leadPasses(72, { armMs: 5_000, passMs: 50 }), 12);
+    t.is(leadPasses(72, { armMs: 10, passMs: 50 }), 3);
+    t.is(leadPasses(72, { armMs: 500, passMs: undefined }), 3);
+});
--- a/packages/rank/src/shared/groupLeader.ts
+++ b/packages/rank/src/shared/groupLeader.ts
@@ -11,7 +11,7 @@
 import type { ExpertPlacement, GroupMembership } from "../types/rankServer.ts";
 import { compareBallots, nextVersion } from "./ballots.ts";
 import { ExpertDemand } from "./expertDemand.ts";
-import { leaderCycleMs, leaderTimeoutMs, longestCycleMs } from "./groupTiming.ts";
+import { leaderCycleMs, leaderTimeoutMs, leadPasses, longestCycleMs } from "./groupTiming.ts";
 import { createLocalPeer, OWN_RANK } from "./localPeer.ts";
 import { PassDurationMeter } from "./passDurationMeter.ts";
 import type { PassHolder } from "./passHolder.ts";
@@ -67,6 +67,8 @@
     private epoch: number | undefined;
     private demand: ExpertDemand | undefined;
     private readonly passMeter = new PassDurationMeter();
+    /** Time that the latest switch took to hold the pass and arm all ranks, in milliseconds. */
+    private armMs: number | undefined;
 
     /** @param options - clock, event log, own rank and access to the group */
     public constructor(options: GroupLeaderOptions) {
@@ -235,8 +237,12 @@
             version,
             placement: plan.placement,
             copyMs: plan.copiesOfFullestRank * limits.copyMs,
+            leadPasses: leadPasses(group.size, { armMs: this.armMs, passMs: this.passMeter.passMs }),
         });
-        if (result.kind === "failed") {
+        if (result.kind === "switched") {
+            this.armMs = result.armMs;
+        }
+        else {
             events.emit(roundAborted, { epoch: group.epoch, version, reason: result.reason });
         }
     }
--- a/packages/rank/src/shared/groupTiming.ts
+++ b/packages/rank/src/shared/groupTiming.ts
@@ -49,6 +49,41 @@
 /** Shortest half-life, in milliseconds; the estimate needs more than one cycle. */
 const MIN_HALF_LIFE_MS = 200;
 
+/**
+ * Passes between the current one and the first on the new map: enough that the calls to all ranks finish
+ * while the group keeps running, few enough that the map still fits the demand.
+ */
+const LEAD_PASSES = 3;
+/** Ranks up to which these passes suffice. */
+const LEAD_PASSES_RANKS = 24;
+/** Most passes of a large group; the demand may have shifted once more after them. */
+const MAX_LEAD_PASSES = 12;
+/** Time to arm all ranks until a round has measured it, for each rank, in milliseconds. */
+const ARM_PER_RANK_MS = 5;
+
+/** Durations that decide how far ahead a pass is held. */
+export interface SwitchDurations {
+    /** Time that the latest switch took to hold the pass and arm all ranks, in milliseconds; undefined before one. */
+    readonly armMs: number | undefined;
+    /** Mean duration of a pass, in milliseconds; undefined before the first measurement. */
+    readonly passMs: number | undefined;
+}
+
+/**
+ * Chooses how many passes ahead the first pass on the new map is held. A group that reaches it before all ranks are
+ * armed stands still until then: at 72 ranks arming took 212 to 550 ms, three passes 228 ms.
+ *
+ * @param size - number of ranks
+ * @param durations - duration of a pass and of the latest switch
+ */
+export const leadPasses = (size: number, { armMs, passMs }: SwitchDurations): number => {
+    if (size <= LEAD_PASSES_RANKS || passMs === undefined) {
+        return LEAD_PASSES;
+    }
+    const needed = Math.ceil((armMs ?? size * ARM_PER_RANK_MS) / passMs) + 1;
+    return Math.min(MAX_LEAD_PASSES, Math.max(LEAD_PASSES, needed));
+};
+
 /**
  * Longest time between two cycles of a leader, and the time between two cycles of another agent.
  *
--- a/packages/rank/src/shared/switchRound.ts
+++ b/packages/rank/src/shared/switchRound.ts
@@ -88,6 +88,8 @@
     readonly placement: ExpertPlacement;
     /** Expected duration of the copies on an idle link, in milliseconds. */
     readonly copyMs: number;
+    /** Passes between the current one and the first on the new map. */
+    readonly leadPasses: number;
 }
 
 /** Result of a round that did not switch the map, as far as the caller knows. */
@@ -98,7 +100,12 @@
 }
 
 /** Result of a round. */
-export type RoundResult = FailedRound | { readonly kind: "switched"; readonly pass: PassNumber; };
+export type RoundResult = FailedRound | {
+    readonly kind: "switched";
+    readonly pass: PassNumber;
+    /** Time to hold the pass and arm all ranks, in milliseconds; undefined at the agent that only arms them. */
+    readonly armMs?: number;
+};
 
 /** What the agent of the rank that holds the pass needs to complete or abandon a round. */
 export interface RoundContext {
@@ -120,11 +127,6 @@
     readonly version: MapVersion | undefined;
 }
 
-/**
- * Passes between the current one and the first on the new map: enough that the calls to all ranks finish
- * while the group keeps running, few enough that the map still fits the demand.
- */
-const LEAD_PASSES = 3;
 /** Time between two polls of the copies' progress, in milliseconds. */
 const COPY_POLL_MS = 40;
 /** Fraction of the copies' expected duration before the first poll: each poll calls all ranks. */
@@ -315,7 +317,7 @@
  * half of the orders may be lost.
  */
 const holdPass = async (
-    { ballot, epoch, events }: SwitchRoundOptions,
+    { ballot, epoch, events, leadPasses }: SwitchRoundOptions,
     holder: RankPeer,
 ): Promise<PassNumber | FailedRound> => {
     for (let attempt = 0; attempt < MAX_HOLD_ATTEMPTS; attempt++) {
@@ -329,7 +331,7 @@
         if (reply.heldPass !== undefined) {
             return reply.heldPass;
         }
-        const pass = reply.pass + LEAD_PASSES as PassNumber;
+        const pass = reply.pass + leadPasses as PassNumber;
         if (isFaultSeeded("rank.skip-hold")) {
             return pass;
         }
@@ -373,6 +375,7 @@
     if (reply.kind !== "switched") {
         return { kind: "failed", reason: reply.kind === "refused" ? reply.reason : reply.kind };
     }
-    events.emit(mapSwitched, { epoch, version, pass, heldMs: Math.round(clock.nowMs() - startMs) });
-    return { kind: "switched", pass };
+    const armMs = clock.nowMs() - startMs;
+    events.emit(mapSwitched, { epoch, version, pass, heldMs: Math.round(armMs) });
+    return { kind: "switched", pass, armMs };
 };
