refactor(direct): events beside their subjects, types of the fake of model servers in a file of their own

Change: events 8070 to 8072 move to placement/, 8073 to callers/; the options and results of the replays move to fakeTypes.ts.

--- a/packages/direct/src/node/closedCallers.ts
+++ b/packages/direct/src/node/closedCallers.ts
@@ -5,8 +5,8 @@
  */
 
 import type { CloseCause } from "../shared/callers/callerAccount.ts";
+import { callersClosed } from "../shared/callers/callerEvents.ts";
 import type { DirectRuntime } from "../shared/directContext.ts";
-import { callersClosed } from "../shared/directEvents.ts";
 import type { PromMetrics } from "./promMetrics.ts";
 
 /** Time between two log lines of one cause, in milliseconds. */
--- a/packages/direct/src/shared/directEvents.ts
+++ b/packages/direct/src/shared/directEvents.ts
@@ -355,33 +355,6 @@
         "A header in which a backend server says that it leaves, or wants no requests, cannot be read; it counts for nothing.",
 });
 
-/** The pass budget of a group applies. */
-export const passBudgetBegan = defineEvent({
-    number: 8070,
-    name: "direct.group.pass-budget-began",
-    level: "info",
-    summary:
-        "Pauses between events exceed the gap target of a route; the group runs fewer requests at once than it has slots.",
-});
-
-/** The pass budget of a group applies no more. */
-export const passBudgetEnded = defineEvent({
-    number: 8071,
-    name: "direct.group.pass-budget-ended",
-    level: "info",
-    summary:
-        "Pauses at full slots would meet the gap target again, were not measured lately, or cannot meet it; the slots alone count.",
-});
-
-/** The token counts of a request cannot be read. */
-export const tokenUsageUnreadable = defineEvent({
-    number: 8072,
-    name: "direct.call.token-usage-unreadable",
-    level: "warning",
-    summary:
-        "The token counts that a caller declares cannot be read; the parts of its prompt, or the usual length, are used.",
-});
-
 /** Another instance was found. */
 export const peerFound = defineEvent({
     number: 8040,
@@ -413,12 +386,3 @@
     level: "warning",
     summary: "A datagram on the port for peer reports could not be decoded.",
 });
-
-/** Connections of callers were closed because of what they hold. */
-export const callersClosed = defineEvent({
-    number: 8073,
-    name: "direct.callers.closed",
-    level: "warning",
-    summary:
-        "Connections of callers were closed because of the memory or descriptors that they hold, or as floods.",
-});
--- a/packages/direct/src/shared/placement/__tests__/fakeDeployments.ts
+++ b/packages/direct/src/shared/placement/__tests__/fakeDeployments.ts
@@ -6,7 +6,7 @@
 import type { TrackedServer } from "../../trackedServer.ts";
 import { PassBudget } from "../passBudget.ts";
 import { placementLoad } from "../placementLoad.ts";
-import type { FakeEntryView, FakeOptions, FakePolicy } from "./fakeGroups.ts";
+import type { FakeEntryView, FakeOptions, FakePolicy } from "./fakeTypes.ts";
 
 /** The usual answers follow from 188 and 167 requests/s at 504 busy slots. */
 const HIMAL_TIMING: EngineTiming = {
--- a/packages/direct/src/shared/placement/__tests__/passBudget.spec.ts
+++ b/packages/direct/src/shared/placement/__tests__/passBudget.spec.ts
@@ -4,7 +4,8 @@
 import { PassBudget } from "../passBudget.ts";
 import { passMs, requestsWithin } from "../passModel.ts";
 import { HIMAL, requestsOnly, SHERBA, withTiming } from "./fakeDeployments.ts";
-import { type FakeResult, replay } from "./fakeGroups.ts";
+import { replay } from "./fakeGroups.ts";
+import type { FakeResult } from "./fakeTypes.ts";
 
 const { timing } = HIMAL;
 
--- a/packages/direct/src/shared/placement/passBudget.ts
+++ b/packages/direct/src/shared/placement/passBudget.ts
@@ -10,10 +10,10 @@
 
 import type { Clock, EventLog, ServiceName } from "@magnolialock/kernel";
 import type { EngineTiming } from "../../types/publishedState.ts";
-import { passBudgetBegan, passBudgetEnded } from "../directEvents.ts";
 import type { TrackedServer } from "../trackedServer.ts";
 import { GroupPace } from "./groupPace.ts";
 import { maxReadTokens, passMs, requestsWithin } from "./passModel.ts";
+import { passBudgetBegan, passBudgetEnded } from "./placementEvents.ts";
 
 /** What the budget depends on. */
 export interface PassLimits {
--- a/packages/direct/src/shared/placement/unreadPrompts.ts
+++ b/packages/direct/src/shared/placement/unreadPrompts.ts
@@ -8,9 +8,9 @@
 import type { IncomingCall } from "../../types/call.ts";
 import type { CallHeaderNames } from "../../types/callHeaders.ts";
 import type { EngineTiming } from "../../types/publishedState.ts";
-import { tokenUsageUnreadable } from "../directEvents.ts";
 import type { TrackedServer } from "../trackedServer.ts";
 import type { PassBudget } from "./passBudget.ts";
+import { tokenUsageUnreadable } from "./placementEvents.ts";
 import { promptTokens } from "./promptTokens.ts";
 
 /** Options of {@link UnreadPrompts}. */
