--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -359,10 +359,14 @@
 
 /** Ends the case with the exit code of the rule: 1 if it was broken, 0 if it held, 2 if the case could not run. */
 export const conclude = async (record, stop, run) => {
-    const limit = setTimeout(() => {
-        record.say("the case took too long");
+    const end = async text => {
+        record.say(text);
+        await Promise.race([stop(), sleep(3000)]).catch(() => {});
         process.exit(2);
-    }, 115_000);
+    };
+    const limit = setTimeout(() => void end("the case took too long"), 112_000);
+    process.once("SIGTERM", () => void end("the case was stopped"));
+    process.once("SIGINT", () => void end("the case was stopped"));
     let code = 2;
     try {
         code = await run();
