--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -13,6 +13,8 @@
 const GAP_MS = 50;
 /** Time from the notice until the replica is gone: the variant `spot` of `scale_in`. */
 const NOTICE_MS = 2000;
+/** Time from then until another replica comes. */
+const REPLACED_AFTER_MS = 4000;
 
 const record = new Record(dirname(fileURLToPath(import.meta.url)));
 const store = new Store();
@@ -26,7 +28,7 @@
     constructor(id) {
         this.id = id;
         this.child = spawn(process.execPath, [join(ROOT, "review/lib-2/draftServer.mjs"), id, String(EVENTS), String(GAP_MS)], {
-            stdio: ["ignore", "pipe", "inherit"],
+            stdio: ["pipe", "pipe", "inherit"],
         });
         let text = "";
         this.ready = new Promise(resolve => this.child.stdout.on("data", chunk => {
@@ -47,13 +49,22 @@
         }));
     }
     beat() {
-        if (this.state !== "gone") {
+        if (this.state !== "gone" && this.address !== undefined) {
             store.put(`servers/${this.id}`, serverEntry("drafting", this.address, { state: this.state, sequence: ++sequence }));
         }
     }
 }
 const replicas = Array.from({ length: REPLICAS }, (_, index) => new Replica(`i-${index + 1}`));
 
+/** Another replica, a new process with an identifier of its own, comes for one that has gone. */
+const replace = async () => {
+    const other = new Replica(`i-${replicas.length + 1}`);
+    replicas.push(other);
+    await other.ready;
+    other.beat();
+    record.say(`replica ${other.id} comes`);
+};
+
 const broken = [];
 const draft = async () => {
     const answer = await send(entry.settings.listen_addresses.frontend_address, {
@@ -97,12 +108,14 @@
         if (hasTrouble) {
             record.say(`replica ${leaver.id} drains`);
             leaver.state = "draining";
+            leaver.child.stdin.write("leave\n");
             leaver.beat();
             await sleep(NOTICE_MS);
             leaver.child.kill("SIGKILL");
             leaver.state = "gone";
             record.say(`replica ${leaver.id} is gone`);
             setTimeout(() => store.remove(`servers/${leaver.id}`), 3600);
+            setTimeout(() => void replace(), REPLACED_AFTER_MS);
         }
         else {
             await sleep(NOTICE_MS);
--- a/review/lib-2/draftServer.mjs
+++ b/review/lib-2/draftServer.mjs
@@ -5,6 +5,9 @@
 
 const [id, eventsText, gapText, framing] = process.argv.slice(2);
 const [events, gapMs] = [Number(eventsText), Number(gapText)];
+/** Once it leaves, the replica says so in all its answers; the case says when, on standard input. */
+let isLeaving = false;
+process.stdin.once("data", () => isLeaving = true);
 const server = http.createServer(async (request, response) => {
     for await (const _ of request) { /* the body */ }
     const requestId = request.headers["x-request-id"];
@@ -18,7 +21,7 @@
     response.useChunkedEncodingByDefault = framing === "chunks";
     response.writeHead(200, {
         "x-request-id": requestId, "x-server-signature": `sig-${id}-${requestId}`, "x-weight-versions": "1",
-        "content-type": "text/event-stream", ...framing !== "chunks" && { connection: "close" },
+        "content-type": "text/event-stream", ...isLeaving && { "server-leaving": "1" }, ...framing !== "chunks" && { connection: "close" },
     });
     for (let event = first; event <= events && !response.destroyed; event++) {
         await sleep(gapMs);
