fix(direct): closed connections of callers leave the queue of turns

Cause: a connection whose bytes are costly waits for its turn, and the queue of turns kept a closed one until that turn came. With pauses of up to three times the cost of a turn the queue lasts seconds, and each entry keeps the socket, the parser, the request and all of its body, of which the account no longer knows.

A connection takes back its request for a turn when it closes, and does not ask for one when it is closed already. What it held is then garbage at once, so that the account and the memory agree again. The queue is a set in the order of insertion, from which an entry is removed in constant time.

--- a/packages/direct/src/node/callerReader.ts
+++ b/packages/direct/src/node/callerReader.ts
@@ -21,7 +21,8 @@
 
 /** Turns that the connections of one process take with their costly bytes. */
 export class ReadTurns {
-    private readonly waiting: (() => void)[] = [];
+    /** In the order of their turns. */
+    private readonly waiting = new Set<() => void>();
     private spentMs = 0;
     private isScheduled = false;
 
@@ -36,10 +37,19 @@
      */
     public wait(costMs: number, onTurn: () => void): void {
         this.spentMs += costMs;
-        this.waiting.push(onTurn);
+        this.waiting.add(onTurn);
         this.schedule();
     }
 
+    /**
+     * Takes back a request for a turn.
+     *
+     * @param onTurn - what was to be called
+     */
+    public cancel(onTurn: () => void): void {
+        this.waiting.delete(onTurn);
+    }
+
     private schedule(): void {
         if (this.isScheduled) {
             return;
@@ -47,8 +57,12 @@
         this.isScheduled = true;
         const next = (): void => {
             this.isScheduled = false;
-            this.waiting.shift()?.();
-            if (this.waiting.length > 0) {
+            for (const onTurn of this.waiting) {
+                this.waiting.delete(onTurn);
+                onTurn();
+                break;
+            }
+            if (this.waiting.size > 0) {
                 this.schedule();
             }
         };
@@ -56,7 +70,7 @@
             setImmediate(next);
             return;
         }
-        const pauseMs = this.spentMs * Math.min(MAX_PAUSE_FACTOR, this.waiting.length);
+        const pauseMs = this.spentMs * Math.min(MAX_PAUSE_FACTOR, this.waiting.size);
         this.spentMs = 0;
         this.clock.setTimer(pauseMs, next);
     }
@@ -69,6 +83,7 @@
     private items = 0;
     private readonly clock: Clock;
     private waitsFor: "nothing" | "turn" | "room" = "nothing";
+    private readonly onTurn = (): void => this.readOn();
 
     /**
      * @param socket - socket of a connection that an HTTP server has just taken over
@@ -88,6 +103,8 @@
         socket.removeAllListeners("data");
         // From here on the server no longer reads the connection past its listener.
         socket.on("data", (bytes: Buffer) => this.read(bytes));
+        // A closed connection would keep its requests in memory until its turn.
+        socket.once("close", () => turns.cancel(this.onTurn));
     }
 
     /** Records a request or a piece of a body that the parser has handed out. */
@@ -131,11 +148,11 @@
     private adapt(costMs: number, isLast: boolean): void {
         const isCostly = this.items > COSTLY_ITEMS;
         this.sliceBytes = isCostly ? MIN_SLICE_BYTES : Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2);
-        if (!isCostly && !this.mustPace() || this.socket.isPaused()) {
+        if (!isCostly && !this.mustPace() || this.socket.isPaused() || this.socket.destroyed) {
             return;
         }
         this.waitsFor = "turn";
-        this.turns.wait(costMs, () => this.readOn());
+        this.turns.wait(costMs, this.onTurn);
         if (isLast) {
             this.socket.pause();
         }
