fix(direct): the heap that requests take is counted and has a bound of its own

The process ends with SIGABRT, while its machine has memory left.

Cause: the account counted 8 KiB for a request whatever its head holds, and nothing for a head that the parser had not handed out. A head of 980 lines takes some 200 KB of strings, lists and maps. The bound was one over all memory, but a process ends when its heap is full.

Each request counts the heap of its lines and text, and each connection the heap of the bytes that the parser has taken of the next head, after each read. At most 256 KiB are parsed in one turn of the event loop, since what closed connections held is freed only at its end; a short rest of a read is copied, since it would keep the whole read; what waits to be parsed counts after each read and not only every 50 ms.

--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -6,7 +6,7 @@
  */
 
 export * from "./node/directEntry.ts";
-export { DEFAULT_MACHINE, type MachineLimits } from "./shared/callers/callerAccount.ts";
+export { DEFAULT_MACHINE, type MachineLimits } from "./shared/callers/callerBounds.ts";
 export { directReloaded, directReloadFailed } from "./shared/directEvents.ts";
 export * from "./types/callHeaders.ts";
 export * from "./types/directSettings.ts";
--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -74,12 +74,15 @@
             onClosed(cause);
             this.destroy();
         }, clock.nowMs());
-        this.reader = new CallerReader(
-            socket,
+        this.reader = new CallerReader(socket, {
             turns,
-            () => this.openRequests < MAX_PIPELINED,
-            () => account.isCrowded && this.holding.bytes > MAX_UNPACED_BYTES,
-        );
+            hasRoom: () => this.openRequests < MAX_PIPELINED,
+            mustPace: () => account.isCrowded && this.holding.bytes > MAX_UNPACED_BYTES,
+            onRead: (waitingBytes, partialHeadBytes) => {
+                this.holding.setBuffered(socket.writableLength + waitingBytes);
+                this.holding.setPartialHead(partialHeadBytes);
+            },
+        });
         socket.on("data", () => this.holding.activeMs = clock.nowMs());
         socket.once("close", () => this.holding.close());
         // Node's HTTP server calls it after an answer with `Connection: close`.
@@ -133,7 +136,7 @@
      * @param bytes - their number
      */
     public recordBody(bytes: number): void {
-        this.reader.recordItem();
+        this.reader.recordBody(bytes);
         this.expectedBytes += bytes * (1 + MAX_FRAMING_FACTOR);
         this.contentBytes += bytes;
     }
@@ -144,7 +147,7 @@
      * @param bytes - their number
      */
     public recordDropped(bytes: number): void {
-        this.reader.recordItem();
+        this.reader.recordBody(bytes);
         this.contentBytes += bytes;
     }
 
@@ -159,17 +162,22 @@
      * connection.
      *
      * @param response - response to the request
+     * @param headBytes - heap that its head takes, in bytes
      * @param onEnd - called when the request no longer counts, with whether all bytes of an answer have left
      * @returns whether the request may be served: all answers before it have left, and the connection is open
      */
-    public async takeTurn(response: ServerResponse, onEnd: (hasLeft: boolean) => void): Promise<boolean> {
+    public async takeTurn(
+        response: ServerResponse,
+        headBytes: number,
+        onEnd: (hasLeft: boolean) => void,
+    ): Promise<boolean> {
         if (this.openRequests === 0) {
             this.requestsInRow = 0;
         }
         this.openRequests++;
         this.requestsInRow += this.openRequests > ROW_OPEN_REQUESTS ? 1 : 0;
-        this.holding.addRequests(1);
-        this.reader.recordItem();
+        this.reader.recordRequest();
+        this.holding.addRequests(1, headBytes);
         this.expectedBytes += MAX_HEAD_BYTES;
         this.contentBytes += MAX_HEAD_BYTES;
         const previousEnded = this.lastEnded;
@@ -179,7 +187,7 @@
             response.off("finish", end);
             response.off("close", end);
             this.openRequests--;
-            this.holding.addRequests(-1);
+            this.holding.addRequests(-1, headBytes);
             resolve();
             this.reader.recordRoom();
             // Node.js also emits `finish` when the socket was destroyed before the last write.
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -17,7 +17,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
 import { SegmentPool } from "../shared/callers/bodyCollector.ts";
-import { CallerAccount, type CallerBounds, type CloseCause } from "../shared/callers/callerAccount.ts";
+import { CallerAccount, type CloseCause, requestHeapBytes } from "../shared/callers/callerAccount.ts";
+import type { CallerBounds } from "../shared/callers/callerBounds.ts";
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
 import { RequestBodyReader } from "./callerBody.ts";
@@ -203,7 +204,10 @@
         }
         let call: IncomingCall | undefined;
         const body = new RequestBodyReader(request, connection);
-        const turn = connection.takeTurn(response, hasLeft => {
+        const { rawHeaders, url = "" } = request;
+        const textLength = rawHeaders.reduce((sum, text) => sum + text.length, url.length);
+        const headBytes = requestHeapBytes(rawHeaders.length / 2, textLength);
+        const turn = connection.takeTurn(response, headBytes, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
--- a/packages/direct/src/node/callerReader.ts
+++ b/packages/direct/src/node/callerReader.ts
@@ -18,6 +18,10 @@
 const TURN_MS = 2;
 /** Longest pause after such a time, as a multiple of it: costly bytes of several callers take a quarter of the time. */
 const MAX_PAUSE_FACTOR = 3;
+/** Bytes that are parsed in one turn of the event loop; what closed connections held is freed at its end. */
+const MAX_LOOP_TURN_BYTES = 256 * 1_024;
+/** End of the head of a request. */
+const HEAD_END = "\r\n\r\n";
 
 /** Turns that the connections of one process take with their costly bytes. */
 export class ReadTurns {
@@ -25,10 +29,35 @@
     private readonly waiting = new Set<() => void>();
     private spentMs = 0;
     private isScheduled = false;
+    /** Bytes parsed in this turn of the event loop, and in those before with few bytes. */
+    private loopTurnBytes = 0;
+    private isResetScheduled = false;
 
     /** @param clock - source of time */
     public constructor(public readonly clock: Clock) {}
 
+    /** Whether the bytes of further connections wait for the next turn of the event loop. */
+    public get isLoopTurnFull(): boolean {
+        return this.loopTurnBytes >= MAX_LOOP_TURN_BYTES;
+    }
+
+    /**
+     * Records bytes that were parsed.
+     *
+     * @param bytes - their number
+     */
+    public recordParsed(bytes: number): void {
+        this.loopTurnBytes += bytes;
+        // Few bytes are counted on: a callback for each read would cost more than they do.
+        if (this.loopTurnBytes >= MAX_LOOP_TURN_BYTES && !this.isResetScheduled) {
+            this.isResetScheduled = true;
+            setImmediate(() => {
+                this.isResetScheduled = false;
+                this.loopTurnBytes = 0;
+            });
+        }
+    }
+
     /**
      * Waits for a turn.
      *
@@ -76,45 +105,67 @@
     }
 }
 
+/** Options of a {@link CallerReader}. */
+export interface CallerReaderOptions {
+    /** Turns of the process. */
+    readonly turns: ReadTurns;
+    /** Returns whether further requests of the connection may be read. */
+    readonly hasRoom: () => boolean;
+    /** Returns whether its bytes wait for turns although they are not costly. */
+    readonly mustPace: () => boolean;
+    /** Called after each read with the bytes that wait to be parsed, and those that the parser holds of a head. */
+    readonly onRead: (waitingBytes: number, partialHeadBytes: number) => void;
+}
+
 /** Reader of one connection. */
 export class CallerReader {
     private readonly parse: (bytes: Buffer) => void;
     private sliceBytes = FIRST_SLICE_BYTES;
     private items = 0;
+    private requests = 0;
+    /** Bytes of bodies since the last request of the slice. */
+    private bodyBytes = 0;
+    /** Bytes that the parser has taken since the last request or piece of a body. */
+    private partialHeadBytes = 0;
     private readonly clock: Clock;
     private waitsFor: "nothing" | "turn" | "room" = "nothing";
     private readonly onTurn = (): void => this.readOn();
 
     /**
      * @param socket - socket of a connection that an HTTP server has just taken over
-     * @param turns - turns of the process
-     * @param hasRoom - returns whether further requests of the connection may be read
-     * @param mustPace - returns whether its bytes wait for turns although they are not costly
+     * @param options - turns of the process and state of the connection
      */
-    public constructor(
-        private readonly socket: Socket,
-        private readonly turns: ReadTurns,
-        private readonly hasRoom: () => boolean,
-        private readonly mustPace: () => boolean,
-    ) {
-        this.clock = turns.clock;
+    public constructor(private readonly socket: Socket, private readonly options: CallerReaderOptions) {
+        this.clock = options.turns.clock;
         const [listener] = socket.listeners("data") as ((bytes: Buffer) => void)[];
         this.parse = listener ?? (() => {});
         socket.removeAllListeners("data");
         // From here on the server no longer reads the connection past its listener.
         socket.on("data", (bytes: Buffer) => this.read(bytes));
         // A closed connection would keep its requests in memory until its turn.
-        socket.once("close", () => turns.cancel(this.onTurn));
+        socket.once("close", () => options.turns.cancel(this.onTurn));
+    }
+
+    /** Records a request that the parser has handed out. */
+    public recordRequest(): void {
+        this.items++;
+        this.requests++;
+        this.bodyBytes = 0;
     }
 
-    /** Records a request or a piece of a body that the parser has handed out. */
-    public recordItem(): void {
+    /**
+     * Records a piece of a body that the parser has handed out.
+     *
+     * @param bytes - its size
+     */
+    public recordBody(bytes: number): void {
         this.items++;
+        this.bodyBytes += bytes;
     }
 
     /** Reads on if it was waiting for room. */
     public recordRoom(): void {
-        if (this.waitsFor === "room" && this.hasRoom()) {
+        if (this.waitsFor === "room" && this.options.hasRoom()) {
             this.readOn();
         }
     }
@@ -125,36 +176,58 @@
     }
 
     private read(bytes: Buffer): void {
+        const { turns } = this.options;
+        if (turns.isLoopTurnFull && this.waitsFor === "nothing") {
+            this.waitsFor = "turn";
+            turns.wait(0, this.onTurn);
+        }
+        const rest = this.parseSlices(bytes);
+        turns.recordParsed(bytes.length - rest.length);
+        if (rest.length > 0 && !this.socket.destroyed) {
+            this.socket.pause();
+            // A short rest would keep all that was read.
+            this.socket.unshift(rest.length * 2 > bytes.length ? rest : Buffer.from(rest));
+        }
+        this.options.onRead(this.socket.readableLength, this.partialHeadBytes);
+    }
+
+    /** Parses bytes until a turn or room has to be waited for; returns those that are left. */
+    private parseSlices(bytes: Buffer): Buffer {
         let rest = bytes;
         while (rest.length > 0 && !this.socket.destroyed) {
-            if (this.waitsFor === "nothing" && !this.hasRoom()) {
+            if (this.waitsFor === "nothing" && !this.options.hasRoom()) {
                 this.waitsFor = "room";
             }
             // The server resumes the connection when the reader of a body asks for more, and pauses it for unsent answers.
             if (this.waitsFor !== "nothing" || this.socket.isPaused()) {
-                this.socket.pause();
-                this.socket.unshift(rest);
-                return;
+                return rest;
             }
             const slice = rest.subarray(0, this.sliceBytes);
             rest = rest.subarray(this.sliceBytes);
             this.items = 0;
+            this.requests = 0;
+            this.bodyBytes = 0;
             const startMs = this.clock.nowMs();
             this.parse(slice);
-            this.adapt(this.clock.nowMs() - startMs, rest.length === 0);
+            this.countPartialHead(slice);
+            const isCostly = this.items > COSTLY_ITEMS;
+            this.sliceBytes = isCostly ? MIN_SLICE_BYTES : Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2);
+            if ((isCostly || this.options.mustPace()) && !this.socket.isPaused() && !this.socket.destroyed) {
+                this.waitsFor = "turn";
+                this.socket.pause();
+                this.options.turns.wait(this.clock.nowMs() - startMs, this.onTurn);
+            }
         }
+        return rest;
     }
 
-    private adapt(costMs: number, isLast: boolean): void {
-        const isCostly = this.items > COSTLY_ITEMS;
-        this.sliceBytes = isCostly ? MIN_SLICE_BYTES : Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2);
-        if (!isCostly && !this.mustPace() || this.socket.isPaused() || this.socket.destroyed) {
+    private countPartialHead(slice: Buffer): void {
+        if (this.items === 0) {
+            this.partialHeadBytes += slice.length;
             return;
         }
-        this.waitsFor = "turn";
-        this.turns.wait(costMs, this.onTurn);
-        if (isLast) {
-            this.socket.pause();
-        }
+        const headEnd = this.requests > 0 ? slice.lastIndexOf(HEAD_END) : -1;
+        const contentStart = headEnd < 0 ? 0 : headEnd + HEAD_END.length;
+        this.partialHeadBytes = Math.max(0, slice.length - contentStart - this.bodyBytes);
     }
 }
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -18,7 +18,8 @@
 } from "@magnolialock/kernel";
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
-import { callerBounds, DEFAULT_MACHINE } from "../shared/callers/callerAccount.ts";
+import { getHeapStatistics } from "node:v8";
+import { callerBounds, DEFAULT_MACHINE } from "../shared/callers/callerBounds.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     answerUnsent,
@@ -338,7 +339,7 @@
             clock,
             address: settings.callers,
             serve: (call, reply) => serveSafely(context, call, reply),
-            bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE),
+            bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE, getHeapStatistics().heap_size_limit),
             onClosed: closedCallersRecorder(runtime, metrics),
             onUnsent: call => events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
         }),
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -126,6 +126,12 @@
     const { callers } = readers;
     gauge("magnolialock_caller_bytes", "Bytes held for callers", () => callers().bytes);
     gauge("magnolialock_caller_bytes_limit", "Most bytes held for callers", () => callers().bounds.bytes);
+    gauge("magnolialock_caller_heap_bytes", "Heap held for callers", () => callers().heapBytes);
+    gauge(
+        "magnolialock_caller_heap_bytes_limit",
+        "Most heap held for callers",
+        () => callers().bounds.heapBytes,
+    );
     gauge("magnolialock_caller_connections", "Connections of callers", () => callers().connections);
     gauge(
         "magnolialock_caller_connections_limit",
--- a/packages/direct/src/shared/callers/__tests__/callerAccount.spec.ts
+++ b/packages/direct/src/shared/callers/__tests__/callerAccount.spec.ts
@@ -1,19 +1,20 @@
 import test from "ava";
 import { BodyCollector, SegmentPool } from "../bodyCollector.ts";
-import { CallerAccount, callerBounds, type CloseCause, DEFAULT_MACHINE } from "../callerAccount.ts";
+import { CallerAccount, type CloseCause, requestHeapBytes } from "../callerAccount.ts";
+import { callerBounds, DEFAULT_MACHINE } from "../callerBounds.ts";
 
 const MIB = 1_048_576;
 
 test("the default bounds hold several bodies of the largest published size", t => {
-    const { bytes, connections } = callerBounds(DEFAULT_MACHINE);
+    const { bytes, connections } = callerBounds(DEFAULT_MACHINE, 160 * MIB);
     t.true(bytes >= 4 * 4 * MIB, `${bytes}`);
     t.true(connections >= 1_000, `${connections}`);
-    t.true(callerBounds({ memoryBytes: 1, descriptors: 1 }).bytes >= 12 * MIB);
+    t.true(callerBounds({ memoryBytes: 1, descriptors: 1 }, 1).bytes >= 12 * MIB);
 });
 
 // Guards against a sum that drifts: a connection that closes returns all that it held.
 test("the most expensive connection is closed first, and a closed one gives back what it held", t => {
-    const account = new CallerAccount({ bytes: MIB, connections: 10 });
+    const account = new CallerAccount({ bytes: MIB, heapBytes: MIB, connections: 10 });
     const closed: string[] = [];
     const open = (name: string) => account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), 0);
     const [small, large] = [open("small"), open("large")];
@@ -33,7 +34,7 @@
 });
 
 test("a further connection closes the one without a request that has been silent for longest", t => {
-    const account = new CallerAccount({ bytes: MIB, connections: 3 });
+    const account = new CallerAccount({ bytes: MIB, heapBytes: MIB, connections: 3 });
     const closed: string[] = [];
     const open = (name: string, nowMs: number) =>
         account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), nowMs);
@@ -45,6 +46,24 @@
     t.is(account.connections, 3);
 });
 
+// Guards against a heap that ends the process although little memory is held beside it.
+test("heads count with the heap that their lines take, complete or not", t => {
+    const bounds = callerBounds({ memoryBytes: 350_000_000, descriptors: 4_100 }, 160 * MIB);
+    const account = new CallerAccount(bounds);
+    let closed = 0;
+    for (let index = 0; index < 2_000; index++) {
+        const holding = account.open(() => closed++, 0);
+        if (index % 2 === 0) {
+            holding.addRequests(1, requestHeapBytes(980, 12_000));
+        }
+        else {
+            holding.setPartialHead(14_000);
+        }
+    }
+    t.true(closed > 1_000, `${closed}`);
+    t.true(account.heapBytes <= bounds.heapBytes);
+});
+
 // Guards against one object for each chunk of a body.
 test("the segments of a body depend on its size, not on its chunks", t => {
     const counts = [1, 64, 16_384].map(chunkBytes => {
--- a/packages/direct/src/shared/callers/callerAccount.ts
+++ b/packages/direct/src/shared/callers/callerAccount.ts
@@ -1,61 +1,35 @@
 /**
  * Account of what a process holds for its callers, with bounds over all connections. It addresses crowds of callers each of
- * which stays within the limits of one request: bodies that stop short of their end, answers that are not read, and very many
- * connections.
+ * which stays within the limits of one request: heads of many lines, bodies that stop short of their end, answers that are not
+ * read, and very many connections.
  *
  * @packageDocumentation
  */
 
-/** Resources of the machine that a process may use. */
-export interface MachineLimits {
-    /** Memory, in bytes. */
-    readonly memoryBytes: number;
-    /** Descriptors that may be open at the same time. */
-    readonly descriptors: number;
-}
-
-/** Bounds on what a process holds for its callers. */
-export interface CallerBounds {
-    /** Bytes on all connections together. */
-    readonly bytes: number;
-    /** Connections of callers. */
-    readonly connections: number;
-}
+import type { CallerBounds } from "./callerBounds.ts";
 
 /** Why the connection of a caller was closed. */
 export type CloseCause = "memory" | "descriptors" | "flood";
 
-const MIB = 1_048_576;
-const MB = 1_000_000;
-/** Machine of a process whose settings name no limits: the smallest that is in use. */
-export const DEFAULT_MACHINE: MachineLimits = { memoryBytes: 200 * MB, descriptors: 2_000 };
-/** Memory of a process that serves the ordinary load of the smallest machine, in bytes. */
-const OWN_MEMORY_BYTES = 120 * MIB;
-/** Part of the rest that callers get: a complete body is copied once, and garbage waits for its collection. */
-const CALLER_MEMORY_SHARE = 0.4;
-/** Smallest bound, in bytes: three bodies of the largest size that is published. */
-const MIN_CALLER_BYTES = 12 * MIB;
-/** Descriptors for logs, listeners, the store and peers. */
-const OWN_DESCRIPTORS = 64;
-/** Part of the rest that callers get; the others are for connections to backend servers. */
-const CALLER_DESCRIPTOR_SHARE = 0.6;
-const MIN_CONNECTIONS = 16;
-/** Memory of a connection and of a request beside their contents, in bytes. */
+/** Heap of a connection and of a request beside their contents, in bytes. */
 const CONNECTION_BYTES = 4_096;
 const REQUEST_BYTES = 8_192;
+/** Heap of one header line beside its text, in bytes: name, value and their places in lists and maps. */
+const HEADER_LINE_BYTES = 192;
+/** Heap for each byte of a head whose lines are not counted yet: the shortest line takes seven bytes. */
+const HEAP_PER_HEAD_BYTE = 20;
+/** Most bytes of a head that the parser keeps. */
+const MAX_HEAD_BYTES = 65_536;
 
 /**
- * Derives the bounds of a process from its machine.
+ * Estimates the heap that a request takes until its answer has left.
  *
- * @param machine - resources of the machine
+ * @param lines - number of its header lines
+ * @param textLength - length of its target and of their names and values, in characters
+ * @returns the estimate, in bytes
  */
-export const callerBounds = ({ descriptors, memoryBytes }: MachineLimits): CallerBounds => ({
-    bytes: Math.max(MIN_CALLER_BYTES, (memoryBytes - OWN_MEMORY_BYTES) * CALLER_MEMORY_SHARE),
-    connections: Math.max(
-        MIN_CONNECTIONS,
-        Math.floor((descriptors - OWN_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE),
-    ),
-});
+export const requestHeapBytes = (lines: number, textLength: number): number =>
+    REQUEST_BYTES + lines * HEADER_LINE_BYTES + textLength;
 
 /** What one connection holds. */
 export class CallerHolding {
@@ -63,6 +37,8 @@
     public activeMs: number;
     private bodyBytes = 0;
     private bufferBytes = 0;
+    private requestBytes = 0;
+    private partialHeadBytes = 0;
     private requests = 0;
     private isOpen = true;
 
@@ -81,7 +57,13 @@
 
     /** Bytes that count for it. */
     public get bytes(): number {
-        return CONNECTION_BYTES + this.bodyBytes + this.bufferBytes + this.requests * REQUEST_BYTES;
+        return this.heapBytes + this.bodyBytes + this.bufferBytes;
+    }
+
+    /** Bytes of the heap among them. */
+    public get heapBytes(): number {
+        return CONNECTION_BYTES + this.requestBytes
+            + Math.min(this.partialHeadBytes, MAX_HEAD_BYTES) * HEAP_PER_HEAD_BYTE;
     }
 
     /** Whether it carries no request. */
@@ -95,18 +77,31 @@
      * @param bytes - their number; negative when they are given back
      */
     public addBody(bytes: number): void {
-        this.bodyBytes += bytes;
-        this.add(bytes);
+        this.update(() => this.bodyBytes += bytes);
     }
 
     /**
      * Counts requests whose answers have not left.
      *
      * @param count - their number; negative when they have ended
+     * @param heapBytes - heap of each of them, in bytes
+     */
+    public addRequests(count: number, heapBytes = REQUEST_BYTES): void {
+        this.update(() => {
+            this.requests += count;
+            this.requestBytes += count * heapBytes;
+        });
+    }
+
+    /**
+     * Replaces the count of bytes that the parser has taken and that belong to no request yet.
+     *
+     * @param bytes - their number
      */
-    public addRequests(count: number): void {
-        this.requests += count;
-        this.add(count * REQUEST_BYTES);
+    public setPartialHead(bytes: number): void {
+        if (bytes !== this.partialHeadBytes) {
+            this.update(() => this.partialHeadBytes = bytes);
+        }
     }
 
     /**
@@ -116,9 +111,9 @@
      * @param bytes - their number
      */
     public setBuffered(bytes: number): void {
-        const change = bytes - this.bufferBytes;
-        this.bufferBytes = bytes;
-        this.add(change);
+        if (bytes !== this.bufferBytes) {
+            this.update(() => this.bufferBytes = bytes);
+        }
     }
 
     /** Gives back all that it holds; what is recorded afterwards no longer counts. */
@@ -129,9 +124,11 @@
         }
     }
 
-    private add(bytes: number): void {
+    private update(change: () => void): void {
+        const { bytes, heapBytes } = this;
+        change();
         if (this.isOpen) {
-            this.account.change(bytes);
+            this.account.change(this.bytes - bytes, this.heapBytes - heapBytes);
         }
     }
 }
@@ -140,6 +137,7 @@
 export class CallerAccount {
     private readonly holdings = new Set<CallerHolding>();
     private usedBytes = 0;
+    private usedHeapBytes = 0;
 
     /** @param bounds - bounds over all connections */
     public constructor(public readonly bounds: CallerBounds) {}
@@ -149,9 +147,14 @@
         return this.usedBytes;
     }
 
-    /** Whether more than half of the bytes are held. */
+    /** Bytes of the heap among them. */
+    public get heapBytes(): number {
+        return this.usedHeapBytes;
+    }
+
+    /** Whether more than half of the bytes, or of those of the heap, are held. */
     public get isCrowded(): boolean {
-        return this.usedBytes * 2 > this.bounds.bytes;
+        return this.usedBytes * 2 > this.bounds.bytes || this.usedHeapBytes * 2 > this.bounds.heapBytes;
     }
 
     /** Number of open connections. */
@@ -169,22 +172,27 @@
     public open(evict: (cause: CloseCause) => void, nowMs: number): CallerHolding {
         const holding = new CallerHolding(this, evict, nowMs);
         if (this.holdings.size >= this.bounds.connections) {
-            this.evict(this.longestIdle() ?? this.mostExpensive(), "descriptors");
+            this.evict(this.longestIdle() ?? this.mostExpensive(({ bytes }) => bytes), "descriptors");
         }
         this.holdings.add(holding);
-        this.change(holding.bytes);
+        this.change(holding.bytes, holding.heapBytes);
         return holding;
     }
 
     /**
-     * Changes the sum, and closes connections while it is over the bound.
+     * Changes the sums, and closes connections while one is over its bound.
      *
      * @param bytes - change, in bytes
+     * @param heapBytes - change of the heap, in bytes
      */
-    public change(bytes: number): void {
+    public change(bytes: number, heapBytes: number): void {
         this.usedBytes += bytes;
+        this.usedHeapBytes += heapBytes;
         while (bytes > 0 && this.usedBytes > this.bounds.bytes && this.holdings.size > 0) {
-            this.evict(this.mostExpensive(), "memory");
+            this.evict(this.mostExpensive(holding => holding.bytes), "memory");
+        }
+        while (heapBytes > 0 && this.usedHeapBytes > this.bounds.heapBytes && this.holdings.size > 0) {
+            this.evict(this.mostExpensive(holding => holding.heapBytes), "memory");
         }
     }
 
@@ -196,6 +204,7 @@
     public remove(holding: CallerHolding): void {
         if (this.holdings.delete(holding)) {
             this.usedBytes -= holding.bytes;
+            this.usedHeapBytes -= holding.heapBytes;
         }
     }
 
@@ -204,10 +213,10 @@
         holding?.evict(cause);
     }
 
-    private mostExpensive(): CallerHolding | undefined {
+    private mostExpensive(cost: (holding: CallerHolding) => number): CallerHolding | undefined {
         let most: CallerHolding | undefined;
         for (const holding of this.holdings) {
-            most = !most || holding.bytes > most.bytes ? holding : most;
+            most = !most || cost(holding) > cost(most) ? holding : most;
         }
         return most;
     }
--- a/packages/direct/src/types/directSettings.ts
+++ b/packages/direct/src/types/directSettings.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Address, DataCentreId, InstanceId } from "@magnolialock/kernel";
-import type { MachineLimits } from "../shared/callers/callerAccount.ts";
+import type { MachineLimits } from "../shared/callers/callerBounds.ts";
 
 /** Bounds that an installation guarantees or requires. */
 export interface SafetyBounds {
