fix(direct): callers wait for turns by the time that their bytes take, not by the number of requests in them

Callers beside a crowd got no answer: 200 clients that send whole requests without a key ahead, each with a head of some 14 KB (many short lines, or a long target), kept an ordinary request from its answer for 6 s and more.

Cause: a connection waits for its turn when one slice holds more than 16 requests or chunks. A head of 14 KB is one item, and costs as much time as hundreds of small requests; refusing it, with its log line, came on top and was charged to nobody.

The time is measured: bytes of one read that take over 1 ms to parse are costly, and a turn costs the time until everything that follows from them at once has run, refusals included. A caller that has sent more than was parsed takes a turn as well after such a time. One that waits for its answer, as ordinary callers do, is never charged for what its request costs.

--- a/packages/direct/src/node/callerReader.ts
+++ b/packages/direct/src/node/callerReader.ts
@@ -14,6 +14,8 @@
 const MAX_SLICE_BYTES = 65_536;
 /** Requests and chunks in one slice from which its bytes count as costly. */
 const COSTLY_ITEMS = 16;
+/** Time for the bytes of one read, and for what follows from them at once, from which they count as costly, in milliseconds. */
+const COSTLY_MS = 1;
 /** Time for costly slices without a pause, in milliseconds. */
 const TURN_MS = 2;
 /** Longest pause after such a time, as a multiple of it: costly bytes of several callers take a quarter of the time. */
@@ -23,6 +25,9 @@
 /** End of the head of a request. */
 const HEAD_END = "\r\n\r\n";
 
+/** Calls back when all that can go on without an event has gone on: promises that were resolved meanwhile included. */
+const afterTasks = (callback: () => void): void => queueMicrotask(() => process.nextTick(callback));
+
 /** Turns that the connections of one process take with their costly bytes. */
 export class ReadTurns {
     /** In the order of their turns. */
@@ -130,6 +135,8 @@
     private readonly clock: Clock;
     private waitsFor: "nothing" | "turn" | "room" = "nothing";
     private readonly onTurn = (): void => this.readOn();
+    /** Time of costly bytes for which no turn has been taken, in milliseconds. */
+    private owedMs = 0;
 
     /**
      * @param socket - socket of a connection that an HTTP server has just taken over
@@ -166,7 +173,13 @@
     /** Reads on if it was waiting for room. */
     public recordRoom(): void {
         if (this.waitsFor === "room" && this.options.hasRoom()) {
-            this.readOn();
+            this.waitsFor = "nothing";
+            if (this.owedMs > 0) {
+                this.takeTurn();
+            }
+            else {
+                this.readOn();
+            }
         }
     }
 
@@ -176,12 +189,12 @@
     }
 
     private read(bytes: Buffer): void {
+        const startMs = this.clock.nowMs();
         const { turns } = this.options;
-        if (turns.isLoopTurnFull && this.waitsFor === "nothing") {
-            this.waitsFor = "turn";
-            turns.wait(0, this.onTurn);
+        if (turns.isLoopTurnFull || this.owedMs > 0) {
+            this.takeTurn();
         }
-        const rest = this.parseSlices(bytes);
+        const rest = this.parseSlices(bytes, startMs);
         turns.recordParsed(bytes.length - rest.length);
         if (rest.length > 0 && !this.socket.destroyed) {
             this.socket.pause();
@@ -189,10 +202,14 @@
             this.socket.unshift(rest.length * 2 > bytes.length ? rest : Buffer.from(rest));
         }
         this.options.onRead(this.socket.readableLength, this.partialHeadBytes);
+        const hasParsed = rest.length < bytes.length;
+        if (hasParsed && (rest.length > 0 || this.waitsFor === "turn")) {
+            afterTasks(() => this.charge(this.clock.nowMs() - startMs));
+        }
     }
 
     /** Parses bytes until a turn or room has to be waited for; returns those that are left. */
-    private parseSlices(bytes: Buffer): Buffer {
+    private parseSlices(bytes: Buffer, startMs: number): Buffer {
         let rest = bytes;
         while (rest.length > 0 && !this.socket.destroyed) {
             if (this.waitsFor === "nothing" && !this.options.hasRoom()) {
@@ -207,15 +224,13 @@
             this.items = 0;
             this.requests = 0;
             this.bodyBytes = 0;
-            const startMs = this.clock.nowMs();
             this.parse(slice);
             this.countPartialHead(slice);
-            const isCostly = this.items > COSTLY_ITEMS;
+            const isCostly = this.items > COSTLY_ITEMS || this.clock.nowMs() - startMs > COSTLY_MS;
             this.sliceBytes = isCostly ? MIN_SLICE_BYTES : Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2);
-            if ((isCostly || this.options.mustPace()) && !this.socket.isPaused() && !this.socket.destroyed) {
+            if ((isCostly || this.options.mustPace()) && !this.socket.isPaused()) {
                 this.waitsFor = "turn";
                 this.socket.pause();
-                this.options.turns.wait(this.clock.nowMs() - startMs, this.onTurn);
             }
         }
         return rest;
@@ -230,4 +245,32 @@
         const contentStart = headEnd < 0 ? 0 : headEnd + HEAD_END.length;
         this.partialHeadBytes = Math.max(0, slice.length - contentStart - this.bodyBytes);
     }
+
+    /**
+     * Charges the time of a read, with what followed from it at once, to the turn that is waited for. A caller that has sent more
+     * than was parsed takes a turn as well if that time was long.
+     */
+    private charge(costMs: number): void {
+        if (this.waitsFor === "turn") {
+            this.waitInTurns(costMs);
+        }
+        else if (costMs > COSTLY_MS) {
+            this.owedMs += costMs;
+        }
+    }
+
+    /** Waits for a turn unless it waits already. */
+    private takeTurn(): void {
+        if (this.waitsFor === "nothing") {
+            this.waitsFor = "turn";
+            this.waitInTurns(this.owedMs);
+            this.owedMs = 0;
+        }
+    }
+
+    private waitInTurns(costMs: number): void {
+        if (!this.socket.destroyed) {
+            this.options.turns.wait(costMs, this.onTurn);
+        }
+    }
 }
