fix(direct): only as much of a path is looked up as a route can match

Cause: the table of routes looks up each prefix of a path that ends with a slash, the longest first.

The table knows the longest prefix of the routes of a host, and begins there: no longer part of a path can match.

--- a/packages/direct/src/shared/routeTable.ts
+++ b/packages/direct/src/shared/routeTable.ts
@@ -7,16 +7,27 @@
 import type { RandomSource, ServiceName } from "@magnolialock/kernel";
 import type { RouteRule } from "../types/publishedState.ts";
 
+/** Routes of one host. */
+interface HostRoutes {
+    /** Length of the longest prefix, in characters: no other part of a path has to be compared. */
+    readonly longestPrefix: number;
+    readonly prefixes: Map<string, RouteRule>;
+}
+
 /** Routes of one configuration, by host and prefix. */
 export class RouteTable {
-    private readonly hosts = new Map<string, Map<string, RouteRule>>();
+    private readonly hosts = new Map<string, HostRoutes>();
 
     /** @param routes - all routes; of two with the same host and prefix the later one applies */
     public constructor(routes: readonly RouteRule[]) {
         for (const route of routes) {
-            const prefixes = this.hosts.get(route.host) ?? new Map<string, RouteRule>();
+            const { longestPrefix, prefixes } = this.hosts.get(route.host)
+                ?? { longestPrefix: 0, prefixes: new Map<string, RouteRule>() };
             prefixes.set(route.prefix, route);
-            this.hosts.set(route.host, prefixes);
+            this.hosts.set(route.host, {
+                longestPrefix: Math.max(longestPrefix, route.prefix.length),
+                prefixes,
+            });
         }
     }
 
@@ -28,14 +39,15 @@
      * @returns the route, or undefined
      */
     public find(host: string, path: string): RouteRule | undefined {
-        const prefixes = this.hosts.get(hostWithoutPort(host));
-        if (!prefixes) {
+        const routes = this.hosts.get(hostWithoutPort(host));
+        if (!routes) {
             return undefined;
         }
+        const { longestPrefix, prefixes } = routes;
         const queryStart = path.indexOf("?");
         const pathEnd = queryStart < 0 ? path.length : queryStart;
         for (
-            let slash = path.lastIndexOf("/", pathEnd - 1);
+            let slash = path.lastIndexOf("/", Math.min(pathEnd, longestPrefix) - 1);
             slash >= 0;
             slash = path.lastIndexOf("/", slash - 1)
         ) {
