fix(direct): a request that its head refuses is answered before its body is complete

Clients without a key, or with a path that no route matches, could have bodies of the largest size read and kept in memory, and kept their connection for as long as they held back the last byte: the refusal came only with the whole body. A body over the limit got a 413 without a log line or a count.

Cause: the listener collected the body first, and route, key and size of the head were checked on the complete request.

The listener asks at the head whether the request is refused whatever its body holds. Such a body is dropped as it comes, in turns, and the answer waits at most 100 ms for its end so that the connection can be kept; otherwise the connection closes after the answer, as it did for a 413. A 413 is now an ordinary refusal, logged and counted.

--- a/packages/direct/src/node/callerBody.ts
+++ b/packages/direct/src/node/callerBody.ts
@@ -19,6 +19,22 @@
 
 const NO_BYTES = Buffer.alloc(0);
 
+/**
+ * Tells whether a request has a body, by its head.
+ *
+ * @param request - the request
+ */
+export const hasBody = ({ headers }: IncomingMessage): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
+/**
+ * Returns the size of a body that a caller announced, in bytes; undefined if it did not.
+ *
+ * @param request - the request
+ */
+export const announcedBytes = ({ headers }: IncomingMessage): number | undefined =>
+    headers["content-length"] === undefined ? undefined : Number(headers["content-length"]);
+
 /** Reads the body of one request. */
 export class RequestBodyReader {
     private allocatedBytes = 0;
@@ -43,20 +59,22 @@
      * @param maxBytes - largest body, in bytes
      */
     public async read(maxBytes: number): Promise<RequestBody> {
-        const { "content-length": length, "transfer-encoding": encoding } = this.request.headers;
-        if (length === undefined && encoding === undefined) {
+        if (!hasBody(this.request)) {
             return { kind: "whole", bytes: NO_BYTES };
         }
-        const announcedBytes = length === undefined ? undefined : Number(length);
-        if (announcedBytes !== undefined && announcedBytes > maxBytes) {
-            return { kind: "tooLarge", rest: this.dropRest() };
-        }
-        return this.collect(announcedBytes, maxBytes);
+        return this.collect(announcedBytes(this.request), maxBytes);
+    }
+
+    /** Reads the body and drops it; resolves once that is done. */
+    public async drop(): Promise<void> {
+        this.connection.beginDrop();
+        await this.dropRest();
+        this.connection.endDrop();
     }
 
-    private collect(announcedBytes: number | undefined, maxBytes: number): Promise<RequestBody> {
+    private collect(announced: number | undefined, maxBytes: number): Promise<RequestBody> {
         const { connection, request } = this;
-        const collector = new BodyCollector(announcedBytes, connection.segments, bytes => this.count(bytes));
+        const collector = new BodyCollector(announced, connection.segments, bytes => this.count(bytes));
         // A listener takes the pieces of one read at once; an iterator would queue them as objects.
         return new Promise(resolve => {
             const finish = (body: RequestBody): void => {
@@ -70,7 +88,7 @@
                 if (collector.bytes + chunk.length > maxBytes) {
                     collector.discard();
                     request.pause();
-                    finish({ kind: "tooLarge", rest: this.dropRest() });
+                    finish({ kind: "tooLarge", rest: this.drop() });
                     return;
                 }
                 collector.add(chunk);
--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -24,7 +24,7 @@
 /** Requests of one connection that are read before the answers to them have left. */
 const MAX_PIPELINED = 16;
 /** Bytes that a connection may hold before it is read in turns while the process holds much: buffers are freed with a delay. */
-const MAX_UNPACED_BYTES = 64 * 1024;
+const MAX_UNPACED_BYTES = 32 * 1024;
 /** Open requests from which a further one counts as sent in a row; a caller that waits for its answers has fewer. */
 const ROW_OPEN_REQUESTS = MAX_PIPELINED / 2;
 /** Requests that a caller may send in a row while it has this many open. */
@@ -55,6 +55,8 @@
     private openRequests = 0;
     /** Requests since none was open that were sent while many others were. */
     private requestsInRow = 0;
+    /** Bodies that are being read only to be dropped. */
+    private droppedBodies = 0;
     private readonly holding: CallerHolding;
     private readonly reader: CallerReader;
     private lastEnded: Promise<void> = Promise.resolve();
@@ -77,7 +79,9 @@
         this.reader = new CallerReader(socket, {
             turns,
             hasRoom: () => this.openRequests < MAX_PIPELINED,
-            mustPace: () => account.isCrowded && this.holding.bytes > MAX_UNPACED_BYTES,
+            mustPace: () =>
+                this.hasBegunClose || this.droppedBodies > 0
+                || account.isCrowded && this.holding.bytes > MAX_UNPACED_BYTES,
             onRead: (waitingBytes, partialHeadBytes) => {
                 this.holding.setBuffered(socket.writableLength + waitingBytes);
                 this.holding.setPartialHead(partialHeadBytes);
@@ -130,6 +134,16 @@
         this.holding.addBody(bytes);
     }
 
+    /** Records that a body is read only to be dropped. */
+    public beginDrop(): void {
+        this.droppedBodies++;
+    }
+
+    /** Records that a body has been dropped. */
+    public endDrop(): void {
+        this.droppedBodies--;
+    }
+
     /**
      * Records bytes of the body of a request.
      *
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -17,11 +17,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
 import { SegmentPool } from "../shared/callers/bodyCollector.ts";
-import { CallerAccount, type CloseCause, requestHeapBytes } from "../shared/callers/callerAccount.ts";
+import { CallerAccount, type CloseCause } from "../shared/callers/callerAccount.ts";
+import { requestHeapBytes } from "../shared/callers/callerAccount.ts";
 import type { CallerBounds } from "../shared/callers/callerBounds.ts";
-import type { CallerReply, IncomingCall } from "../types/call.ts";
+import { BODY_TOO_LARGE, headerBytesOf } from "../shared/serveCall.ts";
+import type { CallerReply, IncomingCall, Refusal, RequestHead } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
-import { RequestBodyReader } from "./callerBody.ts";
+import { announcedBytes, hasBody, RequestBodyReader } from "./callerBody.ts";
 import { CallerConnection } from "./callerConnection.ts";
 import { ReadTurns } from "./callerReader.ts";
 import { HttpReply } from "./httpReply.ts";
@@ -34,6 +36,10 @@
     readonly address: Address;
     /** Serves one request; resolves when it has ended and never rejects. */
     readonly serve: (call: IncomingCall, reply: CallerReply) => Promise<void>;
+    /** Tells whether the head of a request decides that it is refused. */
+    readonly refuseByHead: (head: RequestHead) => Refusal | undefined;
+    /** Refuses one request; its body may be missing. */
+    readonly refuse: (call: IncomingCall, reply: CallerReply, refusal: Refusal) => void;
     /** Called for a request whose connection ended before all bytes of its answer had left. */
     readonly onUnsent: (call: IncomingCall) => void;
     /** Bounds on what the process holds for callers. */
@@ -58,9 +64,11 @@
 const MAX_HEADER_BYTES = 65_536;
 /** Time between checks of the connections for floods, in milliseconds. */
 const FLOOD_CHECK_PERIOD_MS = 50;
-/** Longest time for which the rest of a body that is too large is read, in milliseconds. */
+/** Longest time for which the rest of a body that is not needed is read after its answer, in milliseconds. */
 const MAX_DROP_MS = 1_000;
-const HTTP_TOO_LARGE = 413;
+/** Time for the body of a refused request to arrive, in milliseconds, so that its connection can be kept. */
+const REFUSED_BODY_MS = 100;
+const NO_BYTES = Buffer.alloc(0);
 /** Time for callers to close their connections at the end of a stop before they are destroyed, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 150;
 const CLOSE_POLL_MS = 10;
@@ -97,6 +105,26 @@
     return headers;
 };
 
+/** One request on its connection. */
+interface Exchange {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly connection: CallerConnection;
+    /** Time at which its head was read, in milliseconds. */
+    readonly receivedMs: number;
+    /** Resolves with whether it may be answered, once the answers before it have left. */
+    readonly turn: Promise<boolean>;
+}
+
+const toCall = ({ receivedMs, request }: Exchange, body: Buffer): IncomingCall => ({
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: joinRepeatedHeaders(request),
+    rawHeaders: request.rawHeaders,
+    body,
+    receivedMs,
+});
+
 /** Listener on Node's HTTP server. */
 class HttpCallerListener implements CallerListener {
     public readonly account: CallerAccount;
@@ -204,9 +232,9 @@
         }
         let call: IncomingCall | undefined;
         const body = new RequestBodyReader(request, connection);
-        const { rawHeaders, url = "" } = request;
-        const textLength = rawHeaders.reduce((sum, text) => sum + text.length, url.length);
-        const headBytes = requestHeapBytes(rawHeaders.length / 2, textLength);
+        const headerBytes = headerBytesOf(request.rawHeaders);
+        const textLength = headerBytes + (request.url?.length ?? 0);
+        const headBytes = requestHeapBytes(request.rawHeaders.length / 2, textLength);
         const turn = connection.takeTurn(response, headBytes, hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
@@ -214,6 +242,12 @@
             connection.addBody(-body.heldBytes);
             this.closeIfIdle(connection);
         });
+        const exchange: Exchange = { request, response, connection, receivedMs, turn };
+        const refusal = this.refusalOf(request, headerBytes);
+        if (refusal) {
+            await this.refuse(exchange, refusal, body.drop());
+            return;
+        }
         // The body is read at once: a connection that is not read does not show that its caller has left.
         const reading = body.read(this.limits.bodyBytes);
         if (!await turn) {
@@ -225,32 +259,62 @@
         const result = await reading;
         switch (result.kind) {
             case "tooLarge":
-                // The head is the whole answer. Once it has ended, Node.js reads the rest of the body without a pause.
-                response.writeHead(HTTP_TOO_LARGE, { connection: "close", "content-length": "0" });
-                response.flushHeaders();
-                if (await settlesWithin(this.options.clock, result.rest, MAX_DROP_MS)) {
-                    response.end();
-                }
-                else {
-                    connection.destroy();
-                }
+                await this.refuse(exchange, BODY_TOO_LARGE, result.rest);
                 return;
             case "incomplete":
                 // There is no complete request, and nobody to respond to.
                 response.destroy();
                 return;
             case "whole":
-                call = {
-                    method: request.method ?? "GET",
-                    path: request.url ?? "/",
-                    headers: joinRepeatedHeaders(request),
-                    rawHeaders: request.rawHeaders,
-                    body: result.bytes,
-                    receivedMs,
-                };
+                call = toCall(exchange, result.bytes);
                 await this.options.serve(call, reply);
         }
     }
+
+    /** Tells whether the head of a request with a body decides that it is refused. */
+    private refusalOf(request: IncomingMessage, headerBytes: number): Refusal | undefined {
+        if (!hasBody(request)) {
+            return undefined;
+        }
+        const { headers, url: path = "/" } = request;
+        const refusal = this.options.refuseByHead({ path, headers, headerBytes });
+        const isTooLarge = (announcedBytes(request) ?? 0) > this.limits.bodyBytes;
+        return refusal ?? (isTooLarge ? BODY_TOO_LARGE : undefined);
+    }
+
+    /**
+     * Refuses a request whose body is not needed. Its connection is kept if the body arrives soon.
+     *
+     * @param exchange - the request and its turn
+     * @param refusal - status and reason
+     * @param rest - resolves when the rest of its body has been read
+     */
+    private async refuse(exchange: Exchange, refusal: Refusal, rest: Promise<void>): Promise<void> {
+        const { connection, request, response, turn } = exchange;
+        const { clock } = this.options;
+        if (!await turn) {
+            return;
+        }
+        await settlesWithin(clock, rest, this.account.isCrowded ? 0 : REFUSED_BODY_MS);
+        if (response.destroyed) {
+            return;
+        }
+        const isKept = request.complete;
+        // Once a response has ended, Node.js reads the rest of the body without a pause.
+        const endAfterRest = async (body: Buffer): Promise<void> => {
+            response.write(body);
+            if (await settlesWithin(clock, rest, MAX_DROP_MS)) {
+                response.end();
+            }
+            else {
+                connection.destroy();
+            }
+        };
+        const reply = isKept
+            ? new HttpReply(response, () => this.isStopping && connection.pending === 1)
+            : new HttpReply(response, () => true, body => void endAfterRest(body));
+        this.options.refuse(toCall(exchange, NO_BYTES), reply, refusal);
+    }
 }
 
 /**
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -34,7 +34,7 @@
 import { PeerExchange } from "../shared/peerExchange.ts";
 import { CHANGE_BATCH_DELAY_MS, PlatformWatcher } from "../shared/platformWatcher.ts";
 import { PublishedStateStore } from "../shared/publishedStateStore.ts";
-import { serveCall } from "../shared/serveCall.ts";
+import { refuseByHead, refuseCall, serveCall } from "../shared/serveCall.ts";
 import { ServerDirectory } from "../shared/serverDirectory.ts";
 import type { CallerReply, IncomingCall } from "../types/call.ts";
 import type { CallHeaderNames } from "../types/callHeaders.ts";
@@ -247,6 +247,20 @@
     }
 };
 
+const openCallers = (context: DirectContext, metrics: PromMetrics): Promise<CallerListener> => {
+    const { headers, runtime, settings } = context.options;
+    return openCallerListener({
+        clock: runtime.clock,
+        address: settings.callers,
+        serve: (call, reply) => serveSafely(context, call, reply),
+        refuseByHead: head => refuseByHead(context, head),
+        refuse: (call, reply, refusal) => refuseCall(context, call, reply, refusal),
+        bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE, getHeapStatistics().heap_size_limit),
+        onClosed: closedCallersRecorder(runtime, metrics),
+        onUnsent: call => runtime.events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
+    });
+};
+
 /** Keeps serving until the balancer has removed this instance, then waits for the running requests. */
 const stopEntry = async (
     context: DirectContext,
@@ -291,7 +305,7 @@
  */
 export const startDirectEntry = async (options: DirectEntryOptions): Promise<DirectEntry> => {
     const { headers, runtime, settings } = options;
-    const { clock, events } = runtime;
+    const { events } = runtime;
     const scope = new ResourceScope();
     const { directory, watcher, store, upstreams } = createComponents(options, () => exchange, scope);
     let isStopping = false;
@@ -334,16 +348,7 @@
         storeWatch: watcher,
     });
     const pauses = scope.use(detectPauses(runtime, store, watcher));
-    const listener = scope.use(
-        await openCallerListener({
-            clock,
-            address: settings.callers,
-            serve: (call, reply) => serveSafely(context, call, reply),
-            bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE, getHeapStatistics().heap_size_limit),
-            onClosed: closedCallersRecorder(runtime, metrics),
-            onUnsent: call => events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
-        }),
-    );
+    const listener = scope.use(await openCallers(context, metrics));
     await openOperatorEndpoints({ ...options, isReady, store, metrics }, scope);
     const socket = scope.use(
         await openDatagramSocket(settings.peers, (from, bytes) => exchange.receive(from, bytes)),
--- a/packages/direct/src/node/httpReply.ts
+++ b/packages/direct/src/node/httpReply.ts
@@ -20,10 +20,12 @@
     /**
      * @param response - response of the HTTP server
      * @param mustClose - returns whether the connection is to be closed after the response
+     * @param endWhole - writes the body of a whole response and ends it
      */
     public constructor(
         private readonly response: ServerResponse,
         private readonly mustClose: () => boolean,
+        private readonly endWhole = (body: Buffer): void => void response.end(body),
     ) {
         this.disconnected = this.controller.signal;
         response.sendDate = false;
@@ -47,7 +49,7 @@
         const isBodiless = this.response.req.method === "HEAD" || BODILESS_STATUSES.has(head.status);
         const length = isBodiless ? {} : { "content-length": String(body.length) };
         this.writeHead({ ...head, headers: { ...head.headers, ...length } });
-        this.response.end(body);
+        this.endWhole(body);
     }
 
     /** {@inheritDoc CallerReply.startStream} */
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -26,6 +26,24 @@
     readonly receivedMs: number;
 }
 
+/** Head of a request, before its body has been read. */
+export interface RequestHead {
+    /** Path with query, exactly as sent. */
+    readonly path: string;
+    /** Headers by lower-case name; values of a repeated header may be a list. */
+    readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+    /** Size of the names and values of all headers, in bytes. */
+    readonly headerBytes: number;
+}
+
+/** Refusal of a request; it has not run and never will. */
+export interface Refusal {
+    /** HTTP status. */
+    readonly status: number;
+    /** Reason, sent in the body. */
+    readonly reason: string;
+}
+
 /** Head of a response. */
 export interface ResponseHead {
     /** HTTP status. */
