fix(direct): callers that owe the rest of a request are closed before those that wait for an answer

Cause: at the bound of connections the account closed the longest idle connection, that is those which ordinary callers keep, and then the one that holds most. A connection with an unfinished request counts as busy and holds little. Nothing bounded the time of a body.

Connections know whether their callers owe the rest of a request. At the bound of connections these are closed first, the longest silent one, if silent for 200 ms or if such connections are the most; then the longest idle one. For memory, the unfinished connection that holds most goes first if it holds its share.

--- a/packages/direct/src/node/callerBody.ts
+++ b/packages/direct/src/node/callerBody.ts
@@ -75,12 +75,14 @@
     private collect(announced: number | undefined, maxBytes: number): Promise<RequestBody> {
         const { connection, request } = this;
         const collector = new BodyCollector(announced, connection.segments, bytes => this.count(bytes));
+        connection.addUnfinishedBodies(1);
         // A listener takes the pieces of one read at once; an iterator would queue them as objects.
         return new Promise(resolve => {
             const finish = (body: RequestBody): void => {
                 request.off("data", onData);
                 request.off("end", onEnd);
                 request.off("close", onClose);
+                connection.addUnfinishedBodies(-1);
                 resolve(body);
             };
             const onData = (chunk: Buffer): void => {
--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/direct/src/node/callerConnection.ts
@@ -116,11 +116,25 @@
         return this.socket.bytesRead > this.expectedBytes || this.requestsInRow > MAX_REQUESTS_IN_ROW;
     }
 
-    /** Counts what is in the buffers of its socket, and closes it if its caller is flooding. */
-    public check(): void {
-        this.holding.setBuffered(this.socket.writableLength + this.socket.readableLength);
-        if (this.isFlooding && !this.socket.destroyed) {
-            this.options.onClosed("flood");
+    /**
+     * Counts what is in the buffers of its socket, and closes it if its caller is flooding, or owes the rest of a request and has
+     * been silent.
+     *
+     * @param maxSilentMs - longest time without a byte of a request that has begun, in milliseconds
+     */
+    public check(maxSilentMs: number): void {
+        const { holding, socket } = this;
+        holding.setBuffered(socket.writableLength + socket.readableLength);
+        if (socket.destroyed) {
+            return;
+        }
+        const nowMs = this.options.clock.nowMs();
+        if (this.reader.isWaiting) {
+            holding.activeMs = nowMs;
+        }
+        const isStalled = holding.isUnfinished && nowMs - holding.activeMs > maxSilentMs;
+        if (this.isFlooding || isStalled) {
+            this.options.onClosed(isStalled ? "stalled" : "flood");
             this.destroy();
         }
     }
@@ -134,14 +148,25 @@
         this.holding.addBody(bytes);
     }
 
+    /**
+     * Counts requests whose bodies have not been read to their end.
+     *
+     * @param count - their number; negative when they have been read
+     */
+    public addUnfinishedBodies(count: number): void {
+        this.holding.addUnfinishedBodies(count);
+    }
+
     /** Records that a body is read only to be dropped. */
     public beginDrop(): void {
         this.droppedBodies++;
+        this.addUnfinishedBodies(1);
     }
 
     /** Records that a body has been dropped. */
     public endDrop(): void {
         this.droppedBodies--;
+        this.addUnfinishedBodies(-1);
     }
 
     /**
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -155,6 +155,7 @@
             this.connections.set(socket, new CallerConnection(socket, connectionOptions));
             socket.once("close", () => this.connections.delete(socket));
         });
+        // Silent callers are closed by the check of the connections, whatever the length of their bodies.
         this.server.requestTimeout = 0;
         this.applyLimits(DEFAULT_LIMITS);
     }
@@ -180,7 +181,7 @@
     private scheduleCheck(): void {
         this.check = this.options.clock.setTimer(FLOOD_CHECK_PERIOD_MS, () => {
             for (const connection of this.connections.values()) {
-                connection.check();
+                connection.check(this.limits.idleTimeoutMs + TIMEOUT_MARGIN_MS);
             }
             this.scheduleCheck();
         });
--- a/packages/direct/src/node/callerReader.ts
+++ b/packages/direct/src/node/callerReader.ts
@@ -153,6 +153,11 @@
         socket.once("close", () => options.turns.cancel(this.onTurn));
     }
 
+    /** Whether its caller may have sent bytes that are not read yet. */
+    public get isWaiting(): boolean {
+        return this.waitsFor !== "nothing" || this.socket.isPaused();
+    }
+
     /** Records a request that the parser has handed out. */
     public recordRequest(): void {
         this.items++;
--- a/packages/direct/src/shared/callers/__tests__/callerAccount.spec.ts
+++ b/packages/direct/src/shared/callers/__tests__/callerAccount.spec.ts
@@ -64,6 +64,45 @@
     t.true(account.heapBytes <= bounds.heapBytes);
 });
 
+// Guards against a crowd that evicts callers which wait for their answers.
+test("callers that owe the rest of a request are closed before those that wait for an answer", t => {
+    const account = new CallerAccount({ bytes: MIB, heapBytes: MIB, connections: 4 });
+    const closed: string[] = [];
+    const open = (name: string, nowMs: number) =>
+        account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), nowMs);
+    const waiting = open("waiting", 0);
+    waiting.addRequests(1);
+    waiting.addBody(20_000);
+    const kept = open("kept", 0);
+    kept.addRequests(1);
+    kept.addRequests(-1);
+    const unfinished = open("unfinished", 100);
+    unfinished.addRequests(1);
+    unfinished.addUnfinishedBodies(1);
+    const partial = open("partial", 200);
+    partial.setPartialHead(100);
+    open("further", 1_000).addRequests(1);
+    open("one more", 1_000).addRequests(1);
+    open("and another", 1_000).addRequests(1);
+    t.deepEqual(closed, ["unfinished: descriptors", "partial: descriptors", "kept: descriptors"]);
+});
+
+test("of unfinished and waiting requests the unfinished one is closed for memory if it holds its share", t => {
+    const account = new CallerAccount({ bytes: MIB, heapBytes: MIB, connections: 10 });
+    const closed: string[] = [];
+    const open = (name: string) => account.open((cause: CloseCause) => closed.push(`${name}: ${cause}`), 0);
+    const [waiting, unfinished, slight] = [open("waiting"), open("unfinished"), open("slight")];
+    waiting.addRequests(1);
+    waiting.addBody(600_000);
+    unfinished.addUnfinishedBodies(1);
+    unfinished.addBody(400_000);
+    slight.addUnfinishedBodies(1);
+    slight.addBody(100_000);
+    t.deepEqual(closed, ["unfinished: memory"]);
+    waiting.addBody(400_000);
+    t.deepEqual(closed, ["unfinished: memory", "waiting: memory"]);
+});
+
 // Guards against one object for each chunk of a body.
 test("the segments of a body depend on its size, not on its chunks", t => {
     const counts = [1, 64, 16_384].map(chunkBytes => {
--- a/packages/direct/src/shared/callers/callerAccount.ts
+++ b/packages/direct/src/shared/callers/callerAccount.ts
@@ -9,7 +9,7 @@
 import type { CallerBounds } from "./callerBounds.ts";
 
 /** Why the connection of a caller was closed. */
-export type CloseCause = "memory" | "descriptors" | "flood";
+export type CloseCause = "memory" | "descriptors" | "flood" | "stalled";
 
 /** Heap of a connection and of a request beside their contents, in bytes. */
 const CONNECTION_BYTES = 4_096;
@@ -20,6 +20,10 @@
 const HEAP_PER_HEAD_BYTE = 20;
 /** Most bytes of a head that the parser keeps. */
 const MAX_HEAD_BYTES = 65_536;
+/** Bytes after a request that may be the rest of its last line break. */
+const LINE_BREAK_BYTES = 3;
+/** Time without a byte from which a caller that owes the rest of a request is closed before those that owe none, in milliseconds. */
+const MIN_SILENT_MS = 200;
 
 /**
  * Estimates the heap that a request takes until its answer has left.
@@ -40,6 +44,8 @@
     private requestBytes = 0;
     private partialHeadBytes = 0;
     private requests = 0;
+    private unfinishedBodies = 0;
+    private hasFinishedRequest = false;
     private isOpen = true;
 
     /**
@@ -71,6 +77,16 @@
         return this.requests === 0;
     }
 
+    /** Whether its caller has begun a request and owes the rest of it. */
+    public get isUnfinished(): boolean {
+        return this.unfinishedBodies > 0 || this.partialHeadBytes > LINE_BREAK_BYTES;
+    }
+
+    /** Whether its caller owes the rest of a request, or has never sent a whole one. */
+    public get isUnproven(): boolean {
+        return this.isUnfinished || this.isIdle && !this.hasFinishedRequest;
+    }
+
     /**
      * Counts bytes of bodies.
      *
@@ -87,12 +103,22 @@
      * @param heapBytes - heap of each of them, in bytes
      */
     public addRequests(count: number, heapBytes = REQUEST_BYTES): void {
+        this.hasFinishedRequest ||= count < 0;
         this.update(() => {
             this.requests += count;
             this.requestBytes += count * heapBytes;
         });
     }
 
+    /**
+     * Counts requests whose bodies have not been read to their end.
+     *
+     * @param count - their number; negative when they have been read
+     */
+    public addUnfinishedBodies(count: number): void {
+        this.unfinishedBodies += count;
+    }
+
     /**
      * Replaces the count of bytes that the parser has taken and that belong to no request yet.
      *
@@ -163,8 +189,8 @@
     }
 
     /**
-     * Adds a connection. If there are too many, the one without a request that has been silent for longest is closed, or
-     * else the one that holds most.
+     * Adds a connection. If there are too many, one is closed: that of a caller that has been silent and owes a request, else the
+     * longest silent one without a request, else the one that holds most.
      *
      * @param evict - closes the connection
      * @param nowMs - current time, in milliseconds
@@ -172,7 +198,15 @@
     public open(evict: (cause: CloseCause) => void, nowMs: number): CallerHolding {
         const holding = new CallerHolding(this, evict, nowMs);
         if (this.holdings.size >= this.bounds.connections) {
-            this.evict(this.longestIdle() ?? this.mostExpensive(({ bytes }) => bytes), "descriptors");
+            const minSilentMs = this.isMostlyUnproven ? 0 : MIN_SILENT_MS;
+            const victim = this.longestSilent(({ activeMs, isUnproven }) =>
+                isUnproven && nowMs - activeMs >= minSilentMs
+            ) ?? this.longestSilent(({ isIdle, isUnproven }) =>
+                isIdle && !isUnproven
+            )
+                ?? this.longestSilent(({ isUnproven }) => isUnproven)
+                ?? this.mostExpensive(({ bytes }) => bytes);
+            this.evict(victim, "descriptors");
         }
         this.holdings.add(holding);
         this.change(holding.bytes, holding.heapBytes);
@@ -213,18 +247,34 @@
         holding?.evict(cause);
     }
 
+    /** Returns the connection that holds most, among those that owe the rest of a request if one of them holds its share. */
     private mostExpensive(cost: (holding: CallerHolding) => number): CallerHolding | undefined {
-        let most: CallerHolding | undefined;
+        let [most, mostUnfinished]: (CallerHolding | undefined)[] = [];
+        let [mostCost, mostUnfinishedCost, sum] = [-1, -1, 0];
         for (const holding of this.holdings) {
-            most = !most || cost(holding) > cost(most) ? holding : most;
+            const own = cost(holding);
+            sum += own;
+            if (own > mostCost) {
+                most = holding;
+                mostCost = own;
+            }
+            if (own > mostUnfinishedCost && holding.isUnfinished) {
+                mostUnfinished = holding;
+                mostUnfinishedCost = own;
+            }
         }
-        return most;
+        return mostUnfinishedCost * this.holdings.size >= sum ? mostUnfinished : most;
+    }
+
+    private get isMostlyUnproven(): boolean {
+        const unproven = [...this.holdings].filter(({ isUnproven }) => isUnproven).length;
+        return unproven * 2 > this.holdings.size;
     }
 
-    private longestIdle(): CallerHolding | undefined {
+    private longestSilent(isEligible: (holding: CallerHolding) => boolean): CallerHolding | undefined {
         let longest: CallerHolding | undefined;
         for (const holding of this.holdings) {
-            if (holding.isIdle && (!longest || holding.activeMs < longest.activeMs)) {
+            if ((!longest || holding.activeMs < longest.activeMs) && isEligible(holding)) {
                 longest = holding;
             }
         }
