fix(direct): requests with more than 1,000 header lines are served whole

Cause: Node.js hands out at most 1,000 header lines of a request by default and drops the others without an error. With Content-Length among them the request counted as one without a body.

The listener sets no bound on the number of lines. The size of a head bounds it, and the heap that lines take is in the account.

--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -157,6 +157,8 @@
         });
         // Silent callers are closed by the check of the connections, whatever the length of their bodies.
         this.server.requestTimeout = 0;
+        // The size of the head bounds its lines; Node.js would drop those beyond a number.
+        this.server.maxHeadersCount = 0;
         this.applyLimits(DEFAULT_LIMITS);
     }
 
