refactor(entry): the account and the reader of callers move to the package that both listeners use

The listener of the own path has no bounds on its callers. The account, the reader and the connection of a caller were part of the direct entry, which imports the package of the entry and not the other way round. They move there unchanged, so that both listeners can use the same part. No behaviour changes; types, lint and the check for circular imports pass.

--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -5,8 +5,8 @@
  * @packageDocumentation
  */
 
+export { DEFAULT_MACHINE, type MachineLimits } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 export * from "./node/directEntry.ts";
-export { DEFAULT_MACHINE, type MachineLimits } from "./shared/callers/callerBounds.ts";
 export { directReloaded, directReloadFailed } from "./shared/directEvents.ts";
 export * from "./types/callHeaders.ts";
 export * from "./types/directSettings.ts";
--- a/packages/direct/src/node/callerBody.ts
+++ b/packages/direct/src/node/callerBody.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
+import type { CallerConnection } from "@magnolialock/entry/src/node/callers/callerConnection.ts";
+import { BodyCollector } from "@magnolialock/entry/src/shared/callers/bodyCollector.ts";
 import type { IncomingMessage } from "node:http";
 import { setImmediate } from "node:timers/promises";
-import { BodyCollector } from "../shared/callers/bodyCollector.ts";
-import type { CallerConnection } from "./callerConnection.ts";
 
 /** A body as it was read. */
 export type RequestBody =
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -5,6 +5,15 @@
  * @packageDocumentation
  */
 
+import { CallerConnection } from "@magnolialock/entry/src/node/callers/callerConnection.ts";
+import { ReadTurns } from "@magnolialock/entry/src/node/callers/callerReader.ts";
+import { SegmentPool } from "@magnolialock/entry/src/shared/callers/bodyCollector.ts";
+import {
+    CallerAccount,
+    type CloseCause,
+    requestHeapBytes,
+} from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
+import type { CallerBounds } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 import {
     type Address,
     type Clock,
@@ -16,16 +25,10 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as TcpServer, type Socket } from "node:net";
-import { SegmentPool } from "../shared/callers/bodyCollector.ts";
-import { CallerAccount, type CloseCause } from "../shared/callers/callerAccount.ts";
-import { requestHeapBytes } from "../shared/callers/callerAccount.ts";
-import type { CallerBounds } from "../shared/callers/callerBounds.ts";
 import { BODY_TOO_LARGE, headerBytesOf } from "../shared/serveCall.ts";
 import type { CallerReply, IncomingCall, Refusal, RequestHead } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
 import { announcedBytes, hasBody, RequestBodyReader } from "./callerBody.ts";
-import { CallerConnection } from "./callerConnection.ts";
-import { ReadTurns } from "./callerReader.ts";
 import { HttpReply } from "./httpReply.ts";
 
 /** Options of {@link openCallerListener}. */
--- a/packages/direct/src/node/closedCallers.ts
+++ b/packages/direct/src/node/closedCallers.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { CloseCause } from "../shared/callers/callerAccount.ts";
+import type { CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
 import { callersClosed } from "../shared/callers/callerEvents.ts";
 import type { DirectRuntime } from "../shared/directContext.ts";
 import type { PromMetrics } from "./promMetrics.ts";
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -6,6 +6,7 @@
  */
 
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
+import { callerBounds, DEFAULT_MACHINE } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 import {
     type Address,
     branded,
@@ -19,7 +20,6 @@
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
 import { getHeapStatistics } from "node:v8";
-import { callerBounds, DEFAULT_MACHINE } from "../shared/callers/callerBounds.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     answerUnsent,
--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 
+import type { CallerAccount, CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CallerAccount, CloseCause } from "../shared/callers/callerAccount.ts";
 import type { CallMetrics } from "../shared/callMetrics.ts";
 
 /** Functions that read the values of gauges when metrics are collected. */
--- a/packages/direct/src/types/directSettings.ts
+++ b/packages/direct/src/types/directSettings.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 
+import type { MachineLimits } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 import type { Address, DataCentreId, InstanceId } from "@magnolialock/kernel";
-import type { MachineLimits } from "../shared/callers/callerBounds.ts";
 
 /** Bounds that an installation guarantees or requires. */
 export interface SafetyBounds {
--- a/packages/direct/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -5,12 +5,12 @@
  * @packageDocumentation
  */
 
-import { lingeringClose } from "@magnolialock/entry/src/node/lingeringClose.ts";
 import type { Clock } from "@magnolialock/kernel";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { SegmentPool } from "../shared/callers/bodyCollector.ts";
-import type { CallerAccount, CallerHolding, CloseCause } from "../shared/callers/callerAccount.ts";
+import type { SegmentPool } from "../../shared/callers/bodyCollector.ts";
+import type { CallerAccount, CallerHolding, CloseCause } from "../../shared/callers/callerAccount.ts";
+import { lingeringClose } from "../lingeringClose.ts";
 import { CallerReader, type ReadTurns } from "./callerReader.ts";
 
 /** Bytes that belong to no request, and those of a head or a body that are not parsed yet. */
