fix(entry): the listener of the own path bounds what its callers hold and the time that their bytes take

Cause: that listener counted nothing. Bodies were collected as one object for each chunk, requests sent ahead were handed out as fast as they were parsed, and all bytes of a read at once.

CallerConnections joins account, turns and checks for one HTTP/1.1 server. The number of header lines has no bound of its own there either. Callers over HTTP/2 are not bounded yet.

--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -5,26 +5,14 @@
  * @packageDocumentation
  */
 
-import { CallerConnection } from "@magnolialock/entry/src/node/callers/callerConnection.ts";
-import { ReadTurns } from "@magnolialock/entry/src/node/callers/callerReader.ts";
-import { SegmentPool } from "@magnolialock/entry/src/shared/callers/bodyCollector.ts";
-import {
-    CallerAccount,
-    type CloseCause,
-    requestHeapBytes,
-} from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
+import type { CallerConnection } from "@magnolialock/entry/src/node/callers/callerConnection.ts";
+import { CallerConnections, headHeapBytes } from "@magnolialock/entry/src/node/callers/callerConnections.ts";
+import { type CallerAccount, type CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
 import type { CallerBounds } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
-import {
-    type Address,
-    type Clock,
-    settlesWithin,
-    sleep,
-    splitAddress,
-    type Timer,
-} from "@magnolialock/kernel";
+import { type Address, type Clock, settlesWithin, sleep, splitAddress } from "@magnolialock/kernel";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { Server as TcpServer, type Socket } from "node:net";
+import { Server as TcpServer } from "node:net";
 import { BODY_TOO_LARGE, headerBytesOf } from "../shared/serveCall.ts";
 import type { CallerReply, IncomingCall, Refusal, RequestHead } from "../types/call.ts";
 import type { CallerLimits } from "../types/publishedState.ts";
@@ -65,8 +53,6 @@
 const TIMEOUT_MARGIN_MS = 2_000;
 /** Maximum size of headers that the parser accepts, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
-/** Time between checks of the connections for floods, in milliseconds. */
-const FLOOD_CHECK_PERIOD_MS = 50;
 /** Longest time for which the rest of a body that is not needed is read after its answer, in milliseconds. */
 const MAX_DROP_MS = 1_000;
 /** Time for the body of a refused request to arrive, in milliseconds, so that its connection can be kept. */
@@ -130,34 +116,24 @@
 
 /** Listener on Node's HTTP server. */
 class HttpCallerListener implements CallerListener {
-    public readonly account: CallerAccount;
-    private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly connections: CallerConnections;
     private readonly server: Server;
     private limits = DEFAULT_LIMITS;
-    private check: Timer | undefined;
     private isStopping = false;
     private isClosingIdle = false;
 
     public constructor(private readonly options: CallerListenerOptions) {
-        const { bounds, clock, onClosed } = options;
-        this.account = new CallerAccount(bounds);
-        const connectionOptions = {
-            account: this.account,
-            clock,
-            onClosed,
-            segments: new SegmentPool(),
-            turns: new ReadTurns(clock),
-        };
+        this.connections = new CallerConnections({
+            ...options,
+            maxSilentMs: () => this.limits.idleTimeoutMs + TIMEOUT_MARGIN_MS,
+        });
         this.server = createServer(
             { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
             (request, response) => {
                 void this.handleRequest(request, response);
             },
         );
-        this.server.on("connection", (socket: Socket) => {
-            this.connections.set(socket, new CallerConnection(socket, connectionOptions));
-            socket.once("close", () => this.connections.delete(socket));
-        });
+        this.connections.follow(this.server);
         // Silent callers are closed by the check of the connections, whatever the length of their bodies.
         this.server.requestTimeout = 0;
         // The size of the head bounds its lines; Node.js would drop those beyond a number.
@@ -165,6 +141,10 @@
         this.applyLimits(DEFAULT_LIMITS);
     }
 
+    public get account(): CallerAccount {
+        return this.connections.account;
+    }
+
     public get running(): number {
         return [...this.connections.values()].reduce((sum, { pending }) => sum + pending, 0);
     }
@@ -173,7 +153,6 @@
         const { host, port } = splitAddress(this.options.address);
         this.server.listen(port, host);
         await once(this.server, "listening");
-        this.scheduleCheck();
     }
 
     public applyLimits(limits: CallerLimits): void {
@@ -182,16 +161,6 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs + TIMEOUT_MARGIN_MS;
     }
 
-    /** Counts buffers, and ends connections whose callers send without end what belongs to no request. */
-    private scheduleCheck(): void {
-        this.check = this.options.clock.setTimer(FLOOD_CHECK_PERIOD_MS, () => {
-            for (const connection of this.connections.values()) {
-                connection.check(this.limits.idleTimeoutMs + TIMEOUT_MARGIN_MS);
-            }
-            this.scheduleCheck();
-        });
-    }
-
     public beginStop(): void {
         this.isStopping = true;
     }
@@ -216,7 +185,7 @@
         while (this.connections.size > 0 && clock.nowMs() < deadlineMs) {
             await sleep(clock, CLOSE_POLL_MS);
         }
-        this.check?.cancel();
+        this.connections[Symbol.dispose]();
         for (const connection of this.connections.values()) {
             connection.destroy();
         }
@@ -230,7 +199,7 @@
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedMs = this.options.clock.nowMs();
-        const connection = this.connections.get(request.socket);
+        const connection = this.connections.of(request.socket);
         if (!connection) {
             // It closed before the request came.
             request.resume();
@@ -239,9 +208,7 @@
         let call: IncomingCall | undefined;
         const body = new RequestBodyReader(request, connection);
         const headerBytes = headerBytesOf(request.rawHeaders);
-        const textLength = headerBytes + (request.url?.length ?? 0);
-        const headBytes = requestHeapBytes(request.rawHeaders.length / 2, textLength);
-        const turn = connection.takeTurn(response, headBytes, hasLeft => {
+        const turn = connection.takeTurn(response, headHeapBytes(request), hasLeft => {
             if (call && response.writableEnded && !hasLeft) {
                 this.options.onUnsent(call);
             }
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 
+import { closedCallersRecorder } from "@magnolialock/entry/src/node/callers/closedCallers.ts";
 import { listenHttp } from "@magnolialock/entry/src/node/httpServer.ts";
 import { callerBounds, DEFAULT_MACHINE } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 import {
@@ -20,6 +21,7 @@
 import { Hono } from "hono";
 import { setImmediate } from "node:timers/promises";
 import { getHeapStatistics } from "node:v8";
+import { callersClosed } from "../shared/callers/callerEvents.ts";
 import { DirectContext, type DirectRuntime } from "../shared/directContext.ts";
 import {
     answerUnsent,
@@ -41,7 +43,6 @@
 import type { DirectSettings } from "../types/directSettings.ts";
 import { type PublishedSource, SERVICE_SERVERS_PATH, type ServiceServers } from "../types/publishedState.ts";
 import { type CallerListener, openCallerListener } from "./callerListener.ts";
-import { closedCallersRecorder } from "./closedCallers.ts";
 import { createEntryMetrics } from "./entryMetrics.ts";
 import { createServerGroupReader, fetchState, STATE_PATH } from "./peerClient.ts";
 import type { PromMetrics } from "./promMetrics.ts";
@@ -256,7 +257,11 @@
         refuseByHead: head => refuseByHead(context, head),
         refuse: (call, reply, refusal) => refuseCall(context, call, reply, refusal),
         bounds: callerBounds(settings.machine ?? DEFAULT_MACHINE, getHeapStatistics().heap_size_limit),
-        onClosed: closedCallersRecorder(runtime, metrics),
+        onClosed: closedCallersRecorder({
+            clock: runtime.clock,
+            count: cause => metrics.countClosedCaller(cause),
+            log: closed => runtime.events.emit(callersClosed, closed),
+        }),
         onUnsent: call => runtime.events.emit(answerUnsent, { requestId: call.headers[headers.requestId] }),
     });
 };
--- a/packages/entry/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callerConnection.ts
@@ -7,7 +7,9 @@
 
 import type { HttpBindings } from "@hono/node-server";
 import type { Context } from "hono";
-import { ServerResponse } from "node:http";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { BodyCollector } from "../shared/callers/bodyCollector.ts";
+import { type CallerConnection, callerConnectionOf } from "./callers/callerConnection.ts";
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -38,6 +40,45 @@
     };
 };
 
+/** Reads a body whose memory counts for its connection until the response has ended. */
+const readCounted = async (
+    connection: CallerConnection,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    maxBytes: number,
+): Promise<BodyResult> => {
+    const { "content-length": length, "transfer-encoding": encoding } = incoming.headers;
+    if (length === undefined && encoding === undefined) {
+        return { kind: "body", bytes: NO_BYTES };
+    }
+    let heldBytes = 0;
+    const announcedBytes = length === undefined ? undefined : Number(length);
+    const collector = new BodyCollector(announcedBytes, connection.segments, bytes => {
+        heldBytes += bytes;
+        connection.addBody(bytes);
+    });
+    outgoing.once("close", () => connection.addBody(-heldBytes));
+    connection.addUnfinishedBodies(1);
+    let isWhole = false;
+    try {
+        for await (const chunk of incoming as AsyncIterable<Buffer>) {
+            connection.recordBody(chunk.length);
+            if (collector.bytes + chunk.length > maxBytes) {
+                return { kind: "too-large" };
+            }
+            collector.add(chunk);
+        }
+        isWhole = true;
+        return { kind: "body", bytes: collector.take() };
+    }
+    finally {
+        if (!isWhole) {
+            collector.discard();
+        }
+        connection.addUnfinishedBodies(-1);
+    }
+};
+
 /**
  * Reads the body of a request up to a size limit.
  *
@@ -52,7 +93,13 @@
     }
     const bindings = nodeBindings(context);
     if (bindings) {
-        return readChunks(bindings.incoming as AsyncIterable<Uint8Array>, maxBytes);
+        const { incoming, outgoing } = bindings;
+        const connection = incoming instanceof IncomingMessage
+            ? callerConnectionOf(incoming.socket)
+            : undefined;
+        return connection
+            ? readCounted(connection, incoming as IncomingMessage, outgoing as ServerResponse, maxBytes)
+            : readChunks(incoming as AsyncIterable<Uint8Array>, maxBytes);
     }
     const { body } = context.req.raw;
     return body ? readChunks(body, maxBytes) : Promise.resolve({ kind: "body", bytes: NO_BYTES });
--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -50,6 +50,15 @@
     readonly onClosed: (cause: CloseCause) => void;
 }
 
+const connections = new WeakMap<Socket, CallerConnection>();
+
+/**
+ * Returns the connection of a socket; undefined where callers have no bounds.
+ *
+ * @param socket - the socket
+ */
+export const callerConnectionOf = (socket: Socket): CallerConnection | undefined => connections.get(socket);
+
 /** One connection of a caller. */
 export class CallerConnection {
     private openRequests = 0;
@@ -72,6 +81,7 @@
      */
     public constructor(private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
         const { account, clock, onClosed, turns } = options;
+        connections.set(socket, this);
         this.holding = account.open(cause => {
             onClosed(cause);
             this.destroy();
--- a/packages/direct/src/node/closedCallers.ts
+++ b/packages/entry/src/node/callers/closedCallers.ts
@@ -4,10 +4,18 @@
  * @packageDocumentation
  */
 
-import type { CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
-import { callersClosed } from "../shared/callers/callerEvents.ts";
-import type { DirectRuntime } from "../shared/directContext.ts";
-import type { PromMetrics } from "./promMetrics.ts";
+import type { Clock } from "@magnolialock/kernel";
+import type { CloseCause } from "../../shared/callers/callerAccount.ts";
+
+/** Options of {@link closedCallersRecorder}. */
+export interface ClosedCallersOptions {
+    /** Source of time. */
+    readonly clock: Clock;
+    /** Counts a connection in the metrics. */
+    readonly count: (cause: CloseCause) => void;
+    /** Logs the number of connections since the line before of the same cause. */
+    readonly log: (closed: { readonly cause: CloseCause; readonly count: number; }) => void;
+}
 
 /** Time between two log lines of one cause, in milliseconds. */
 const LOG_PERIOD_MS = 1_000;
@@ -15,23 +23,21 @@
 /**
  * Returns a function that records a closed connection.
  *
- * @param runtime - clock and event log
- * @param metrics - metrics of the process
+ * @param options - metrics and log of the process
  */
 export const closedCallersRecorder = (
-    { clock, events }: DirectRuntime,
-    metrics: PromMetrics,
+    { clock, count: countClosed, log }: ClosedCallersOptions,
 ): (cause: CloseCause) => void => {
     const counts = new Map<CloseCause, number>();
     const loggedMs = new Map<CloseCause, number>();
     return cause => {
-        metrics.countClosedCaller(cause);
+        countClosed(cause);
         const count = (counts.get(cause) ?? 0) + 1;
         counts.set(cause, count);
         if (clock.nowMs() - (loggedMs.get(cause) ?? Number.NEGATIVE_INFINITY) >= LOG_PERIOD_MS) {
             loggedMs.set(cause, clock.nowMs());
             counts.set(cause, 0);
-            events.emit(callersClosed, { cause, count });
+            log({ cause, count });
         }
     };
 };
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -17,17 +17,33 @@
     resolveConfig,
     ResourceScope,
     runProgram,
+    type Runtime,
     waitForStopSignal,
 } from "@magnolialock/kernel";
+import { getHeapStatistics } from "node:v8";
+import { callerBounds } from "../shared/callers/callerBounds.ts";
 import { createEntry, type Entry } from "../shared/entry.ts";
+import { entryCallersClosed } from "../shared/entryEvents.ts";
 import { MembershipEntryCount } from "../shared/membershipEntryCount.ts";
+import { closedCallersRecorder } from "./callers/closedCallers.ts";
 import { entryProgram } from "./entryProgram.ts";
 import { createHttpApp } from "./httpApp.ts";
-import { type HttpServer, listenHttp } from "./httpServer.ts";
+import { type HttpServer, type HttpServerOptions, listenHttp } from "./httpServer.ts";
 
 /** Time for the last answers to leave once no request runs, if the drain timeout is used up, in milliseconds. */
 const LAST_ANSWERS_MS = 500;
 
+const BYTES_PER_MB = 1_000_000;
+/** Bodies of the largest size that callers may always hold together. */
+const MIN_LARGEST_BODIES = 3;
+
+/** Settings that bound what callers may hold. */
+interface CallerSettings {
+    readonly memoryMb: number;
+    readonly fileDescriptors: number;
+    readonly maxBodyBytes: number;
+}
+
 /** What a stop of the entry ends. */
 interface StopOptions {
     readonly servers: readonly HttpServer[];
@@ -50,6 +66,23 @@
     await Promise.all(servers.map(server => server.close(timeoutMs)));
 };
 
+/** Bounds on what callers may hold, and the record of the connections that are closed because of them. */
+const callerLimits = (
+    { fileDescriptors, maxBodyBytes, memoryMb }: CallerSettings,
+    { clock, events, metrics }: Runtime,
+): HttpServerOptions["callers"] => {
+    const machine = { memoryBytes: memoryMb * BYTES_PER_MB, descriptors: fileDescriptors };
+    const bounds = callerBounds(machine, getHeapStatistics().heap_size_limit);
+    return {
+        bounds: { ...bounds, bytes: Math.max(bounds.bytes, maxBodyBytes * MIN_LARGEST_BODIES) },
+        onClosed: closedCallersRecorder({
+            clock,
+            count: cause => metrics.increment("entry.callers.closed", 1, { cause }),
+            log: closed => events.emit(entryCallersClosed, closed),
+        }),
+    };
+};
+
 const main = async (): Promise<number> => {
     const settings = await resolveConfig(entryProgram, process.argv.slice(2));
     await using runtime = createProcessRuntime({ instance: settings.instance, statsd: settings.statsd });
@@ -70,7 +103,14 @@
     await using listeners = new ResourceScope();
     listeners.use(await runtime.network.listen(settings.control, feed.services));
     const servers = [
-        listeners.use(await listenHttp({ app, address: settings.listen, protocol: "http1" })),
+        listeners.use(
+            await listenHttp({
+                app,
+                address: settings.listen,
+                protocol: "http1",
+                callers: callerLimits(settings, runtime),
+            }),
+        ),
     ];
     if (settings.listenHttp2) {
         servers.push(
--- a/packages/entry/src/node/entryProgram.ts
+++ b/packages/entry/src/node/entryProgram.ts
@@ -31,6 +31,18 @@
             min: 1,
             max: 67_108_864,
         }),
+        memoryMb: integerSetting({
+            description: "Memory of the machine for this process, in MB; it bounds what callers may hold",
+            defaultValue: 512,
+            min: 128,
+            max: 1_048_576,
+        }),
+        fileDescriptors: integerSetting({
+            description: "Descriptors that this process may open; they bound the connections of callers",
+            defaultValue: 4_096,
+            min: 128,
+            max: 1_048_576,
+        }),
         drainTimeoutMs: integerSetting({
             description: "Longest time to wait for requests in flight on shutdown, in milliseconds",
             defaultValue: 30_000,
--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -11,6 +11,7 @@
 import { createServer as createHttpServer, type Server } from "node:http";
 import { createServer as createHttp2Server, type Http2Server } from "node:http2";
 import { Server as NetServer } from "node:net";
+import { CallerConnections, type CallerConnectionsOptions } from "./callers/callerConnections.ts";
 import { Http1Connections, Http2Connections, type OpenConnections } from "./openConnections.ts";
 
 /** Handler of the requests of a server. */
@@ -26,6 +27,8 @@
     readonly protocol: "http1" | "http2";
     /** Time for running responses to end when the server is disposed, in milliseconds. */
     readonly closeTimeoutMs?: number;
+    /** Bounds on what callers over HTTP/1.1 may hold; without them nothing is counted. */
+    readonly callers?: Pick<CallerConnectionsOptions, "bounds" | "onClosed">;
 }
 
 /** Maximum total size of the headers of a request, in bytes. */
@@ -44,18 +47,27 @@
 interface OpenServer {
     readonly server: Server | Http2Server;
     readonly connections: OpenConnections;
+    readonly callers?: CallerConnections | undefined;
 }
 
-const createHttp1 = (listener: RequestListener): OpenServer => {
+const createHttp1 = (listener: RequestListener, bounds: HttpServerOptions["callers"]): OpenServer => {
     const connections = new Http1Connections();
+    const callers = bounds && new CallerConnections({
+        clock: createSystemClock(),
+        maxSilentMs: () => KEEP_ALIVE_TIMEOUT_MS,
+        ...bounds,
+    });
     const server = createHttpServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: HEADERS_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    }, connections.wrap(listener));
+    }, connections.wrap(callers?.wrap(listener) ?? listener));
+    // The size of the head bounds its lines; Node.js would drop those beyond a number.
+    server.maxHeadersCount = 0;
+    callers?.follow(server);
     connections.follow(server);
-    return { server, connections };
+    return { server, connections, callers };
 };
 
 const createHttp2 = (listener: RequestListener): OpenServer => {
@@ -65,7 +77,11 @@
     return { server, connections };
 };
 
-const closeServer = async ({ server, connections }: OpenServer, timeoutMs: number): Promise<void> => {
+const closeServer = async (
+    { callers, server, connections }: OpenServer,
+    timeoutMs: number,
+): Promise<void> => {
+    using _callers = callers;
     const closed = once(server, "close");
     // `close()` of an HTTP server also closes connections whose response has been handed over but has not left.
     NetServer.prototype.close.call(server);
@@ -99,7 +115,9 @@
 export const listenHttp = async (options: HttpServerOptions): Promise<HttpServer> => {
     const { host, port } = splitAddress(options.address);
     const listener = getRequestListener(options.app.fetch, { hostname: host });
-    const open = options.protocol === "http1" ? createHttp1(listener) : createHttp2(listener);
+    const open = options.protocol === "http1"
+        ? createHttp1(listener, options.callers)
+        : createHttp2(listener);
     open.server.listen(port, host);
     await once(open.server, "listening");
     let closed: Promise<void> | undefined;
--- a/packages/entry/src/shared/entryEvents.ts
+++ b/packages/entry/src/shared/entryEvents.ts
@@ -102,6 +102,15 @@
     summary: "An attempt got no answer; the agent reported the outcome of the request in reply to a recall.",
 });
 
+/** Connections of callers were closed because of what they hold. */
+export const entryCallersClosed = defineEvent({
+    number: 3035,
+    name: "entry.callers.closed",
+    level: "warning",
+    summary:
+        "Connections of callers were closed because of the memory or descriptors that they hold, or as floods.",
+});
+
 /** The entry was paused. */
 export const entryPaused = defineEvent({
     number: 3040,
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 
+export * from "./node/crowd.ts";
 export * from "./node/freePort.ts";
 export * from "./node/programProcess.ts";
 export * from "./node/rawCaller.ts";
--- a/platform/__tests__/crowd.ts
+++ b/packages/test-support/src/node/crowd.ts
@@ -1,15 +1,23 @@
-/** Test fixture: a crowd of clients on raw sockets, in a thread of its own. */
+/**
+ * A crowd of clients on raw sockets, in a thread of its own.
+ *
+ * @packageDocumentation
+ */
 
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 
 /** A crowd of like clients; each sends `start`, then `repeat` until it has sent `bytes`, and then stays. */
 export interface Crowd {
+    /** Number of clients. */
     readonly clients: number;
+    /** What each of them sends first. */
     readonly start: string;
     /** Header lines that replace the word `LINES` of `start`, with names of their own for each client. */
     readonly lines?: number;
+    /** What it sends again and again after that; nothing by default. */
     readonly repeat?: string;
+    /** Bytes of repeats, at most; without end by default. */
     readonly bytes?: number;
     /** Whether a client that was closed connects again 100 ms later. */
     readonly returns?: boolean;
@@ -74,7 +82,12 @@
 
     private constructor(private readonly worker: Worker) {}
 
-    /** Starts a crowd against a listener. */
+    /**
+     * Starts a crowd.
+     *
+     * @param callers - address of the listener
+     * @param crowd - what the clients send
+     */
     public static async start(callers: string, crowd: Crowd): Promise<RunningCrowd> {
         const [host, port] = callers.split(":");
         const worker = new Worker(CLIENTS, {
@@ -94,7 +107,11 @@
         return new RunningCrowd(worker);
     }
 
-    /** Closes all connections at once; returns how many were opened. */
+    /**
+     * Closes all connections at once.
+     *
+     * @returns how many were opened
+     */
     public async leave(): Promise<number> {
         this.hasLeft = true;
         this.worker.postMessage("leave");
@@ -102,6 +119,7 @@
         return connected;
     }
 
+    /** Closes all connections and ends the thread. */
     public async [Symbol.asyncDispose](): Promise<void> {
         if (!this.hasLeft) {
             await this.leave();
--- a/packages/test-support/src/node/programProcess.ts
+++ b/packages/test-support/src/node/programProcess.ts
@@ -6,6 +6,9 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+
+const BYTES_PER_KIB = 1_024;
 
 /** A program in a child process, with its captured output; disposing it kills it if it still runs. */
 export class ProgramProcess implements AsyncDisposable {
@@ -34,6 +37,22 @@
         );
     }
 
+    /** Whether the process has not ended. */
+    public get isRunning(): boolean {
+        return typeof this.child.exitCode !== "number" && typeof this.child.signalCode !== "string";
+    }
+
+    /**
+     * Reads the resident memory of the process.
+     *
+     * @returns the size, in bytes
+     * @throws if the process has ended
+     */
+    public async rssBytes(): Promise<number> {
+        const status = await readFile(`/proc/${this.child.pid}/status`, "utf8");
+        return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) * BYTES_PER_KIB;
+    }
+
     /**
      * Sends a signal.
      *
