fix(entry): the end of a body in chunks does not count as the begin of a further request

Callers whose bodies come in chunks, and who wait for an answer longer than idle_timeout_ms and 2 s, had their connections closed with the cause "stalled"; at a bound they were closed before others.

Cause: the framing of a body, its last chunk included, counted as bytes of a head that is not complete.

The reader keeps the request until it is complete: framing within a body counts nothing, and only what follows the end of the last request counts as a head. A caller that waits for an answer is never closed as stalled.

--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -127,8 +127,8 @@
     }
 
     /**
-     * Counts what is in the buffers of its socket, and closes it if its caller is flooding, or owes the rest of a request and has
-     * been silent.
+     * Counts what is in the buffers of its socket, and closes it if its caller is flooding, or owes the rest of a request, waits
+     * for no answer and has been silent.
      *
      * @param maxSilentMs - longest time without a byte of a request that has begun, in milliseconds
      */
@@ -142,7 +142,8 @@
         if (this.reader.isWaiting) {
             holding.activeMs = nowMs;
         }
-        const isStalled = holding.isUnfinished && nowMs - holding.activeMs > maxSilentMs;
+        const isStalled = holding.isUnfinished && !holding.isWaiting
+            && nowMs - holding.activeMs > maxSilentMs;
         if (this.isFlooding || isStalled) {
             this.options.onClosed(isStalled ? "stalled" : "flood");
             this.destroy();
@@ -225,7 +226,7 @@
         }
         this.openRequests++;
         this.requestsInRow += this.openRequests > ROW_OPEN_REQUESTS ? 1 : 0;
-        this.reader.recordRequest();
+        this.reader.recordRequest(response.req);
         this.holding.addRequests(1, headBytes);
         this.expectedBytes += MAX_HEAD_BYTES;
         this.contentBytes += MAX_HEAD_BYTES;
--- a/packages/entry/src/node/callers/callerReader.ts
+++ b/packages/entry/src/node/callers/callerReader.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "@magnolialock/kernel";
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 
 /** Smallest and largest slice, and that of a new connection, in bytes. */
@@ -24,6 +25,8 @@
 const MAX_LOOP_TURN_BYTES = 256 * 1_024;
 /** End of the head of a request. */
 const HEAD_END = "\r\n\r\n";
+/** Most bytes of such an end that come after others of it. */
+const MAX_SPLIT_END_BYTES = HEAD_END.length - 1;
 
 /** Calls back when all that can go on without an event has gone on: promises that were resolved meanwhile included. */
 const afterTasks = (callback: () => void): void => queueMicrotask(() => process.nextTick(callback));
@@ -130,7 +133,9 @@
     private requests = 0;
     /** Bytes of bodies since the last request of the slice. */
     private bodyBytes = 0;
-    /** Bytes that the parser has taken since the last request or piece of a body. */
+    /** The last request that the parser has handed out, until it is complete. */
+    private request: IncomingMessage | undefined;
+    /** Bytes of a head, or of trailers, that the parser has taken. */
     private partialHeadBytes = 0;
     private readonly clock: Clock;
     private waitsFor: "nothing" | "turn" | "room" = "nothing";
@@ -158,8 +163,13 @@
         return this.waitsFor !== "nothing" || this.socket.isPaused();
     }
 
-    /** Records a request that the parser has handed out. */
-    public recordRequest(): void {
+    /**
+     * Records a request that the parser has handed out.
+     *
+     * @param request - the request
+     */
+    public recordRequest(request: IncomingMessage): void {
+        this.request = request;
         this.items++;
         this.requests++;
         this.bodyBytes = 0;
@@ -229,8 +239,9 @@
             this.items = 0;
             this.requests = 0;
             this.bodyBytes = 0;
+            const { isInBody } = this;
             this.parse(slice);
-            this.countPartialHead(slice);
+            this.countPartialHead(slice, isInBody);
             const isCostly = this.items > COSTLY_ITEMS || this.clock.nowMs() - startMs > COSTLY_MS;
             this.sliceBytes = isCostly ? MIN_SLICE_BYTES : Math.min(MAX_SLICE_BYTES, this.sliceBytes * 2);
             if ((isCostly || this.options.mustPace()) && !this.socket.isPaused()) {
@@ -241,14 +252,38 @@
         return rest;
     }
 
-    private countPartialHead(slice: Buffer): void {
-        if (this.items === 0) {
+    /**
+     * Counts what the parser holds of a head: all bytes since the end of the last request. The framing of a body is not kept, its
+     * trailers are.
+     */
+    private countPartialHead(slice: Buffer, isInBody: boolean): void {
+        if (this.items === 0 && isInBody === this.isInBody) {
             this.partialHeadBytes += slice.length;
-            return;
         }
-        const headEnd = this.requests > 0 ? slice.lastIndexOf(HEAD_END) : -1;
-        const contentStart = headEnd < 0 ? 0 : headEnd + HEAD_END.length;
-        this.partialHeadBytes = Math.max(0, slice.length - contentStart - this.bodyBytes);
+        else if (this.isInBody) {
+            this.partialHeadBytes = 0;
+        }
+        else {
+            this.partialHeadBytes = Math.max(0, slice.length - this.contentBytesOf(slice));
+            this.request = undefined;
+        }
+    }
+
+    /** Bytes of a slice up to the end of the last request in it. */
+    private contentBytesOf(slice: Buffer): number {
+        const isChunked = this.request?.headers["transfer-encoding"] !== undefined;
+        const lineEnd = slice.lastIndexOf(HEAD_END);
+        if (isChunked) {
+            // A body in chunks ends like a head.
+            return lineEnd < 0 ? MAX_SPLIT_END_BYTES : lineEnd + HEAD_END.length;
+        }
+        const headBytes = this.requests > 0 && lineEnd >= 0 ? lineEnd + HEAD_END.length : 0;
+        return headBytes + this.bodyBytes;
+    }
+
+    /** Whether the rest of a request that the parser has handed out is to come. */
+    private get isInBody(): boolean {
+        return this.request?.complete === false;
     }
 
     /**
--- a/packages/entry/src/shared/callers/callerAccount.ts
+++ b/packages/entry/src/shared/callers/callerAccount.ts
@@ -82,6 +82,11 @@
         return this.unfinishedBodies > 0 || this.partialHeadBytes > LINE_BREAK_BYTES;
     }
 
+    /** Whether its caller waits for the answer to a whole request. */
+    public get isWaiting(): boolean {
+        return this.requests > this.unfinishedBodies;
+    }
+
     /** Whether its caller owes the rest of a request, or has never sent a whole one. */
     public get isUnproven(): boolean {
         return this.isUnfinished || this.isIdle && !this.hasFinishedRequest;
