fix(direct): a caller that sends its whole body first reads why it is refused

What callers saw: a request inside the limits whose head is refused (a wrong key, no route) and whose body of up to 4 MiB was on its way lost its connection without the answer, in about half of the tries.

Cause: since requests are refused by their heads, their bodies are dropped. The dropped bytes did not count as expected ones, so the connection was closed as flooding after 1 MiB; and bytes that were read but not parsed yet counted as framing, so that a body in chunks of 16 KiB was taken for one of tiny chunks.

Change: the bytes of a dropped body within the limit are expected, and bytes that wait in the buffers of the connection or of the request are not framing.

Why it works: both bounds now compare bytes that were parsed with bytes that the caller may send. A body beyond the limit, or of tiny chunks, is still closed.

--- a/packages/direct/src/node/callerBody.ts
+++ b/packages/direct/src/node/callerBody.ts
@@ -65,10 +65,14 @@
         return this.collect(announcedBytes(this.request), maxBytes);
     }
 
-    /** Reads the body and drops it; resolves once that is done. */
-    public async drop(): Promise<void> {
+    /**
+     * Reads the body and drops it; resolves once that is done.
+     *
+     * @param maxBytes - bytes that the caller may still send, beyond which it counts as flooding
+     */
+    public async drop(maxBytes: number): Promise<void> {
         this.connection.beginDrop();
-        await this.dropRest();
+        await this.dropRest(maxBytes);
         this.connection.endDrop();
     }
 
@@ -90,7 +94,7 @@
                 if (collector.bytes + chunk.length > maxBytes) {
                     collector.discard();
                     request.pause();
-                    finish({ kind: "tooLarge", rest: this.drop() });
+                    finish({ kind: "tooLarge", rest: this.drop(0) });
                     return;
                 }
                 collector.add(chunk);
@@ -116,13 +120,15 @@
      * Reads the rest of a body and drops it, or the caller would not come to read the answer. Other callers get a turn after
      * each piece. A body of tiny chunks is not read on: it costs far more time than its bytes.
      */
-    private async dropRest(): Promise<void> {
+    private async dropRest(maxBytes: number): Promise<void> {
         const { connection, request } = this;
+        let leftBytes = maxBytes;
         try {
             // The connection still carries the answer to a body that is too large.
             for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-                connection.recordDropped(chunk.length);
-                if (connection.isFramingHeavy) {
+                connection.recordDropped(chunk.length, Math.min(chunk.length, leftBytes));
+                leftBytes = Math.max(0, leftBytes - chunk.length);
+                if (connection.isFramingHeavy(request.readableLength)) {
                     connection.destroy();
                     return;
                 }
--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -218,7 +218,7 @@
         const exchange: Exchange = { request, response, connection, receivedMs, turn };
         const refusal = this.refusalOf(request, headerBytes);
         if (refusal) {
-            await this.refuse(exchange, refusal, body.drop());
+            await this.refuse(exchange, refusal, body.drop(this.limits.bodyBytes));
             return;
         }
         // The body is read at once: a connection that is not read does not show that its caller has left.
--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -19,7 +19,7 @@
 const MAX_HEAD_BYTES = 64 * 1024;
 /** Bytes of framing for each byte of a body: a chunk of one byte takes five. */
 const MAX_FRAMING_FACTOR = 8;
-/** Bytes of framing, and read in advance, of a body that is read on although it is too large. */
+/** Bytes of framing of bodies that are read only to be dropped. */
 const MAX_FRAMING_BYTES = 64 * 1024;
 /** Requests of one connection that are read before the answers to them have left. */
 const MAX_PIPELINED = 16;
@@ -192,18 +192,25 @@
     }
 
     /**
-     * Records bytes of a body that is too large; a caller that goes on for long counts as flooding.
+     * Records bytes of a body that is dropped. A caller that goes on for long beyond those within the limit counts as flooding.
      *
      * @param bytes - their number
+     * @param allowedBytes - number of those within the limit
      */
-    public recordDropped(bytes: number): void {
+    public recordDropped(bytes: number, allowedBytes: number): void {
         this.reader.recordBody(bytes);
+        this.expectedBytes += allowedBytes;
         this.contentBytes += bytes;
     }
 
-    /** Whether its bodies have come in chunks of few bytes each. */
-    public get isFramingHeavy(): boolean {
-        return this.socket.bytesRead - this.contentBytes > MAX_FRAMING_BYTES;
+    /**
+     * Tells whether its bodies have come in chunks of few bytes each.
+     *
+     * @param bufferedBytes - bytes of a body that are parsed and not recorded yet
+     */
+    public isFramingHeavy(bufferedBytes: number): boolean {
+        const { bytesRead, readableLength } = this.socket;
+        return bytesRead - readableLength - bufferedBytes - this.contentBytes > MAX_FRAMING_BYTES;
     }
 
     /**
