fix(entry): a flooding caller is closed at the read that exceeds its bound

What callers saw: nothing; a process took far more from one flooding caller than its bound of 1 MiB, up to what a fast caller sends in 50 ms and longer on a busy machine.

Cause: the bytes of a connection were compared with its bound only in the check every 50 ms.

Change: they are compared after each read as well.

Why it works: what a caller sends beyond its bound is now one read and what the buffers of the sockets hold, whatever the speed of the machine.

--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -95,6 +95,10 @@
             onRead: (waitingBytes, partialHeadBytes) => {
                 this.holding.setBuffered(socket.writableLength + waitingBytes);
                 this.holding.setPartialHead(partialHeadBytes);
+                // A periodic check alone would let a fast caller send without bound until it is due.
+                if (this.hasStrayBytes) {
+                    this.closeFlooding();
+                }
             },
         });
         socket.on("data", () => this.holding.activeMs = clock.nowMs());
@@ -123,7 +127,18 @@
      * empty lines before a request. A caller that goes on to send requests before it has its answers counts as well.
      */
     public get isFlooding(): boolean {
-        return this.socket.bytesRead > this.expectedBytes || this.requestsInRow > MAX_REQUESTS_IN_ROW;
+        return this.hasStrayBytes || this.requestsInRow > MAX_REQUESTS_IN_ROW;
+    }
+
+    private get hasStrayBytes(): boolean {
+        return this.socket.bytesRead > this.expectedBytes;
+    }
+
+    private closeFlooding(): void {
+        if (!this.socket.destroyed) {
+            this.options.onClosed("flood");
+            this.destroy();
+        }
     }
 
     /**
