test: crowds of both listeners share their ordinary request, and meet programs as they are deployed

The ordinary request beside a crowd was written twice, and the entry of the own path was started from its sources: the loader for TypeScript took some 60 MB of the memory that the test bounds.

Crowds, limits and checks are as they were; the entry of the own path is the bundle that is deployed.

--- a/packages/entry/src/node/__tests__/entryFleet.ts
+++ b/packages/entry/src/node/__tests__/entryFleet.ts
@@ -85,8 +85,13 @@
  *
  * @param drainTimeoutMs - drain timeout of the entry, in milliseconds
  * @param entryFlags - further arguments of the entry
+ * @param entryModule - main module of the entry, or the file it was built into
  */
-export const startFleet = async (drainTimeoutMs: number, entryFlags: readonly string[] = []) => {
+export const startFleet = async (
+    drainTimeoutMs: number,
+    entryFlags: readonly string[] = [],
+    entryModule = ENTRY_MODULE,
+) => {
     const scope = new ResourceScope();
     const [listen, listenHttp2, control, agentControl] = await Promise.all(
         Array.from({ length: 4 }, freeAddress),
@@ -110,7 +115,7 @@
         ...["--instance", "agent-1", "--control", agentControl],
         ...["--server", "painel-1", "--backend", `127.0.0.1:${port}`],
     ]));
-    const entry = scope.use(ProgramProcess.start(ENTRY_MODULE, [
+    const entry = scope.use(ProgramProcess.start(entryModule, [
         ...common,
         ...["--instance", "entry-1", "--control", control, "--listen", listen],
         ...["--listen-http2", listenHttp2, "--drain-timeout-ms", String(drainTimeoutMs)],
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -5,10 +5,12 @@
  * @packageDocumentation
  */
 
+export * from "./node/builtProgram.ts";
 export * from "./node/crowd.ts";
 export * from "./node/freePort.ts";
 export * from "./node/programProcess.ts";
 export * from "./node/rawCaller.ts";
+export * from "./node/repeatedRequest.ts";
 export * from "./node/silentHost.ts";
 export * from "./shared/cutAnswers.ts";
 export * from "./shared/endpoint.ts";
--- a/packages/test-support/src/node/programProcess.ts
+++ b/packages/test-support/src/node/programProcess.ts
@@ -25,15 +25,16 @@
     }
 
     /**
-     * Starts a program from its source.
+     * Starts a program.
      *
-     * @param module - path of its main module
+     * @param module - path of its main module, or of the file it was built into
      * @param args - its arguments
      * @returns the process
      */
     public static start(module: string, args: readonly string[]): ProgramProcess {
+        const loader = module.endsWith(".ts") ? ["--import=tsx"] : [];
         return new ProgramProcess(
-            spawn(process.execPath, ["--import=tsx", module, ...args], { stdio: ["ignore", "pipe", "pipe"] }),
+            spawn(process.execPath, [...loader, module, ...args], { stdio: ["ignore", "pipe", "pipe"] }),
         );
     }
 
