fix(entry): callers over HTTP/2 have the bounds of their process

Cause: the listener for HTTP/2 counted nothing.

Change: Http2Callers counts sessions, streams, heads, bodies and buffers in the account of the process, which the listener for HTTP/1.1 shares; a session that is evicted, or silent in a request, is closed. Heap is at most half of what callers of the own path may hold.

--- a/packages/direct/src/node/callerListener.ts
+++ b/packages/direct/src/node/callerListener.ts
@@ -7,7 +7,7 @@
 
 import type { CallerConnection } from "@magnolialock/entry/src/node/callers/callerConnection.ts";
 import { CallerConnections, headHeapBytes } from "@magnolialock/entry/src/node/callers/callerConnections.ts";
-import { type CallerAccount, type CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
+import { CallerAccount, type CloseCause } from "@magnolialock/entry/src/shared/callers/callerAccount.ts";
 import type { CallerBounds } from "@magnolialock/entry/src/shared/callers/callerBounds.ts";
 import { type Address, type Clock, settlesWithin, sleep, splitAddress } from "@magnolialock/kernel";
 import { once } from "node:events";
@@ -116,6 +116,7 @@
 
 /** Listener on Node's HTTP server. */
 class HttpCallerListener implements CallerListener {
+    public readonly account: CallerAccount;
     private readonly connections: CallerConnections;
     private readonly server: Server;
     private limits = DEFAULT_LIMITS;
@@ -123,8 +124,10 @@
     private isClosingIdle = false;
 
     public constructor(private readonly options: CallerListenerOptions) {
+        this.account = new CallerAccount(options.bounds);
         this.connections = new CallerConnections({
             ...options,
+            account: this.account,
             maxSilentMs: () => this.limits.idleTimeoutMs + TIMEOUT_MARGIN_MS,
         });
         this.server = createServer(
@@ -141,10 +144,6 @@
         this.applyLimits(DEFAULT_LIMITS);
     }
 
-    public get account(): CallerAccount {
-        return this.connections.account;
-    }
-
     public get running(): number {
         return [...this.connections.values()].reduce((sum, { pending }) => sum + pending, 0);
     }
--- a/packages/entry/src/node/__tests__/hostileCrowds.spec.ts
+++ b/packages/entry/src/node/__tests__/hostileCrowds.spec.ts
@@ -1,6 +1,6 @@
-/** Guards against crowds that nobody controls at the listener of the own path. */
+/** Guards against crowds that nobody controls at the listeners of the own path. */
 
-import { type Crowd, RunningCrowd } from "@magnolialock/test-support";
+import { type Crowd, type Http2Crowd, RunningCrowd, RunningHttp2Crowd } from "@magnolialock/test-support";
 import test from "ava";
 import { checkOutlasts } from "./crowdCheck.ts";
 import { KEY } from "./entryFleet.ts";
@@ -39,3 +39,35 @@
     test.serial(`an entry of the own path outlasts a crowd and answers others: ${name}`, t =>
         checkOutlasts(t, ({ listen }) => RunningCrowd.start(listen, crowd)));
 }
+
+const HTTP2_HEADERS = { ":method": "POST", ":path": "/painel/1", authorization: `Bearer ${KEY}` };
+
+const HTTP2_CROWDS: Readonly<Record<string, Http2Crowd>> = {
+    "bodies that stop short": {
+        clients: 100,
+        requests: 10,
+        headers: HTTP2_HEADERS,
+        bodyBytes: 1_000_000,
+        returns: true,
+    },
+    "unfinished requests with 100 header lines": {
+        clients: 300,
+        requests: 100,
+        headers: HTTP2_HEADERS,
+        lines: 100,
+        bodyBytes: 1,
+    },
+    "requests without a key": {
+        clients: 200,
+        requests: 100,
+        headers: { ":method": "POST", ":path": "/painel/1" },
+        lines: 100,
+        bodyBytes: 0,
+        returns: true,
+    },
+};
+
+for (const [name, crowd] of Object.entries(HTTP2_CROWDS)) {
+    test.serial(`an entry of the own path outlasts a crowd over HTTP/2 and answers others: ${name}`, t =>
+        checkOutlasts(t, ({ listenHttp2 }) => RunningHttp2Crowd.start(listenHttp2, crowd)));
+}
--- a/packages/entry/src/node/callerConnection.ts
+++ b/packages/entry/src/node/callerConnection.ts
@@ -5,11 +5,13 @@
  * @packageDocumentation
  */
 
-import type { HttpBindings } from "@hono/node-server";
+import type { Http2Bindings, HttpBindings } from "@hono/node-server";
 import type { Context } from "hono";
 import { IncomingMessage, ServerResponse } from "node:http";
 import { BodyCollector } from "../shared/callers/bodyCollector.ts";
-import { type CallerConnection, callerConnectionOf } from "./callers/callerConnection.ts";
+import type { BodyAccount } from "./callers/bodyAccount.ts";
+import { callerConnectionOf } from "./callers/callerConnection.ts";
+import { bodyAccountOfSession } from "./callers/http2Callers.ts";
 
 /** Result of reading a request body. */
 export type BodyResult =
@@ -18,10 +20,13 @@
 
 const NO_BYTES = new Uint8Array();
 
+/** Request and response of a Node.js server. */
+type NodeBindings = HttpBindings | Http2Bindings;
+
 /** Request and response of the Node.js server, if running on it; converting them to web objects is costly. */
-const nodeBindings = (context: Context): HttpBindings | undefined => {
-    const bindings = context.env as Partial<HttpBindings> | undefined;
-    return bindings?.incoming && bindings.outgoing ? bindings as HttpBindings : undefined;
+const nodeBindings = (context: Context): NodeBindings | undefined => {
+    const bindings = context.env as Partial<NodeBindings> | undefined;
+    return bindings?.incoming && bindings.outgoing ? bindings as NodeBindings : undefined;
 };
 
 const readChunks = async (chunks: AsyncIterable<Uint8Array>, maxBytes: number): Promise<BodyResult> => {
@@ -40,17 +45,23 @@
     };
 };
 
+/** Whether a request has no body, by its head. */
+const hasNoBody = (incoming: NodeBindings["incoming"]): boolean =>
+    incoming instanceof IncomingMessage
+        ? incoming.headers["content-length"] === undefined
+            && incoming.headers["transfer-encoding"] === undefined
+        : incoming.stream.endAfterHeaders;
+
 /** Reads a body whose memory counts for its connection until the response has ended. */
 const readCounted = async (
-    connection: CallerConnection,
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
+    connection: BodyAccount,
+    { incoming, outgoing }: NodeBindings,
     maxBytes: number,
 ): Promise<BodyResult> => {
-    const { "content-length": length, "transfer-encoding": encoding } = incoming.headers;
-    if (length === undefined && encoding === undefined) {
+    if (hasNoBody(incoming)) {
         return { kind: "body", bytes: NO_BYTES };
     }
+    const length = incoming.headers["content-length"];
     let heldBytes = 0;
     const announcedBytes = length === undefined ? undefined : Number(length);
     const collector = new BodyCollector(announcedBytes, connection.segments, bytes => {
@@ -93,12 +104,12 @@
     }
     const bindings = nodeBindings(context);
     if (bindings) {
-        const { incoming, outgoing } = bindings;
+        const { incoming } = bindings;
         const connection = incoming instanceof IncomingMessage
             ? callerConnectionOf(incoming.socket)
-            : undefined;
+            : bodyAccountOfSession(incoming.stream.session);
         return connection
-            ? readCounted(connection, incoming as IncomingMessage, outgoing as ServerResponse, maxBytes)
+            ? readCounted(connection, bindings, maxBytes)
             : readChunks(incoming as AsyncIterable<Uint8Array>, maxBytes);
     }
     const { body } = context.req.raw;
--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -11,6 +11,7 @@
 import type { SegmentPool } from "../../shared/callers/bodyCollector.ts";
 import type { CallerAccount, CallerHolding, CloseCause } from "../../shared/callers/callerAccount.ts";
 import { lingeringClose } from "../lingeringClose.ts";
+import type { BodyAccount } from "./bodyAccount.ts";
 import { CallerReader, type ReadTurns } from "./callerReader.ts";
 
 /** Bytes that belong to no request, and those of a head or a body that are not parsed yet. */
@@ -60,7 +61,7 @@
 export const callerConnectionOf = (socket: Socket): CallerConnection | undefined => connections.get(socket);
 
 /** One connection of a caller. */
-export class CallerConnection {
+export class CallerConnection implements BodyAccount {
     private openRequests = 0;
     /** Requests since none was open that were sent while many others were. */
     private requestsInRow = 0;
@@ -107,7 +108,6 @@
         socket.destroySoon = () => this.close();
     }
 
-    /** Segments for the bodies of its requests. */
     public get segments(): SegmentPool {
         return this.options.segments;
     }
@@ -165,20 +165,10 @@
         }
     }
 
-    /**
-     * Counts memory that a body takes until the requests of the connection have ended.
-     *
-     * @param bytes - its size; negative when it is given back
-     */
     public addBody(bytes: number): void {
         this.holding.addBody(bytes);
     }
 
-    /**
-     * Counts requests whose bodies have not been read to their end.
-     *
-     * @param count - their number; negative when they have been read
-     */
     public addUnfinishedBodies(count: number): void {
         this.holding.addUnfinishedBodies(count);
     }
@@ -195,11 +185,6 @@
         this.addUnfinishedBodies(-1);
     }
 
-    /**
-     * Records bytes of the body of a request.
-     *
-     * @param bytes - their number
-     */
     public recordBody(bytes: number): void {
         this.reader.recordBody(bytes);
         this.expectedBytes += bytes * (1 + MAX_FRAMING_FACTOR);
--- a/packages/entry/src/node/callers/callerConnections.ts
+++ b/packages/entry/src/node/callers/callerConnections.ts
@@ -8,8 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { SegmentPool } from "../../shared/callers/bodyCollector.ts";
-import { CallerAccount, type CloseCause, requestHeapBytes } from "../../shared/callers/callerAccount.ts";
-import type { CallerBounds } from "../../shared/callers/callerBounds.ts";
+import { type CallerAccount, type CloseCause, requestHeapBytes } from "../../shared/callers/callerAccount.ts";
 import { CallerConnection, type CallerConnectionOptions } from "./callerConnection.ts";
 import { ReadTurns } from "./callerReader.ts";
 
@@ -32,8 +31,8 @@
 export interface CallerConnectionsOptions {
     /** Source of time. */
     readonly clock: Clock;
-    /** Bounds on what the process holds for callers. */
-    readonly bounds: CallerBounds;
+    /** What the process holds for callers; its other listeners may count in it as well. */
+    readonly account: CallerAccount;
     /** Returns the longest time without a byte of a request that has begun, in milliseconds. */
     readonly maxSilentMs: () => number;
     /** Called when a connection is closed because of what it or all connections hold. */
@@ -45,18 +44,15 @@
 
 /** Connections of the callers of one server. */
 export class CallerConnections implements Disposable {
-    /** What the process holds for callers. */
-    public readonly account: CallerAccount;
     private readonly connections = new Map<Socket, CallerConnection>();
     private readonly connectionOptions: CallerConnectionOptions;
     private check: Timer | undefined;
 
-    /** @param options - bounds and source of time */
+    /** @param options - account and source of time */
     public constructor(private readonly options: CallerConnectionsOptions) {
-        const { bounds, clock, onClosed } = options;
-        this.account = new CallerAccount(bounds);
+        const { account, clock, onClosed } = options;
         this.connectionOptions = {
-            account: this.account,
+            account,
             clock,
             onClosed,
             segments: new SegmentPool(),
--- a/packages/entry/src/node/callers/callerReader.ts
+++ b/packages/entry/src/node/callers/callerReader.ts
@@ -16,7 +16,7 @@
 /** Requests and chunks in one slice from which its bytes count as costly. */
 const COSTLY_ITEMS = 16;
 /** Time for the bytes of one read, and for what follows from them at once, from which they count as costly, in milliseconds. */
-const COSTLY_MS = 1;
+export const COSTLY_MS = 1;
 /** Time for costly slices without a pause, in milliseconds. */
 const TURN_MS = 2;
 /** Longest pause after such a time, as a multiple of it: costly bytes of several callers take a quarter of the time. */
@@ -28,8 +28,12 @@
 /** Most bytes of such an end that come after others of it. */
 const MAX_SPLIT_END_BYTES = HEAD_END.length - 1;
 
-/** Calls back when all that can go on without an event has gone on: promises that were resolved meanwhile included. */
-const afterTasks = (callback: () => void): void => queueMicrotask(() => process.nextTick(callback));
+/**
+ * Calls back when all that can go on without an event has gone on: promises that were resolved meanwhile included.
+ *
+ * @param callback - called then
+ */
+export const afterTasks = (callback: () => void): void => queueMicrotask(() => process.nextTick(callback));
 
 /** Turns that the connections of one process take with their costly bytes. */
 export class ReadTurns {
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -21,6 +21,7 @@
     waitForStopSignal,
 } from "@magnolialock/kernel";
 import { getHeapStatistics } from "node:v8";
+import { CallerAccount } from "../shared/callers/callerAccount.ts";
 import { callerBounds } from "../shared/callers/callerBounds.ts";
 import { createEntry, type Entry } from "../shared/entry.ts";
 import { entryCallersClosed } from "../shared/entryEvents.ts";
@@ -34,6 +35,8 @@
 const LAST_ANSWERS_MS = 500;
 
 const BYTES_PER_MB = 1_000_000;
+/** Part of what callers may hold that may be heap: garbage waits there for its collection as long as the machine has room. */
+const CALLER_HEAP_PART = 0.5;
 /** Bodies of the largest size that callers may always hold together. */
 const MIN_LARGEST_BODIES = 3;
 
@@ -66,7 +69,7 @@
     await Promise.all(servers.map(server => server.close(timeoutMs)));
 };
 
-/** Bounds on what callers may hold, and the record of the connections that are closed because of them. */
+/** Account of what callers hold, and the record of the connections that are closed because of them. */
 const callerLimits = (
     { fileDescriptors, maxBodyBytes, memoryMb }: CallerSettings,
     { clock, events, metrics }: Runtime,
@@ -74,7 +77,11 @@
     const machine = { memoryBytes: memoryMb * BYTES_PER_MB, descriptors: fileDescriptors };
     const bounds = callerBounds(machine, getHeapStatistics().heap_size_limit);
     return {
-        bounds: { ...bounds, bytes: Math.max(bounds.bytes, maxBodyBytes * MIN_LARGEST_BODIES) },
+        account: new CallerAccount({
+            ...bounds,
+            heapBytes: Math.min(bounds.heapBytes, bounds.bytes * CALLER_HEAP_PART),
+            bytes: Math.max(bounds.bytes, maxBodyBytes * MIN_LARGEST_BODIES),
+        }),
         onClosed: closedCallersRecorder({
             clock,
             count: cause => metrics.increment("entry.callers.closed", 1, { cause }),
@@ -102,19 +109,15 @@
     const stopSignal = waitForStopSignal();
     await using listeners = new ResourceScope();
     listeners.use(await runtime.network.listen(settings.control, feed.services));
+    const callers = callerLimits(settings, runtime);
     const servers = [
-        listeners.use(
-            await listenHttp({
-                app,
-                address: settings.listen,
-                protocol: "http1",
-                callers: callerLimits(settings, runtime),
-            }),
-        ),
+        listeners.use(await listenHttp({ app, address: settings.listen, protocol: "http1", callers })),
     ];
     if (settings.listenHttp2) {
         servers.push(
-            listeners.use(await listenHttp({ app, address: settings.listenHttp2, protocol: "http2" })),
+            listeners.use(
+                await listenHttp({ app, address: settings.listenHttp2, protocol: "http2", callers }),
+            ),
         );
     }
     await stopSignal;
--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -12,6 +12,7 @@
 import { createServer as createHttp2Server, type Http2Server } from "node:http2";
 import { Server as NetServer } from "node:net";
 import { CallerConnections, type CallerConnectionsOptions } from "./callers/callerConnections.ts";
+import { Http2Callers } from "./callers/http2Callers.ts";
 import { Http1Connections, Http2Connections, type OpenConnections } from "./openConnections.ts";
 
 /** Handler of the requests of a server. */
@@ -27,8 +28,8 @@
     readonly protocol: "http1" | "http2";
     /** Time for running responses to end when the server is disposed, in milliseconds. */
     readonly closeTimeoutMs?: number;
-    /** Bounds on what callers over HTTP/1.1 may hold; without them nothing is counted. */
-    readonly callers?: Pick<CallerConnectionsOptions, "bounds" | "onClosed">;
+    /** Account of what callers hold; without it nothing is counted. */
+    readonly callers?: Pick<CallerConnectionsOptions, "account" | "onClosed">;
 }
 
 /** Maximum total size of the headers of a request, in bytes. */
@@ -47,16 +48,18 @@
 interface OpenServer {
     readonly server: Server | Http2Server;
     readonly connections: OpenConnections;
-    readonly callers?: CallerConnections | undefined;
+    /** Bounds on callers, to be disposed with the server. */
+    readonly callers?: Disposable | undefined;
 }
 
+/** Options of the connections of callers; undefined where they have no bounds. */
+const callerOptions = (bounds: HttpServerOptions["callers"]): CallerConnectionsOptions | undefined =>
+    bounds && { clock: createSystemClock(), maxSilentMs: () => KEEP_ALIVE_TIMEOUT_MS, ...bounds };
+
 const createHttp1 = (listener: RequestListener, bounds: HttpServerOptions["callers"]): OpenServer => {
     const connections = new Http1Connections();
-    const callers = bounds && new CallerConnections({
-        clock: createSystemClock(),
-        maxSilentMs: () => KEEP_ALIVE_TIMEOUT_MS,
-        ...bounds,
-    });
+    const options = callerOptions(bounds);
+    const callers = options && new CallerConnections(options);
     const server = createHttpServer({
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: HEADERS_TIMEOUT_MS,
@@ -70,11 +73,14 @@
     return { server, connections, callers };
 };
 
-const createHttp2 = (listener: RequestListener): OpenServer => {
+const createHttp2 = (listener: RequestListener, bounds: HttpServerOptions["callers"]): OpenServer => {
     const connections = new Http2Connections();
+    const options = callerOptions(bounds);
+    const callers = options && new Http2Callers(options);
     const server = createHttp2Server(listener);
+    callers?.follow(server);
     connections.follow(server);
-    return { server, connections };
+    return { server, connections, callers };
 };
 
 const closeServer = async (
@@ -117,7 +123,7 @@
     const listener = getRequestListener(options.app.fetch, { hostname: host });
     const open = options.protocol === "http1"
         ? createHttp1(listener, options.callers)
-        : createHttp2(listener);
+        : createHttp2(listener, options.callers);
     open.server.listen(port, host);
     await once(open.server, "listening");
     let closed: Promise<void> | undefined;
--- a/packages/entry/src/shared/callers/bodyCollector.ts
+++ b/packages/entry/src/shared/callers/bodyCollector.ts
@@ -10,13 +10,16 @@
 const MAX_SEGMENT_BYTES = 65_536;
 const SEGMENT_GROWTH = 4;
 
-/** Segments that are kept for further bodies, at most; 4 MiB. */
-const MAX_SPARE_SEGMENTS = 64;
+/** Memory that is kept for further bodies by default, in bytes. */
+const DEFAULT_SPARE_BYTES = 4 * 1_024 * 1_024;
 
 /** Segments of the largest size that bodies have given back, so that their memory does not wait for garbage collection. */
 export class SegmentPool {
     private readonly spare: Buffer[] = [];
 
+    /** @param maxSpareBytes - memory that is kept for further bodies, at most, in bytes */
+    public constructor(private readonly maxSpareBytes = DEFAULT_SPARE_BYTES) {}
+
     /** Returns a segment with any content. */
     public take(): Buffer {
         return this.spare.pop() ?? Buffer.allocUnsafeSlow(MAX_SEGMENT_BYTES);
@@ -28,7 +31,9 @@
      * @param segment - the segment, which nothing may use any more
      */
     public giveBack(segment: Buffer): void {
-        if (segment.length === MAX_SEGMENT_BYTES && this.spare.length < MAX_SPARE_SEGMENTS) {
+        if (
+            segment.length === MAX_SEGMENT_BYTES && this.spare.length * MAX_SEGMENT_BYTES < this.maxSpareBytes
+        ) {
             this.spare.push(segment);
         }
     }
--- a/packages/entry/src/shared/callers/callerAccount.ts
+++ b/packages/entry/src/shared/callers/callerAccount.ts
@@ -43,6 +43,7 @@
     private bufferBytes = 0;
     private requestBytes = 0;
     private partialHeadBytes = 0;
+    private sessionBytes = 0;
     private requests = 0;
     private unfinishedBodies = 0;
     private hasFinishedRequest = false;
@@ -68,7 +69,7 @@
 
     /** Bytes of the heap among them. */
     public get heapBytes(): number {
-        return CONNECTION_BYTES + this.requestBytes
+        return CONNECTION_BYTES + this.sessionBytes + this.requestBytes
             + Math.min(this.partialHeadBytes, MAX_HEAD_BYTES) * HEAP_PER_HEAD_BYTE;
     }
 
@@ -92,6 +93,15 @@
         return this.isUnfinished || this.isIdle && !this.hasFinishedRequest;
     }
 
+    /**
+     * Counts the state of a session that the connection carries.
+     *
+     * @param heapBytes - its heap, in bytes
+     */
+    public addSession(heapBytes: number): void {
+        this.update(() => this.sessionBytes += heapBytes);
+    }
+
     /**
      * Counts bytes of bodies.
      *
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./node/builtProgram.ts";
 export * from "./node/crowd.ts";
 export * from "./node/freePort.ts";
+export * from "./node/http2Crowd.ts";
 export * from "./node/programProcess.ts";
 export * from "./node/rawCaller.ts";
 export * from "./node/repeatedRequest.ts";
