fix(entry): callers of the own path that send their whole body first read why it is refused

Cause: Node.js drops the body of a request that is refused by its head, past the code that counts bodies. Its bytes were beyond what the requests account for, and the connection was closed as flooding.

Change: the body of a request, up to the largest accepted size, is expected when its head has been read.

Why it works: flooding begins beyond what a request may hold, whether its body is read or dropped.

--- a/packages/entry/src/node/callers/callerConnection.ts
+++ b/packages/entry/src/node/callers/callerConnection.ts
@@ -191,6 +191,15 @@
         this.contentBytes += bytes;
     }
 
+    /**
+     * Expects the body of a request that may be dropped without being recorded.
+     *
+     * @param bytes - its size
+     */
+    public expectBody(bytes: number): void {
+        this.expectedBytes += bytes;
+    }
+
     /**
      * Records bytes of a body that is dropped. A caller that goes on for long beyond those within the limit counts as flooding.
      *
--- a/packages/entry/src/node/callers/callerConnections.ts
+++ b/packages/entry/src/node/callers/callerConnections.ts
@@ -27,6 +27,12 @@
         rawHeaders.reduce((sum, text) => sum + text.length, url.length),
     );
 
+/** Size of the body of a request by its head, in bytes; infinite if it is not announced. */
+const bodyBytesOf = ({ headers }: IncomingMessage): number =>
+    headers["transfer-encoding"] === undefined
+        ? Number(headers["content-length"] ?? 0)
+        : Number.POSITIVE_INFINITY;
+
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
     /** Source of time. */
@@ -96,11 +102,15 @@
      * Wraps the handler of a server's requests, so that they count until their answers have left.
      *
      * @param handler - the handler
+     * @param maxBodyBytes - largest accepted body, in bytes
      */
-    public wrap(handler: RequestHandler): RequestHandler {
+    public wrap(handler: RequestHandler, maxBodyBytes: number): RequestHandler {
         return (request, response) => {
+            const connection = this.of(request.socket);
             // The server itself sends the answers in the order of the requests.
-            void this.of(request.socket)?.takeTurn(response, headHeapBytes(request), () => {});
+            void connection?.takeTurn(response, headHeapBytes(request), () => {});
+            // Node.js reads and drops a body that the handler leaves.
+            connection?.expectBody(Math.min(bodyBytesOf(request), maxBodyBytes));
             handler(request, response);
         };
     }
--- a/packages/entry/src/node/entryMain.ts
+++ b/packages/entry/src/node/entryMain.ts
@@ -77,6 +77,7 @@
     const machine = { memoryBytes: memoryMb * BYTES_PER_MB, descriptors: fileDescriptors };
     const bounds = callerBounds(machine, getHeapStatistics().heap_size_limit);
     return {
+        maxBodyBytes,
         account: new CallerAccount({
             ...bounds,
             heapBytes: Math.min(bounds.heapBytes, bounds.bytes * CALLER_HEAP_PART),
--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -28,8 +28,10 @@
     readonly protocol: "http1" | "http2";
     /** Time for running responses to end when the server is disposed, in milliseconds. */
     readonly closeTimeoutMs?: number;
-    /** Account of what callers hold; without it nothing is counted. */
-    readonly callers?: Pick<CallerConnectionsOptions, "account" | "onClosed">;
+    /** Account of what callers hold, and the largest body in bytes; without it nothing is counted. */
+    readonly callers?: Pick<CallerConnectionsOptions, "account" | "onClosed"> & {
+        readonly maxBodyBytes: number;
+    };
 }
 
 /** Maximum total size of the headers of a request, in bytes. */
@@ -65,7 +67,7 @@
         headersTimeout: HEADERS_TIMEOUT_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    }, connections.wrap(callers?.wrap(listener) ?? listener));
+    }, connections.wrap(bounds && callers ? callers.wrap(listener, bounds.maxBodyBytes) : listener));
     // The size of the head bounds its lines; Node.js would drop those beyond a number.
     server.maxHeadersCount = 0;
     callers?.follow(server);
