fix(entry): requests over HTTP/2 are not refused by the number of their header fields

What callers saw: on the own path, a request with more than 127 header fields inside the limit on their size was reset with ENHANCE_YOUR_CALM over HTTP/2, while the same request was answered over HTTP/1.1. Nothing was logged.

Cause: Node.js takes at most 128 header fields of a request by default (`maxHeaderListPairs`), apart from their size.

The listener states its limit on the size (SETTINGS_MAX_HEADER_LIST_SIZE, 65,535 bytes as before), and takes as many fields as fit into it: each counts with 32 bytes beside its text, so that 2,048 fields never fit.

Measured: the test of 1,200 fields over HTTP/2 failed before (code 11, no answer) and passes now; those of 1,200 lines over HTTP/1.1 and of fields over the size limit passed before and pass now.

--- a/packages/entry/src/node/httpServer.ts
+++ b/packages/entry/src/node/httpServer.ts
@@ -36,6 +36,10 @@
 
 /** Maximum total size of the headers of a request, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
+/** Maximum size of the header fields of a request over HTTP/2, in bytes, with the overhead of each (RFC 9113, section 6.5.2). */
+const MAX_HEADER_LIST_BYTES = 65_535;
+/** Overhead of a header field over HTTP/2, in bytes (RFC 9113, section 6.5.2). */
+const HEADER_FIELD_OVERHEAD_BYTES = 32;
 /** Timeout for receiving the headers of a request, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Timeout for receiving a complete request, in milliseconds. */
@@ -79,7 +83,11 @@
     const connections = new Http2Connections();
     const options = callerOptions(bounds);
     const callers = options && new Http2Callers(options);
-    const server = createHttp2Server(listener);
+    const server = createHttp2Server({
+        settings: { maxHeaderListSize: MAX_HEADER_LIST_BYTES },
+        // The size bounds the number of fields; Node.js would refuse more than 128.
+        maxHeaderListPairs: Math.ceil(MAX_HEADER_LIST_BYTES / HEADER_FIELD_OVERHEAD_BYTES),
+    }, listener);
     callers?.follow(server);
     connections.follow(server);
     return { server, connections, callers };
