fix(direct): a killed server whose port still accepts is not taken for a live one

Cause: after such an answer the entry asks whether the server's address accepts connections. The operating system of a killed process closes its connections one after the other and its listening socket late, so that for some ms the port accepts what it then resets. Besides, a question that was asked while a probe was under way got the answer of that probe, which may have been accepted before.

A probe now opens its connection after the question, holds it for 20 ms, and asks again if it is reset in that time. One connection at a time serves all who ask; those who ask in the same turn of the event loop share it.

The hold adds 20 ms to an answer that ends with its connection.

--- a/packages/direct/src/node/serverProbes.ts
+++ b/packages/direct/src/node/serverProbes.ts
@@ -6,47 +6,93 @@
 
 import { type Address, type Clock, sleep, splitAddress } from "@magnolialock/kernel";
 import { connect } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ProbeResult } from "../types/call.ts";
 import { CONNECT_TIMEOUT_MS } from "./serverConnection.ts";
 
-/** Probes of backend servers; one connection serves all who ask at the same time. */
+/**
+ * Time for which a connection must stay open to count as accepted, in milliseconds. The operating system of a killed process
+ * closes its connections one after the other and may close the listening socket last; what was accepted until then is reset.
+ */
+const HOLD_MS = 20;
+/** Connections that a probe opens while the server resets them. */
+const MAX_CONNECTIONS = 3;
+
+/** How a connection of a probe ended. */
+type ConnectionResult = ProbeResult | "reset";
+
+/** Probes of backend servers; one connection at a time serves all who ask for the same server. */
 export class ServerProbes {
     private readonly running = new Map<Address, Promise<ProbeResult>>();
+    private readonly waiting = new Map<Address, Promise<ProbeResult>>();
+    /** Servers whose probe began in this turn of the event loop: whatever callers have seen happened before. */
+    private readonly fresh = new Set<Address>();
 
     /** @param clock - source of time */
     public constructor(private readonly clock: Clock) {}
 
     /**
-     * Opens a connection to a server and closes it again, without a request.
+     * Opens a connection to a server and closes it again, without a request. A connection that has been opened before the call
+     * says nothing: it may have been accepted before whatever the caller has seen.
      *
      * @param address - address of the server
      */
-    public async probe(address: Address): Promise<ProbeResult> {
-        let probe = this.running.get(address);
-        if (!probe) {
-            probe = this.connectOnce(address);
-            this.running.set(address, probe);
-            void probe.then(() => this.running.delete(address));
+    public probe(address: Address): Promise<ProbeResult> {
+        const running = this.running.get(address);
+        if (!running) {
+            return this.start(address);
+        }
+        if (this.fresh.has(address)) {
+            return running;
+        }
+        let waiting = this.waiting.get(address);
+        if (!waiting) {
+            waiting = running.then(() => {
+                this.waiting.delete(address);
+                return this.start(address);
+            });
+            this.waiting.set(address, waiting);
         }
+        return waiting;
+    }
+
+    private start(address: Address): Promise<ProbeResult> {
+        this.fresh.add(address);
+        void nextTurn().then(() => this.fresh.delete(address));
+        const probe = this.connect(address).finally(() => this.running.delete(address));
+        this.running.set(address, probe);
         return probe;
     }
 
-    private async connectOnce(address: Address): Promise<ProbeResult> {
+    private async connect(address: Address): Promise<ProbeResult> {
+        let result: ConnectionResult = "reset";
+        for (let connections = 0; result === "reset" && connections < MAX_CONNECTIONS; connections++) {
+            result = await this.connectOnce(address);
+        }
+        // A server may reset connections beyond its limit.
+        return result === "reset" ? "accepted" : result;
+    }
+
+    private async connectOnce(address: Address): Promise<ConnectionResult> {
         const { host, port } = splitAddress(address);
         const socket = connect({ host, port });
         const ended = new AbortController();
-        const connected = new Promise<ProbeResult>(resolve => {
-            socket.once("connect", () => resolve("accepted"));
-            // A connection that the server resets at once was accepted; other errors leave it open.
+        const wait = (ms: number, result: ConnectionResult): Promise<ConnectionResult> =>
+            // Timers run before sockets are read.
+            sleep(this.clock, ms, ended.signal).then(() => nextTurn()).then(() => result, () => result);
+        const failed = new Promise<ConnectionResult>(resolve => {
             socket.once(
                 "error",
-                (error: NodeJS.ErrnoException) =>
-                    resolve(error.code === "ECONNREFUSED" ? "refused" : "silent"),
+                ({ code }: NodeJS.ErrnoException) =>
+                    resolve(code === "ECONNREFUSED" ? "refused" : code === "ECONNRESET" ? "reset" : "silent"),
             );
+            socket.once("end", () => resolve("reset"));
+        });
+        const connected = new Promise<ConnectionResult>(resolve => {
+            socket.once("connect", () => resolve(wait(HOLD_MS, "accepted")));
         });
-        const timeout = sleep(this.clock, CONNECT_TIMEOUT_MS, ended.signal)
-            .then((): ProbeResult => "silent", (): ProbeResult => "silent");
-        const result = await Promise.race([connected, timeout]);
+        socket.resume();
+        const result = await Promise.race([connected, failed, wait(CONNECT_TIMEOUT_MS, "silent")]);
         ended.abort();
         socket.destroy();
         return result;
