fix(direct): a part of an answer of a server that leaves does not look complete when the server is killed

Cause: after an answer that ended only with its connection the entry asks whether the server's address accepts connections, and takes the answer for broken if not. It did not ask for a server that is known to leave, as one that leaves in order does not accept any more either. So each close counted as the end of the answer, also that by the operating system of a killed process.

Now the evidence is whether the server's process lives: the address accepts; or other connections to it stay open; or it was seen before to have stopped listening while it went on answering, and the connection ended by itself. Else the attempt is broken: a stream is resumed after its last event (a run that then yields nothing more is believed), a safe request runs again, an unsafe one gets 502. While answers of this kind are under way at a server that leaves, its address is probed each 200 ms.

Why it works: a killed process loses all its connections at once, while one that stops in order ends them one by one.

--- a/packages/direct/src/node/promMetrics.ts
+++ b/packages/direct/src/node/promMetrics.ts
@@ -195,6 +195,12 @@
         help: "Requests refused because they or a part of their prompt are in quarantine",
         registers,
     });
+    const unverifiedEnds = new Counter({
+        name: "magnolialock_unverified_ends_total",
+        help: "Answers that ended with their connection, by what decided whether they are complete",
+        labelNames: ["evidence"],
+        registers,
+    });
     const closedCallers = new Counter({
         name: "magnolialock_callers_closed_total",
         help: "Connections of callers closed because of what they hold",
@@ -211,6 +217,7 @@
         countAttempt: (service, result) => attempts.inc({ service, result }),
         countCrashReport: () => crashReports.inc(),
         countQuarantined: () => quarantined.inc(),
+        countUnverifiedEnd: evidence => unverifiedEnds.inc({ evidence }),
         countClosedCaller: cause => closedCallers.inc({ cause }),
         text: () => registry.metrics(),
         contentType: registry.contentType,
--- a/packages/direct/src/node/serverConnection.ts
+++ b/packages/direct/src/node/serverConnection.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import { type Address, meterReads } from "@magnolialock/kernel";
+import { type Address, type Clock, meterReads } from "@magnolialock/kernel";
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { UpstreamRequest } from "../types/call.ts";
@@ -48,19 +48,34 @@
     public idleSinceMs = 0;
     /** Whether a request was sent over it before the current one. */
     public isReused = false;
+    /** Whether it is open and its end would be noticed. */
+    public get isOpen(): boolean {
+        return this.socket !== undefined && !this.isClosed && !this.isPaused
+            && this.endedByPeerMs === undefined;
+    }
+
     /** Whether it was closed and must not be reused. */
     public isClosed = false;
     /**
      * Whether the peer reset it or this side aborted it: a close-delimited response that ends so is incomplete.
      */
     public wasReset = false;
+    /** Time at which the server closed or reset it, in milliseconds; undefined if it has not. */
+    public endedByPeerMs: number | undefined;
+    /** Whether it is not read now: its end would not be noticed. */
+    private isPaused = false;
     private socket: Socket | undefined;
     private bytesRead = 0;
     private bodyBytes = 0;
     private onOverlong: () => void = () => {};
     private onSocketClosed: () => void = () => {};
 
-    public constructor(address: Address) {
+    /**
+     * @param address - address of the server
+     * @param clock - source of time
+     * @param onClosed - called once it has closed
+     */
+    public constructor(address: Address, clock: Pick<Clock, "nowMs">, private readonly onClosed: () => void) {
         const connector = buildConnector({
             timeout: CONNECT_TIMEOUT_MS,
             keepAlive: true,
@@ -77,8 +92,14 @@
                         // being called, and the request without an end.
                         socket.once("close", () => setImmediate(() => this.onSocketClosed()));
                     }
-                    socket?.on("error", () => this.wasReset = true);
-                    socket?.on("end", () => this.wasReset ||= isReset(socket));
+                    socket?.on("error", () => {
+                        this.endedByPeerMs ??= this.isClosed ? undefined : clock.nowMs();
+                        this.wasReset = true;
+                    });
+                    socket?.on("end", () => {
+                        this.endedByPeerMs ??= clock.nowMs();
+                        this.wasReset ||= isReset(socket);
+                    });
                     callback(...result);
                 });
             },
@@ -122,6 +143,7 @@
     public beginResponse(onOverlong: () => void, onSocketClosed: () => void): void {
         this.bytesRead = 0;
         this.bodyBytes = 0;
+        this.isPaused = false;
         this.onOverlong = onOverlong;
         this.onSocketClosed = onSocketClosed;
     }
@@ -135,6 +157,26 @@
         this.bodyBytes += bytes;
     }
 
+    /**
+     * Stops reading the response.
+     *
+     * @param controller - its controller; undefined before it began
+     */
+    public pause(controller: Dispatcher.DispatchController | undefined): void {
+        this.isPaused = true;
+        controller?.pause();
+    }
+
+    /**
+     * Reads the response on.
+     *
+     * @param controller - its controller; undefined before it began
+     */
+    public resume(controller: Dispatcher.DispatchController | undefined): void {
+        this.isPaused = false;
+        controller?.resume();
+    }
+
     /**
      * Resets the connection, so that data the server has not read yet is discarded. A normal close would
      * still deliver an aborted request, for instance to a server whose machine was paused.
@@ -159,6 +201,7 @@
     public close(reason?: string): void {
         if (!this.isClosed) {
             this.isClosed = true;
+            this.onClosed();
             // The handler of the running request receives the error; the returned promise adds no
             // information.
             this.client.destroy(new Error(reason ?? "the connection was closed")).catch(() => {});
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -6,9 +6,11 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, errorMessage, ProtocolError } from "@magnolialock/kernel";
+import { type Address, type Clock, errorMessage, ProtocolError, sleep } from "@magnolialock/kernel";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { Dispatcher } from "undici";
 import type {
+    ConnectionEnds,
     ProbeResult,
     UpstreamCall,
     UpstreamClient,
@@ -37,10 +39,20 @@
     message: "the connection was reset before the answer's end",
 };
 
+/**
+ * Time in which the ends of all connections of a killed server arrive, in milliseconds: its operating system closes them one
+ * after the other.
+ */
+const SETTLE_MS = 50;
+/** Longest time between two connections that end together, in milliseconds. */
+const TOGETHER_MS = 10;
+
 /** Connection pool for all backend servers. */
 export class ServerConnections implements UpstreamClient, Disposable {
     private readonly idle = new Map<string, ServerConnection[]>();
     private readonly probes: ServerProbes;
+    /** Connections by server, until a while after their end. */
+    private readonly tracked = new Map<string, Set<ServerConnection>>();
     private openedCount = 0;
 
     /** @param clock - source of time */
@@ -131,8 +143,8 @@
         return {
             ended,
             abort,
-            pause: () => controller?.pause(),
-            resume: () => controller?.resume(),
+            pause: () => connection.pause(controller),
+            resume: () => connection.resume(controller),
         };
     }
 
@@ -141,6 +153,23 @@
         return this.probes.probe(address);
     }
 
+    /** {@inheritDoc UpstreamClient.observeEnds} */
+    public async observeEnds(server: string): Promise<ConnectionEnds> {
+        const endedMs = this.clock.nowMs();
+        const before = [...this.tracked.get(server) ?? []];
+        const open = before.filter(({ isOpen }) => isOpen);
+        await sleep(this.clock, SETTLE_MS);
+        // Timers run before sockets are read.
+        await nextTurn();
+        return {
+            stillOpen: open.filter(({ isOpen }) => isOpen).length,
+            endedTogether:
+                before.filter(({ endedByPeerMs = Number.NEGATIVE_INFINITY }) =>
+                    Math.abs(endedByPeerMs - endedMs) <= TOGETHER_MS
+                ).length,
+        };
+    }
+
     /** {@inheritDoc UpstreamClient.closeIdle} */
     public closeIdle(server: string): void {
         this.idle.get(server)?.forEach(connection => connection.close());
@@ -175,7 +204,25 @@
             break;
         }
         this.openedCount++;
-        return new ServerConnection(address);
+        return this.open(server, address);
+    }
+
+    private open(server: string, address: Address): ServerConnection {
+        const tracked = this.tracked.get(server) ?? new Set<ServerConnection>();
+        this.tracked.set(server, tracked);
+        const forget = (): void => {
+            tracked.delete(connection);
+            if (tracked.size === 0) {
+                this.tracked.delete(server);
+            }
+        };
+        const connection = new ServerConnection(
+            address,
+            this.clock,
+            () => this.clock.setTimer(SETTLE_MS + TOGETHER_MS, forget),
+        );
+        tracked.add(connection);
+        return connection;
     }
 
     private release(server: string, connection: ServerConnection, maxIdleConnections: number): void {
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -15,6 +15,7 @@
 import { VirtualClock } from "@magnolialock/test-support";
 import type {
     CallerReply,
+    ConnectionEnds,
     FlatHeaders,
     IncomingCall,
     ProbeResult,
@@ -396,6 +397,10 @@
         return "accepted";
     }
 
+    public async observeEnds(): Promise<ConnectionEnds> {
+        return { stillOpen: 0, endedTogether: 1 };
+    }
+
     public closeIdle(): void {}
 
     /** Sends a request; `done` settles once the entry has finished it. */
--- a/packages/direct/src/shared/callMetrics.ts
+++ b/packages/direct/src/shared/callMetrics.ts
@@ -36,6 +36,12 @@
     countCrashReport(): void;
     /** Counts a request that was refused because a part of its prompt is in quarantine. */
     countQuarantined(): void;
+    /**
+     * Counts an answer that ended with its connection.
+     *
+     * @param evidence - what decided whether it is complete
+     */
+    countUnverifiedEnd(evidence: string): void;
 }
 
 /** Discards all measurements. */
@@ -45,4 +51,5 @@
     countAttempt: () => {},
     countCrashReport: () => {},
     countQuarantined: () => {},
+    countUnverifiedEnd: () => {},
 };
--- a/packages/direct/src/shared/directContext.ts
+++ b/packages/direct/src/shared/directContext.ts
@@ -28,6 +28,7 @@
 import { ResponseBuffers } from "./responseBuffers.ts";
 import type { ServerDirectory } from "./serverDirectory.ts";
 import { ServerLimits } from "./serverLimits.ts";
+import { AnswerEnds } from "./servers/answerEnds.ts";
 import { ServiceGroups } from "./serviceGroups.ts";
 import { StopPlan } from "./stopPlan.ts";
 import type { TrackedServer } from "./trackedServer.ts";
@@ -118,6 +119,8 @@
     public readonly quarantine: CrashQuarantine;
     /** Limits that backend servers name. */
     public readonly limits: ServerLimits;
+    /** Judges answers that end with their connection. */
+    public readonly answerEnds: AnswerEnds;
     /** News for the other instances. */
     public readonly news: FleetNews;
     /** Bounds in force; a reload of the settings may change them. */
@@ -135,6 +138,7 @@
         this.allotment = new FleetAllotment(options.settings.instance, options.fleet);
         const { clock, events, random } = options.runtime;
         this.stop = new StopPlan(clock);
+        this.answerEnds = new AnswerEnds(options);
         this.limits = new ServerLimits({
             clock,
             events,
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -42,6 +42,8 @@
     isHeadSent: boolean;
     /** Whether another run can continue the stream: not after an event that has no identifier. */
     isResumable: boolean;
+    /** Whether the stream may be complete already: its last run ended with its connection, at the end of an event. */
+    mayBeComplete: boolean;
 }
 
 /**
@@ -59,6 +61,7 @@
         longestGapMs: 0,
         isHeadSent: false,
         isResumable: true,
+        mayBeComplete: false,
     };
 };
 
@@ -163,6 +166,8 @@
     /** Whether the response was not read on for a while since then. */
     private wasHeld = false;
     private paceTimer: Timer | undefined;
+    /** Until when the response counts as one that will end with its connection. */
+    private unverified: Disposable | undefined;
     private isEnded = false;
 
     public constructor(options: AttemptOptions) {
@@ -190,7 +195,7 @@
         if (this.splitter.pendingBytes > 0) {
             return "the stream ended within an event";
         }
-        return this.eventCount === 0 && this.head?.isCloseDelimited
+        return this.eventCount === 0 && this.head?.isCloseDelimited && !this.options.cursor.mayBeComplete
             ? "the stream ended before its first event"
             : undefined;
     }
@@ -251,6 +256,9 @@
             && head.status === HTTP_OK && isEventStream;
         this.isStream = mayStream && reply.canStream;
         this.isBufferedStream = mayStream && !reply.canStream;
+        if (this.isEndUnverified) {
+            this.unverified = context.answerEnds.begin(this.options.server);
+        }
         if (!this.isStream) {
             this.recordFirstByte();
         }
@@ -285,6 +293,7 @@
         this.isEnded = true;
         this.endReading();
         this.paceTimer?.cancel();
+        this.unverified?.[Symbol.dispose]();
     }
 
     private forwardEvents(bytes: Buffer): void {
@@ -318,6 +327,7 @@
         this.isPlaceKnown ||= id !== undefined;
         cursor.lastEventId = id ?? cursor.lastEventId;
         cursor.isResumable = id !== undefined || isComment && cursor.isResumable;
+        cursor.mayBeComplete = false;
         cursor.eventCount++;
         this.eventCount++;
         if (this.eventCount === EVENTS_UNDER_WAY) {
@@ -429,15 +439,6 @@
     return { kind: "streamed" };
 };
 
-/**
- * Tells whether a server that is not known to leave has ended: nothing listens at its address any more.
- */
-const hasEnded = async (
-    { options: { directory, upstreams } }: DirectContext,
-    server: TrackedServer,
-): Promise<boolean> =>
-    !directory.isLeaving(server) && await upstreams.probe(server.entry.address) === "refused";
-
 /**
  * Runs one attempt.
  *
@@ -447,6 +448,7 @@
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptOutcome> => {
     const { account, call, context, cursor, route, server, signal, remainingMs } = options;
     const { entry } = server;
+    const requestId = call.headers[context.options.headers.requestId];
     const isResumed = cursor.isHeadSent && cursor.lastEventId !== undefined;
     const headers = buildAttemptHeaders(call, context.options.headers, {
         route,
@@ -474,9 +476,17 @@
         if (end.kind === "complete" || end.kind === "broken" && handler.rejectReason !== undefined) {
             const outcome = outcomeOf(handler, route);
             const isSuccessful = outcome.kind === "streamed" || outcome.kind === "whole";
-            return isSuccessful && handler.isEndUnverified && await hasEnded(context, server)
-                ? { kind: "broken", message: "the server ended as it closed the connection of its answer" }
-                : outcome;
+            if (
+                isSuccessful && handler.isEndUnverified
+                && !await context.answerEnds.isComplete(server, requestId)
+            ) {
+                cursor.mayBeComplete = outcome.kind === "streamed";
+                return {
+                    kind: "broken",
+                    message: "the server ended as it closed the connection of its answer",
+                };
+            }
+            return outcome;
         }
         if (signal.aborted && !handler.head && !options.reply.disconnected.aborted) {
             // The connection may have gone silent, and idle ones to the same server with it.
--- /dev/null
+++ b/packages/direct/src/shared/servers/answerEnds.ts
@@ -0,0 +1,191 @@
+/**
+ * Tells whether an answer is complete that ended only with its connection. The operating system also closes the connections
+ * of a process that is killed, so the end of a connection says nothing by itself; what becomes of the server does.
+ *
+ * @packageDocumentation
+ */
+
+import type { Runtime, Timer } from "@magnolialock/kernel";
+import type { ConnectionEnds, ProbeResult, UpstreamClient } from "../../types/call.ts";
+import type { CallMetrics } from "../callMetrics.ts";
+import type { ServerDirectory } from "../serverDirectory.ts";
+import type { TrackedServer } from "../trackedServer.ts";
+import { answerEndConfirmed, answerEndJudged, serverStoppedListening } from "./answerEndEvents.ts";
+
+/** What decides whether an answer is complete. */
+export type EndEvidence =
+    /** The server accepts connections: its process has not ended. */
+    | "accepts"
+    /** The server neither accepts nor refuses connections; its operating system refuses those to a process that has ended. */
+    | "silent"
+    /** Other connections to the server stay open: its process has not ended. */
+    | "othersOpen"
+    /** The server had stopped listening before and went on answering; it ends its answers one by one. */
+    | "stoppedBefore"
+    /** The server had stopped listening before, but several of its connections ended in the same moment. */
+    | "endedTogether"
+    /** The server accepts no connections, and nothing shows that its process ended the answer itself. */
+    | "refuses";
+
+/** What was observed after the end of an answer. */
+export interface EndObservation {
+    /** Whether the server accepts connections. */
+    readonly probe: ProbeResult;
+    /** What became of the connections to the server. */
+    readonly ends: ConnectionEnds;
+    /** Whether the server was seen to go on with answers after it had stopped listening. */
+    readonly hadStoppedListening: boolean;
+}
+
+/**
+ * Decides by which evidence an answer is judged that ended with its connection.
+ *
+ * @param observation - what was observed after its end
+ */
+export const endEvidence = ({ ends, hadStoppedListening, probe }: EndObservation): EndEvidence => {
+    if (probe !== "refused") {
+        return probe === "accepted" ? "accepts" : "silent";
+    }
+    if (ends.stillOpen > 0) {
+        return "othersOpen";
+    }
+    if (!hadStoppedListening) {
+        return "refuses";
+    }
+    return ends.endedTogether > 1 ? "endedTogether" : "stoppedBefore";
+};
+
+/**
+ * Tells whether an answer is complete.
+ *
+ * @param evidence - what decides
+ */
+export const isCompleteBy = (evidence: EndEvidence): boolean => {
+    switch (evidence) {
+        case "accepts":
+        case "silent":
+        case "othersOpen":
+        case "stoppedBefore":
+            return true;
+        case "endedTogether":
+        case "refuses":
+            return false;
+    }
+};
+
+/** Time between two probes of a server that leaves while its answers are under way, in milliseconds. */
+const WATCH_PERIOD_MS = 200;
+
+/** Answers of a server that are under way and will end with their connections. */
+interface ServerAnswers {
+    running: number;
+    timer: Timer | undefined;
+}
+
+/** Options of {@link AnswerEnds}. */
+export interface AnswerEndsOptions {
+    /** Runtime of the process. */
+    readonly runtime: Pick<Runtime, "clock" | "events">;
+    /** Connections to backend servers. */
+    readonly upstreams: UpstreamClient;
+    /** Backend servers. */
+    readonly directory: ServerDirectory;
+    /** Metrics. */
+    readonly metrics: CallMetrics;
+}
+
+/** Judges the ends of answers, and watches the servers that leave for what it takes to do so. */
+export class AnswerEnds {
+    private readonly answers = new Map<TrackedServer, ServerAnswers>();
+    private readonly stopped = new WeakSet<TrackedServer>();
+
+    /** @param options - connections and servers */
+    public constructor(private readonly options: AnswerEndsOptions) {}
+
+    /**
+     * Records that an answer is under way that will end with its connection.
+     *
+     * @param server - its server
+     * @returns to be disposed of when the answer has been judged
+     */
+    public begin(server: TrackedServer): Disposable {
+        const answers = this.answers.get(server) ?? { running: 0, timer: undefined };
+        this.answers.set(server, answers);
+        answers.running++;
+        if (answers.running === 1) {
+            this.watch(server, answers);
+        }
+        return {
+            [Symbol.dispose]: () => {
+                if (--answers.running === 0) {
+                    answers.timer?.cancel();
+                    this.answers.delete(server);
+                }
+            },
+        };
+    }
+
+    /**
+     * Tells whether an answer is complete that has just ended with its connection.
+     *
+     * @param server - its server
+     * @param requestId - identifier of the request, for the log
+     */
+    public async isComplete(server: TrackedServer, requestId: string | undefined): Promise<boolean> {
+        const { directory, metrics, runtime: { events } } = this.options;
+        const hadStoppedListening = this.stopped.has(server);
+        const observation = { ...await this.observe(server), hadStoppedListening };
+        const evidence = endEvidence(observation);
+        metrics.countUnverifiedEnd(evidence);
+        if (evidence === "accepts") {
+            events.emit(answerEndConfirmed, { requestId, server: server.entry.id });
+            return true;
+        }
+        const isComplete = isCompleteBy(evidence);
+        events.emit(answerEndJudged, {
+            requestId,
+            server: server.entry.id,
+            evidence,
+            isComplete,
+            isLeaving: directory.isLeaving(server),
+            stillOpen: observation.ends.stillOpen,
+            endedTogether: observation.ends.endedTogether,
+        });
+        return isComplete;
+    }
+
+    private async observe(server: TrackedServer): Promise<Pick<EndObservation, "probe" | "ends">> {
+        const { upstreams } = this.options;
+        const observing = upstreams.observeEnds(server.entry.id);
+        const probe = await upstreams.probe(server.entry.address);
+        if (probe !== "refused") {
+            return { probe, ends: { stillOpen: 0, endedTogether: 0 } };
+        }
+        const ends = await observing;
+        if (ends.stillOpen > 0) {
+            this.recordStopped(server);
+        }
+        return { probe, ends };
+    }
+
+    private recordStopped(server: TrackedServer): void {
+        if (!this.stopped.has(server)) {
+            this.stopped.add(server);
+            this.options.runtime.events.emit(serverStoppedListening, { server: server.entry.id });
+        }
+    }
+
+    /** Finds out whether a server that leaves stops listening while its answers go on. */
+    private watch(server: TrackedServer, answers: ServerAnswers): void {
+        const { directory, runtime: { clock } } = this.options;
+        const check = async (): Promise<void> => {
+            if (directory.isLeaving(server)) {
+                await this.observe(server);
+            }
+            if (answers.running > 0 && !this.stopped.has(server)) {
+                answers.timer = clock.setTimer(WATCH_PERIOD_MS, () => void check());
+            }
+        };
+        answers.timer = clock.setTimer(WATCH_PERIOD_MS, () => void check());
+    }
+}
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -162,6 +162,14 @@
 /** Whether a backend server accepts a connection; a silent one neither accepts nor refuses it in time. */
 export type ProbeResult = "accepted" | "refused" | "silent";
 
+/** What became of the connections to a backend server around the end of one of them. */
+export interface ConnectionEnds {
+    /** Number of connections that were open then and still are. */
+    readonly stillOpen: number;
+    /** Number of connections that the server has ended in the same moment, the one in question included. */
+    readonly endedTogether: number;
+}
+
 /** Client for requests to backend servers. */
 export interface UpstreamClient {
     /**
@@ -184,6 +192,12 @@
      * @param address - address of the backend server
      */
     probe(address: Address): Promise<ProbeResult>;
+    /**
+     * Observes what becomes of the connections to a backend server right after one of them has ended.
+     *
+     * @param server - identifier of the backend server
+     */
+    observeEnds(server: string): Promise<ConnectionEnds>;
     /**
      * Closes the idle connections to a backend server that was removed.
      *
