fix(direct): a server whose weights have another version than a caller expects stays in use

Cause: a server answers 421 if the request names another server as its target, or expects another version of the weights. The entry took each 421 for the first, that another server has the address, and gave the server up until it is published anew.

The identifier of the server in the answer tells the causes apart: another one than the target's means another server. With the target's, or with none, the version is the cause where the request expects one; the request then goes to another server within its attempts and the retry budget. A 421 still never marks a group as down.

--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -52,6 +52,8 @@
     account: "x-account",
     apiKey: "x-key",
     targetServer: "x-server",
+    expectedVersion: "x-version",
+    serverId: "x-server-id",
     notRun: "x-not-run",
     refusingServer: "x-fault",
     tokenUsage: "x-tokens",
--- a/packages/direct/src/shared/callTask.ts
+++ b/packages/direct/src/shared/callTask.ts
@@ -12,6 +12,7 @@
 import type { QueuedCall } from "./admissionQueue.ts";
 import { toCallerHead } from "./callHeaders.ts";
 import { CallLog, type CallProgress } from "./callLog.ts";
+import { REJECTION_REASONS } from "./classifyResponseHead.ts";
 import { CrashGuard, refusalReason } from "./crashGuard.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
 import { serverEjected } from "./directEvents.ts";
@@ -328,11 +329,11 @@
                     ? { kind: "again" }
                     : { kind: "stop", reason: message };
             })
-            .with({ kind: "notRun" }, ({ isMisdirected, refusingServer }) => {
+            .with({ kind: "notRun" }, ({ refusingServer, rejection }) => {
                 this.progress.sentAttempts++;
-                if (isMisdirected) {
-                    server.isAddressReused = true;
-                    return this.retryOrStop("another server has the address");
+                if (rejection) {
+                    server.isAddressReused ||= rejection === "otherServer";
+                    return this.retryOrStop(REJECTION_REASONS[rejection]);
                 }
                 // A model server names its address in a refusal only if its group cannot run; a full server
                 // names none.
--- a/packages/direct/src/shared/runAttempt.ts
+++ b/packages/direct/src/shared/runAttempt.ts
@@ -22,7 +22,7 @@
 } from "../types/call.ts";
 import type { AccountSpec, RouteRule } from "../types/publishedState.ts";
 import { buildAttemptHeaders, responseHeader, toCallerHead } from "./callHeaders.ts";
-import { classifyResponseHead, type ResponseHeadClass } from "./classifyResponseHead.ts";
+import { classifyResponseHead, type Rejection, type ResponseHeadClass } from "./classifyResponseHead.ts";
 import type { DirectContext, ServiceState } from "./directContext.ts";
 import { EventStreamSplitter, type StreamEvent } from "./eventStreamSplitter.ts";
 import type { BufferedResponse } from "./responseBuffers.ts";
@@ -108,8 +108,8 @@
         readonly kind: "notRun";
         /** Address of the server if it refuses because its group cannot run; else undefined. */
         readonly refusingServer: string | undefined;
-        /** Whether another server than the target answered at the address. */
-        readonly isMisdirected: boolean;
+        /** Why it was rejected as misdirected; undefined if it was not. */
+        readonly rejection: Rejection | undefined;
     }
     /** No byte of the request was sent. */
     | { readonly kind: "notSent"; readonly message: string; }
@@ -238,18 +238,19 @@
     }
 
     public onHead(head: ResponseHead): void {
-        const { call, context, reply, route } = this.options;
+        const { call, context, reply, route, server } = this.options;
         const { headers: names } = context.options;
         this.head = head;
-        this.headClass = classifyResponseHead(head, call.headers[names.requestId], names);
+        const expected = { requestHeaders: call.headers, server: server.entry.id };
+        this.headClass = classifyResponseHead(head, expected, names);
         if (this.headClass.kind === "foreign") {
             this.reject(this.headClass.message);
             return;
         }
-        const isMisdirected = this.headClass.kind === "notRun" && this.headClass.isMisdirected;
-        if (!isMisdirected) {
-            context.limits.record(this.options.server, head);
-            context.options.directory.recordAnswer(this.options.server, head);
+        const isOfOther = this.headClass.kind === "notRun" && this.headClass.rejection === "otherServer";
+        if (!isOfOther) {
+            context.limits.record(server, head);
+            context.options.directory.recordAnswer(server, head);
         }
         const isEventStream = responseHeader(head, "content-type")?.startsWith("text/event-stream") ?? false;
         const mayStream = this.headClass.kind === "own" && route.answer === "stream"
@@ -257,7 +258,7 @@
         this.isStream = mayStream && reply.canStream;
         this.isBufferedStream = mayStream && !reply.canStream;
         if (this.isEndUnverified) {
-            this.unverified = context.answerEnds.begin(this.options.server);
+            this.unverified = context.answerEnds.begin(server);
         }
         if (!this.isStream) {
             this.recordFirstByte();
--- a/packages/direct/src/types/callHeaders.ts
+++ b/packages/direct/src/types/callHeaders.ts
@@ -20,6 +20,10 @@
     readonly apiKey: string;
     /** Identifier of the only backend server that may run the request. */
     readonly targetServer: string;
+    /** Version of the weights that the caller expects; a server with another one does not run the request. */
+    readonly expectedVersion: string;
+    /** On responses: identifier of the backend server. */
+    readonly serverId: string;
     /** On responses: the request has not been run. */
     readonly notRun: string;
     /** On responses: address of the backend server that refuses because its group cannot run. */
