--- a/packages/direct/src/node/serverConnection.ts
+++ b/packages/direct/src/node/serverConnection.ts
@@ -48,12 +48,6 @@
     public idleSinceMs = 0;
     /** Whether a request was sent over it before the current one. */
     public isReused = false;
-    /** Whether it is open and its end would be noticed. */
-    public get isOpen(): boolean {
-        return this.socket !== undefined && !this.isClosed && !this.isPaused
-            && this.endedByPeerMs === undefined;
-    }
-
     /** Whether it was closed and must not be reused. */
     public isClosed = false;
     /**
@@ -113,6 +107,12 @@
         this.client.on("connectionError", () => this.close());
     }
 
+    /** Whether it is open and its end would be noticed. */
+    public get isOpen(): boolean {
+        return this.socket !== undefined && !this.isClosed && !this.isPaused
+            && this.endedByPeerMs === undefined;
+    }
+
     /**
      * Sends a request.
      *
@@ -187,6 +187,21 @@
         this.close(reason);
     }
 
+    /**
+     * Closes the connection; the running request fails.
+     *
+     * @param reason - reason, for logs
+     */
+    public close(reason?: string): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.onClosed();
+            // The handler of the running request receives the error; the returned promise adds no
+            // information.
+            this.client.destroy(new Error(reason ?? "the connection was closed")).catch(() => {});
+        }
+    }
+
     /** Returns whether the response is read on. */
     private recordRead(bytes: number): boolean {
         this.bytesRead += bytes;
@@ -197,14 +212,4 @@
         }
         return !isOverlong;
     }
-
-    public close(reason?: string): void {
-        if (!this.isClosed) {
-            this.isClosed = true;
-            this.onClosed();
-            // The handler of the running request receives the error; the returned promise adds no
-            // information.
-            this.client.destroy(new Error(reason ?? "the connection was closed")).catch(() => {});
-        }
-    }
 }
