fix(direct): an entry that cannot listen on one of its addresses releases the others

For a program that embeds an entry: after startDirectEntry has thrown, its other addresses stayed bound, callers were accepted there, and a second try to start failed on its own listeners.

Cause: startDirectEntry opened its listeners one after another, and nobody owned those opened before one that failed. The program itself is not concerned: it exits on the error.

Change: the scope that owns the components is disposed of if the start fails. The listener of the test servers no longer keeps a test process from ending.

--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -45,29 +45,32 @@
     },
 });
 
+/** Settings of an entry on free addresses. */
+export const freeSettings = async (): Promise<DirectSettings> => ({
+    instance: branded("entry-1"),
+    dataCentre: branded("here"),
+    callers: await freeAddress(),
+    readiness: await freeAddress(),
+    metrics: undefined,
+    peers: await freeAddress(),
+    seeds: [],
+    bounds: {
+        retryRatio: 0.2,
+        retrySlack: 100,
+        retryWindowMs: 10_000,
+        coldOvershoot: 1.5,
+        coldSlack: 5,
+        graceMs: 8_000,
+    },
+});
+
 /**
- * Starts an entry whose services have the given servers.
+ * Starts an entry with the given settings whose services have the given servers.
  *
+ * @param settings - settings of the entry
  * @param servers - addresses of the servers
  */
-export const startEntry = async (...servers: readonly Address[]) => {
-    const settings: DirectSettings = {
-        instance: branded("entry-1"),
-        dataCentre: branded("here"),
-        callers: await freeAddress(),
-        readiness: await freeAddress(),
-        metrics: undefined,
-        peers: await freeAddress(),
-        seeds: [],
-        bounds: {
-            retryRatio: 0.2,
-            retrySlack: 100,
-            retryWindowMs: 10_000,
-            coldOvershoot: 1.5,
-            coldSlack: 5,
-            graceMs: 8_000,
-        },
-    };
+export const startEntryWith = async (settings: DirectSettings, ...servers: readonly Address[]) => {
     const routes = [
         route("whole", { timeoutMs: 1_500 }),
         route("once", { timeoutMs: 1_500, repeat: "never", maxAttempts: 1 }),
@@ -102,3 +105,11 @@
     }
     return { entry, callers: settings.callers, settings };
 };
+
+/**
+ * Starts an entry whose services have the given servers.
+ *
+ * @param servers - addresses of the servers
+ */
+export const startEntry = async (...servers: readonly Address[]) =>
+    startEntryWith(await freeSettings(), ...servers);
--- a/packages/direct/src/node/__tests__/rawServer.ts
+++ b/packages/direct/src/node/__tests__/rawServer.ts
@@ -17,6 +17,8 @@
     /** Starts listening. */
     public async listen(): Promise<Address> {
         this.server.listen(0, "127.0.0.1");
+        // A test that fails before it has an owner for the server must not keep its process from ending.
+        this.server.unref();
         await once(this.server, "listening");
         return branded<Address>(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
     }
--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -301,17 +301,9 @@
     events.emit(directStopped, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
 };
 
-/**
- * Starts a direct entry.
- *
- * @param options - settings, platform and header names
- * @returns the running entry
- * @throws if an address cannot be bound
- */
-export const startDirectEntry = async (options: DirectEntryOptions): Promise<DirectEntry> => {
+const assembleEntry = async (options: DirectEntryOptions, scope: ResourceScope): Promise<DirectEntry> => {
     const { headers, runtime, settings } = options;
     const { events } = runtime;
-    const scope = new ResourceScope();
     const { directory, watcher, store, upstreams } = createComponents(options, () => exchange, scope);
     let isStopping = false;
     const isReady = (): boolean => !isStopping && exchange.hasJoined;
@@ -381,3 +373,21 @@
         [Symbol.asyncDispose]: () => scope[Symbol.asyncDispose](),
     };
 };
+
+/**
+ * Starts a direct entry. If an address cannot be bound, those that were bound before are released.
+ *
+ * @param options - settings, platform and header names
+ * @returns the running entry
+ * @throws if an address cannot be bound
+ */
+export const startDirectEntry = async (options: DirectEntryOptions): Promise<DirectEntry> => {
+    const scope = new ResourceScope();
+    try {
+        return await assembleEntry(options, scope);
+    }
+    catch (error) {
+        await scope[Symbol.asyncDispose]();
+        throw error;
+    }
+};
