fix(direct): a request is not given to a connection that has just ended with another answer

Cause: an answer with Connection: close, without a length, or over HTTP/1.0 ends its connection. The HTTP client begins to close it at once, but reports that in a later turn of the event loop; until then the connection counted as idle. A request of the same turn was given to it and failed as not sent. The trace of a refused stream: attempts at two servers, both "notSent: the connection was closed", no third server left, 503 after 7 ms.

Change: a connection is reused only if neither the server nor the HTTP client has begun to close it, asked at the moment of the choice.

Why it works: the client destroys the socket in the same turn in which it reports the end of the answer, before any request can be given to the connection.

--- a/packages/direct/src/node/serverConnection.ts
+++ b/packages/direct/src/node/serverConnection.ts
@@ -113,6 +113,11 @@
             && this.endedByPeerMs === undefined;
     }
 
+    /** Whether another request may be sent over it: neither the server nor the HTTP client has begun to close it. */
+    public get isReusable(): boolean {
+        return !this.isClosed && this.endedByPeerMs === undefined && this.socket?.destroyed === false;
+    }
+
     /**
      * Sends a request.
      *
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -192,7 +192,7 @@
         const idle = this.idle.get(server) ?? [];
         const minIdleSinceMs = this.clock.nowMs() - maxIdleMs;
         for (let connection = idle.pop(); connection; connection = idle.pop()) {
-            if (connection.isClosed) {
+            if (!connection.isReusable) {
                 continue;
             }
             if (connection.idleSinceMs > minIdleSinceMs) {
