fix(direct): parts of answers do not look complete when a supervisor starts their killed server again at its address

Callers saw: a success with the first part of a stream or of a plain answer, ended as a whole one ends.

An answer without a length or chunks was believed as soon as its server's address accepted a connection. That shows that a process listens there, not that it is the one that answered.

Change: if two or more connections to the server ended within 10 ms and none is left on which it has sent something, as it is when a process is killed, the server is asked for its identifier by its health check (health_check_path of its service), once for all who ask. Another identifier, or no answer within 500 ms, and the answer counts as broken; log 8081 and the metric have the evidence "replaced" or "endedTogether".

Why it works: a killed process loses all its connections at once, and the new one tells its own identifier. A sound server that ends two answers in one moment tells the old one and keeps them. No health check is made where the ends are those of a server at work.

--- a/packages/direct/src/node/serverConnection.ts
+++ b/packages/direct/src/node/serverConnection.ts
@@ -56,6 +56,8 @@
     public wasReset = false;
     /** Time at which the server closed or reset it, in milliseconds; undefined if it has not. */
     public endedByPeerMs: number | undefined;
+    /** Time at which the server last sent something, in milliseconds; undefined before. */
+    public lastReadMs: number | undefined;
     /** Whether it is not read now: its end would not be noticed. */
     private isPaused = false;
     private socket: Socket | undefined;
@@ -69,7 +71,11 @@
      * @param clock - source of time
      * @param onClosed - called once it has closed
      */
-    public constructor(address: Address, clock: Pick<Clock, "nowMs">, private readonly onClosed: () => void) {
+    public constructor(
+        address: Address,
+        private readonly clock: Pick<Clock, "nowMs">,
+        private readonly onClosed: () => void,
+    ) {
         const connector = buildConnector({
             timeout: CONNECT_TIMEOUT_MS,
             keepAlive: true,
@@ -210,6 +216,7 @@
     /** Returns whether the response is read on. */
     private recordRead(bytes: number): boolean {
         this.bytesRead += bytes;
+        this.lastReadMs = this.clock.nowMs();
         const isOverlong = this.bytesRead > MAX_HEAD_BYTES + this.bodyBytes * (1 + MAX_FRAMING_FACTOR);
         if (isOverlong) {
             // The parser must not lose its socket while it reads.
--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -11,7 +11,10 @@
 import type { Dispatcher } from "undici";
 import type {
     ConnectionEnds,
+    EndsObserver,
     ProbeResult,
+    ServerIdentity,
+    ServerIdentityRequest,
     UpstreamCall,
     UpstreamClient,
     UpstreamConsumer,
@@ -19,6 +22,7 @@
     UpstreamRequest,
 } from "../types/call.ts";
 import { ServerConnection } from "./serverConnection.ts";
+import { ServerIdentities } from "./serverIdentities.ts";
 import { ServerProbes } from "./serverProbes.ts";
 
 /** Heads with a lower status are interim: the answer follows them. */
@@ -51,6 +55,7 @@
 export class ServerConnections implements UpstreamClient, Disposable {
     private readonly idle = new Map<string, ServerConnection[]>();
     private readonly probes: ServerProbes;
+    private readonly identities: ServerIdentities;
     /** Connections by server, until a while after their end. */
     private readonly tracked = new Map<string, Set<ServerConnection>>();
     private openedCount = 0;
@@ -58,6 +63,7 @@
     /** @param clock - source of time */
     public constructor(private readonly clock: Clock) {
         this.probes = new ServerProbes(clock);
+        this.identities = new ServerIdentities(clock);
     }
 
     /** Number of connections opened so far. */
@@ -154,20 +160,29 @@
     }
 
     /** {@inheritDoc UpstreamClient.observeEnds} */
-    public async observeEnds(server: string): Promise<ConnectionEnds> {
+    public observeEnds(server: string): EndsObserver {
         const endedMs = this.clock.nowMs();
         const before = [...this.tracked.get(server) ?? []];
         const open = before.filter(({ isOpen }) => isOpen);
-        await sleep(this.clock, SETTLE_MS);
-        // Timers run before sockets are read.
-        await nextTurn();
-        return {
-            stillOpen: open.filter(({ isOpen }) => isOpen).length,
-            endedTogether:
-                before.filter(({ endedByPeerMs = Number.NEGATIVE_INFINITY }) =>
-                    Math.abs(endedByPeerMs - endedMs) <= TOGETHER_MS
-                ).length,
+        const read = (): ConnectionEnds => {
+            const stillOpen = open.filter(({ isOpen }) => isOpen);
+            const together = before.filter(({ endedByPeerMs = Number.NEGATIVE_INFINITY }) =>
+                Math.abs(endedByPeerMs - endedMs) <= TOGETHER_MS
+            );
+            return {
+                stillOpen: stillOpen.length,
+                stillAnswering: stillOpen.filter(({ lastReadMs }) => lastReadMs !== undefined).length,
+                endedTogether: together.length,
+            };
         };
+        // Timers run before sockets are read.
+        const settled = sleep(this.clock, SETTLE_MS).then(() => nextTurn()).then(read);
+        return { read, settled: () => settled };
+    }
+
+    /** {@inheritDoc UpstreamClient.identify} */
+    public identify(asked: ServerIdentityRequest): Promise<ServerIdentity> {
+        return this.identities.identify(asked);
     }
 
     /** {@inheritDoc UpstreamClient.closeIdle} */
--- a/packages/direct/src/node/serverProbes.ts
+++ b/packages/direct/src/node/serverProbes.ts
@@ -8,6 +8,7 @@
 import { connect } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ProbeResult } from "../types/call.ts";
+import { FreshCalls } from "./freshCalls.ts";
 import { CONNECT_TIMEOUT_MS } from "./serverConnection.ts";
 
 /**
@@ -23,10 +24,7 @@
 
 /** Probes of backend servers; one connection at a time serves all who ask for the same server. */
 export class ServerProbes {
-    private readonly running = new Map<Address, Promise<ProbeResult>>();
-    private readonly waiting = new Map<Address, Promise<ProbeResult>>();
-    /** Servers whose probe began in this turn of the event loop: whatever callers have seen happened before. */
-    private readonly fresh = new Set<Address>();
+    private readonly calls = new FreshCalls<Address, ProbeResult>();
 
     /** @param clock - source of time */
     public constructor(private readonly clock: Clock) {}
@@ -38,30 +36,7 @@
      * @param address - address of the server
      */
     public probe(address: Address): Promise<ProbeResult> {
-        const running = this.running.get(address);
-        if (!running) {
-            return this.start(address);
-        }
-        if (this.fresh.has(address)) {
-            return running;
-        }
-        let waiting = this.waiting.get(address);
-        if (!waiting) {
-            waiting = running.then(() => {
-                this.waiting.delete(address);
-                return this.start(address);
-            });
-            this.waiting.set(address, waiting);
-        }
-        return waiting;
-    }
-
-    private start(address: Address): Promise<ProbeResult> {
-        this.fresh.add(address);
-        void nextTurn().then(() => this.fresh.delete(address));
-        const probe = this.connect(address).finally(() => this.running.delete(address));
-        this.running.set(address, probe);
-        return probe;
+        return this.calls.ask(address, () => this.connect(address));
     }
 
     private async connect(address: Address): Promise<ProbeResult> {
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -15,11 +15,12 @@
 import { VirtualClock } from "@magnolialock/test-support";
 import type {
     CallerReply,
-    ConnectionEnds,
+    EndsObserver,
     FlatHeaders,
     IncomingCall,
     ProbeResult,
     ResponseHead,
+    ServerIdentity,
     UpstreamCall,
     UpstreamClient,
     UpstreamConsumer,
@@ -399,8 +400,13 @@
         return "accepted";
     }
 
-    public async observeEnds(): Promise<ConnectionEnds> {
-        return { stillOpen: 0, endedTogether: 1 };
+    public observeEnds(): EndsObserver {
+        const ends = { stillOpen: 0, stillAnswering: 0, endedTogether: 1 };
+        return { read: () => ends, settled: async () => ends };
+    }
+
+    public async identify(): Promise<ServerIdentity> {
+        throw new Error("no health check is needed");
     }
 
     public closeIdle(): void {}
--- a/packages/direct/src/shared/servers/__tests__/answerEnds.spec.ts
+++ b/packages/direct/src/shared/servers/__tests__/answerEnds.spec.ts
@@ -1,8 +1,10 @@
 import { createSystemClock, EventLog } from "@magnolialock/kernel";
 import test from "ava";
-import type { ConnectionEnds, ProbeResult } from "../../../types/call.ts";
-import { NAMES, ORDERS, serverEntry } from "../../__tests__/directFixture.ts";
+import type { ConnectionEnds, ProbeResult, ServerIdentity } from "../../../types/call.ts";
+import { NAMES, ORDERS, serverEntry, serviceSpec } from "../../__tests__/directFixture.ts";
+import type { ActiveConfiguration } from "../../activeConfiguration.ts";
 import { noCallMetrics } from "../../callMetrics.ts";
+
 import type { ServerDirectory } from "../../serverDirectory.ts";
 import { TrackedServer } from "../../trackedServer.ts";
 import {
@@ -13,7 +15,11 @@
     isCompleteBy,
 } from "../answerEnds.ts";
 
-const NONE_LEFT: ConnectionEnds = { stillOpen: 0, endedTogether: 1 };
+const NONE_LEFT: ConnectionEnds = { stillOpen: 0, stillAnswering: 0, endedTogether: 1 };
+const ONE_LEFT: ConnectionEnds = { ...NONE_LEFT, stillOpen: 1, stillAnswering: 1 };
+
+const ALL_ENDED: ConnectionEnds = { ...NONE_LEFT, endedTogether: 3 };
+const ALL_ENDED_ONE_WAITS: ConnectionEnds = { ...ALL_ENDED, stillOpen: 1 };
 
 const CASES: readonly (EndObservation & { readonly evidence: EndEvidence; readonly isComplete: boolean; })[] =
     [
@@ -24,6 +30,38 @@
             evidence: "accepts",
             isComplete: true,
         },
+        {
+            probe: "accepted",
+            ends: ALL_ENDED,
+            identity: "same",
+            hadStoppedListening: false,
+            evidence: "accepts",
+            isComplete: true,
+        },
+        {
+            probe: "accepted",
+            ends: ALL_ENDED,
+            identity: "unnamed",
+            hadStoppedListening: false,
+            evidence: "accepts",
+            isComplete: true,
+        },
+        {
+            probe: "accepted",
+            ends: ALL_ENDED,
+            identity: "other",
+            hadStoppedListening: false,
+            evidence: "replaced",
+            isComplete: false,
+        },
+        {
+            probe: "accepted",
+            ends: ALL_ENDED,
+            identity: "silent",
+            hadStoppedListening: false,
+            evidence: "endedTogether",
+            isComplete: false,
+        },
         {
             probe: "silent",
             ends: NONE_LEFT,
@@ -40,7 +78,7 @@
         },
         {
             probe: "refused",
-            ends: { stillOpen: 1, endedTogether: 1 },
+            ends: ONE_LEFT,
             hadStoppedListening: false,
             evidence: "othersOpen",
             isComplete: true,
@@ -54,7 +92,7 @@
         },
         {
             probe: "refused",
-            ends: { stillOpen: 0, endedTogether: 3 },
+            ends: ALL_ENDED,
             hadStoppedListening: true,
             evidence: "endedTogether",
             isComplete: false,
@@ -62,21 +100,37 @@
     ];
 
 for (const { evidence, isComplete, ...observation } of CASES) {
-    test(`the end of an answer is judged by the server: ${evidence}`, t => {
+    const { identity = "not asked" } = observation;
+    test(`the end of an answer is judged: ${evidence}, ${observation.probe}, ${identity}`, t => {
         t.is(endEvidence(observation), evidence);
         t.is(isCompleteBy(evidence), isComplete);
     });
 }
 
-/** Judges the ends of answers of one server that leaves, whose connections a test describes. */
-const startEnds = (
-    world: { probe: ProbeResult; ends: ConnectionEnds; probes: number; isLeaving: boolean; },
-) => {
+/** A server as a test describes it. */
+interface World {
+    probe: ProbeResult;
+    ends: ConnectionEnds;
+    probes: number;
+    isLeaving: boolean;
+    identity?: ServerIdentity;
+    /** Health checks that were made. */
+    checks?: number;
+}
+
+/** Judges the ends of answers of one server. */
+const startEnds = (world: World, healthPath?: string) => {
     const clock = createSystemClock();
     const events = new EventLog({ clock, instance: "entry-1" });
     const ends = new AnswerEnds({
         runtime: { clock, events },
         metrics: noCallMetrics,
+        headers: NAMES,
+        store: {
+            configuration: {
+                services: new Map([[ORDERS, { ...serviceSpec(ORDERS), healthPath }]]),
+            } as unknown as ActiveConfiguration,
+        },
         directory: { isLeaving: () => world.isLeaving } as unknown as ServerDirectory,
         upstreams: {
             start: () => {
@@ -86,7 +140,11 @@
                 world.probes++;
                 return world.probe;
             },
-            observeEnds: async () => world.ends,
+            observeEnds: () => ({ read: () => world.ends, settled: async () => world.ends }),
+            identify: async () => {
+                world.checks = (world.checks ?? 0) + 1;
+                return world.identity ?? { kind: "silent" };
+            },
             closeIdle: () => {},
         },
     });
@@ -98,7 +156,7 @@
 test("the last answer of a server that has stopped listening before is complete", async t => {
     const world = {
         probe: "refused" as ProbeResult,
-        ends: { stillOpen: 1, endedTogether: 0 },
+        ends: ONE_LEFT,
         probes: 0,
         isLeaving: true,
     };
@@ -118,3 +176,37 @@
     t.is(world.probes, 0);
     t.false(await ends.isComplete(server, NAMES.requestId));
 });
+
+const HEALTH_PATH = "/health";
+
+// Guards against parts of answers that look complete since a supervisor starts their killed server again at the same address.
+test("a server is asked who it is if all its connections have ended at once", async t => {
+    const world: World = { probe: "accepted", ends: ALL_ENDED, probes: 0, isLeaving: false };
+    const { ends, server } = startEnds(world, HEALTH_PATH);
+    t.false(await ends.isComplete(server, "r1"));
+    world.identity = { kind: "answered", id: "server-2" };
+    t.false(await ends.isComplete(server, "r2"));
+    world.ends = ALL_ENDED_ONE_WAITS;
+    t.false(await ends.isComplete(server, "r2"));
+    world.identity = { kind: "answered", id: "server-1" };
+    t.true(await ends.isComplete(server, "r3"));
+    world.identity = { kind: "answered", id: undefined };
+    t.true(await ends.isComplete(server, "r4"));
+    t.is(world.checks, 5);
+});
+
+test("a server is not asked who it is if another of its connections is open, or this was the only one", async t => {
+    const world: World = { probe: "accepted", ends: NONE_LEFT, probes: 0, isLeaving: false };
+    const { ends, server } = startEnds(world, HEALTH_PATH);
+    t.true(await ends.isComplete(server, "r1"));
+    world.ends = { ...ALL_ENDED, stillOpen: 1, stillAnswering: 1 };
+    t.true(await ends.isComplete(server, "r2"));
+    t.is(world.checks, undefined);
+});
+
+test("a server of a service without a health check is believed while its address accepts connections", async t => {
+    const world: World = { probe: "accepted", ends: ALL_ENDED, probes: 0, isLeaving: false };
+    const { ends, server } = startEnds(world);
+    t.true(await ends.isComplete(server, "r1"));
+    t.is(world.checks, undefined);
+});
--- a/packages/direct/src/shared/servers/answerEndEvents.ts
+++ b/packages/direct/src/shared/servers/answerEndEvents.ts
@@ -15,13 +15,13 @@
         "An answer ended with its connection, and its server accepts connections: the answer is complete.",
 });
 
-/** The end of an answer was judged by the connections to its server. */
+/** The end of an answer was judged by the connections to its server, or by what answers at its address. */
 export const answerEndJudged = defineEvent({
     number: 8081,
     name: "direct.answer.end-judged",
     level: "info",
     summary:
-        "An answer ended with its connection, and its server does not accept connections; `evidence` decided whether the answer is complete.",
+        "An answer ended with its connection, and its server does not accept connections or may have been replaced; `evidence` decided whether the answer is complete.",
 });
 
 /** A server that leaves has stopped listening while its answers go on. */
--- a/packages/direct/src/shared/servers/answerEnds.ts
+++ b/packages/direct/src/shared/servers/answerEnds.ts
@@ -7,22 +7,28 @@
 
 import type { Runtime, Timer } from "@magnolialock/kernel";
 import type { ConnectionEnds, ProbeResult, UpstreamClient } from "../../types/call.ts";
+import type { CallHeaderNames } from "../../types/callHeaders.ts";
 import type { CallMetrics } from "../callMetrics.ts";
+import type { PublishedStateStore } from "../publishedStateStore.ts";
 import type { ServerDirectory } from "../serverDirectory.ts";
 import type { TrackedServer } from "../trackedServer.ts";
 import { answerEndConfirmed, answerEndJudged, serverStoppedListening } from "./answerEndEvents.ts";
 
 /** What decides whether an answer is complete. */
 export type EndEvidence =
-    /** The server accepts connections: its process has not ended. */
+    /** The server accepts connections, and nothing shows that another process does so at its address. */
     | "accepts"
+    /** The address accepts connections, but all those of the server have ended at once, and another server answers there. */
+    | "replaced"
     /** The server neither accepts nor refuses connections; its operating system refuses those to a process that has ended. */
     | "silent"
     /** Other connections to the server stay open: its process has not ended. */
     | "othersOpen"
     /** The server had stopped listening before and went on answering; it ends its answers one by one. */
     | "stoppedBefore"
-    /** The server had stopped listening before, but several of its connections ended in the same moment. */
+    /**
+     * All connections of the server have ended at once. It had stopped listening before, or nothing answers at its address although connections are accepted there.
+     */
     | "endedTogether"
     /** The server accepts no connections, and nothing shows that its process ended the answer itself. */
     | "refuses";
@@ -35,16 +41,36 @@
     readonly ends: ConnectionEnds;
     /** Whether the server was seen to go on with answers after it had stopped listening. */
     readonly hadStoppedListening: boolean;
+    /** What answers at its address; undefined if it was not asked. */
+    readonly identity?: "same" | "other" | "unnamed" | "silent" | undefined;
 }
 
+/** Tells whether all connections on which a server answered have ended at once, as they do if its process is killed. */
+const hasEndedAtOnce = ({ endedTogether, stillAnswering }: ConnectionEnds): boolean =>
+    endedTogether > 1 && stillAnswering === 0;
+
+const acceptedEvidence = (identity: EndObservation["identity"]): EndEvidence => {
+    switch (identity) {
+        case "other":
+            return "replaced";
+        case "silent":
+            return "endedTogether";
+        case "same":
+        case "unnamed":
+        case undefined:
+            return "accepts";
+    }
+};
+
 /**
  * Decides by which evidence an answer is judged that ended with its connection.
  *
  * @param observation - what was observed after its end
  */
-export const endEvidence = ({ ends, hadStoppedListening, probe }: EndObservation): EndEvidence => {
+export const endEvidence = (observation: EndObservation): EndEvidence => {
+    const { ends, hadStoppedListening, identity, probe } = observation;
     if (probe !== "refused") {
-        return probe === "accepted" ? "accepts" : "silent";
+        return probe === "accepted" ? acceptedEvidence(identity) : "silent";
     }
     if (ends.stillOpen > 0) {
         return "othersOpen";
@@ -67,6 +93,7 @@
         case "othersOpen":
         case "stoppedBefore":
             return true;
+        case "replaced":
         case "endedTogether":
         case "refuses":
             return false;
@@ -90,6 +117,10 @@
     readonly upstreams: UpstreamClient;
     /** Backend servers. */
     readonly directory: ServerDirectory;
+    /** Published state, with the health checks of the services. */
+    readonly store: Pick<PublishedStateStore, "configuration">;
+    /** Header names of the installation. */
+    readonly headers: Pick<CallHeaderNames, "serverId">;
     /** Metrics. */
     readonly metrics: CallMetrics;
 }
@@ -134,11 +165,20 @@
     public async isComplete(server: TrackedServer, requestId: string | undefined): Promise<boolean> {
         const { directory, metrics, runtime: { events } } = this.options;
         const hadStoppedListening = this.stopped.has(server);
-        const observation = { ...await this.observe(server), hadStoppedListening };
+        const observed = await this.observe(server);
+        const identity = observed.probe === "accepted" && hasEndedAtOnce(observed.ends)
+            ? await this.identify(server)
+            : undefined;
+        const observation: EndObservation = { ...observed, hadStoppedListening, identity };
         const evidence = endEvidence(observation);
         metrics.countUnverifiedEnd(evidence);
         if (evidence === "accepts") {
-            events.emit(answerEndConfirmed, { requestId, server: server.entry.id });
+            events.emit(answerEndConfirmed, {
+                requestId,
+                server: server.entry.id,
+                identity,
+                ...observed.ends,
+            });
             return true;
         }
         const isComplete = isCompleteBy(evidence);
@@ -148,26 +188,43 @@
             evidence,
             isComplete,
             isLeaving: directory.isLeaving(server),
-            stillOpen: observation.ends.stillOpen,
-            endedTogether: observation.ends.endedTogether,
+            identity,
+            ...observed.ends,
         });
         return isComplete;
     }
 
     private async observe(server: TrackedServer): Promise<Pick<EndObservation, "probe" | "ends">> {
         const { upstreams } = this.options;
-        const observing = upstreams.observeEnds(server.entry.id);
+        const observer = upstreams.observeEnds(server.entry.id);
         const probe = await upstreams.probe(server.entry.address);
         if (probe !== "refused") {
-            return { probe, ends: { stillOpen: 0, endedTogether: 0 } };
+            return { probe, ends: observer.read() };
         }
-        const ends = await observing;
+        const ends = await observer.settled();
         if (ends.stillOpen > 0) {
             this.recordStopped(server);
         }
         return { probe, ends };
     }
 
+    private async identify({ entry }: TrackedServer): Promise<EndObservation["identity"]> {
+        const { headers, store, upstreams } = this.options;
+        const healthPath = store.configuration?.services.get(entry.service)?.healthPath;
+        if (healthPath === undefined) {
+            return undefined;
+        }
+        const answer = await upstreams.identify({
+            address: entry.address,
+            healthPath,
+            idHeader: headers.serverId,
+        });
+        if (answer.kind === "silent") {
+            return "silent";
+        }
+        return answer.id === undefined ? "unnamed" : answer.id === entry.id ? "same" : "other";
+    }
+
     private recordStopped(server: TrackedServer): void {
         if (!this.stopped.has(server)) {
             this.stopped.add(server);
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -166,10 +166,40 @@
 export interface ConnectionEnds {
     /** Number of connections that were open then and still are. */
     readonly stillOpen: number;
+    /**
+     * Number of those on which the server has sent something. Others may wait for a process to accept them, while a supervisor
+     * holds the listening socket.
+     */
+    readonly stillAnswering: number;
     /** Number of connections that the server has ended in the same moment, the one in question included. */
     readonly endedTogether: number;
 }
 
+/** Observes the connections to a backend server from the end of one of them on. */
+export interface EndsObserver {
+    /** Returns what has become of the connections until now. */
+    read(): ConnectionEnds;
+    /** Returns what has become of them once the ends of all connections of a killed server have arrived. */
+    settled(): Promise<ConnectionEnds>;
+}
+
+/** Health check that tells which backend server answers at an address. */
+export interface ServerIdentityRequest {
+    /** Address of the backend server. */
+    readonly address: Address;
+    /** Path of its health check. */
+    readonly healthPath: string;
+    /** Header of the answer with the identifier of the backend server, in lower case. */
+    readonly idHeader: string;
+}
+
+/** What answers at the address of a backend server. */
+export type ServerIdentity =
+    /** A backend server, which may not tell its identifier. */
+    | { readonly kind: "answered"; readonly id: string | undefined; }
+    /** Nothing that answers in time. */
+    | { readonly kind: "silent"; };
+
 /** Client for requests to backend servers. */
 export interface UpstreamClient {
     /**
@@ -197,7 +227,13 @@
      *
      * @param server - identifier of the backend server
      */
-    observeEnds(server: string): Promise<ConnectionEnds>;
+    observeEnds(server: string): EndsObserver;
+    /**
+     * Asks which backend server answers at an address.
+     *
+     * @param asked - address and health check
+     */
+    identify(asked: ServerIdentityRequest): Promise<ServerIdentity>;
     /**
      * Closes the idle connections to a backend server that was removed.
      *
--- a/packages/direct/src/types/publishedState.ts
+++ b/packages/direct/src/types/publishedState.ts
@@ -113,6 +113,8 @@
     readonly connectionLimit: number;
     /** Requests per second that a cold backend server can sustain; 0 where servers are never cold. */
     readonly coldRequestsPerS: number;
+    /** Path of the health check of its backend servers; undefined where there is none. */
+    readonly healthPath?: string | undefined;
     /** The model engine; undefined for services that are not model servers. */
     readonly engine: EngineSpec | undefined;
 }
