fix(direct): the last answers of a server that stops in order are whole also if they end in the same moment

Callers saw: a booking answered 502 although its server had answered it whole, or a stream or safe request run twice. The server had stopped listening, went on with its answers, and ended its last two within 10 ms. leavingServers.spec, "a whole answer of a server that leaves in order", failed by it in 2 of 8 runs (one or two streams run twice).

Cause: connections that end together were taken for those of a killed process without looking at what came before their ends.

Change: a server that had stopped listening before is believed also then, if each of these connections ended within 3 ms of its last data.

Why it works: a server that ends an answer does so with its last data. A killed one ends wherever its answers are: all of two or more would have had data within the last 3 ms.

--- a/packages/direct/src/node/serverConnections.ts
+++ b/packages/direct/src/node/serverConnections.ts
@@ -50,6 +50,8 @@
 const SETTLE_MS = 50;
 /** Longest time between two connections that end together, in milliseconds. */
 const TOGETHER_MS = 10;
+/** Longest time between the last data of an answer and the end of its connection if the server ends it, in milliseconds. */
+const AFTER_DATA_MS = 3;
 
 /** Connection pool for all backend servers. */
 export class ServerConnections implements UpstreamClient, Disposable {
@@ -173,6 +175,10 @@
                 stillOpen: stillOpen.length,
                 stillAnswering: stillOpen.filter(({ lastReadMs }) => lastReadMs !== undefined).length,
                 endedTogether: together.length,
+                endedAfterData:
+                    together.filter(({ endedByPeerMs = 0, lastReadMs = 0 }) =>
+                        endedByPeerMs - lastReadMs <= AFTER_DATA_MS
+                    ).length,
             };
         };
         // Timers run before sockets are read.
--- a/packages/direct/src/shared/__tests__/directFixture.ts
+++ b/packages/direct/src/shared/__tests__/directFixture.ts
@@ -401,7 +401,7 @@
     }
 
     public observeEnds(): EndsObserver {
-        const ends = { stillOpen: 0, stillAnswering: 0, endedTogether: 1 };
+        const ends = { stillOpen: 0, stillAnswering: 0, endedTogether: 1, endedAfterData: 1 };
         return { read: () => ends, settled: async () => ends };
     }
 
--- a/packages/direct/src/shared/servers/__tests__/answerEnds.spec.ts
+++ b/packages/direct/src/shared/servers/__tests__/answerEnds.spec.ts
@@ -15,7 +15,7 @@
     isCompleteBy,
 } from "../answerEnds.ts";
 
-const NONE_LEFT: ConnectionEnds = { stillOpen: 0, stillAnswering: 0, endedTogether: 1 };
+const NONE_LEFT: ConnectionEnds = { stillOpen: 0, stillAnswering: 0, endedTogether: 1, endedAfterData: 1 };
 const ONE_LEFT: ConnectionEnds = { ...NONE_LEFT, stillOpen: 1, stillAnswering: 1 };
 
 const ALL_ENDED: ConnectionEnds = { ...NONE_LEFT, endedTogether: 3 };
@@ -90,6 +90,13 @@
             evidence: "stoppedBefore",
             isComplete: true,
         },
+        {
+            probe: "refused",
+            ends: { ...ALL_ENDED, endedAfterData: 3 },
+            hadStoppedListening: true,
+            evidence: "stoppedBefore",
+            isComplete: true,
+        },
         {
             probe: "refused",
             ends: ALL_ENDED,
@@ -101,7 +108,9 @@
 
 for (const { evidence, isComplete, ...observation } of CASES) {
     const { identity = "not asked" } = observation;
-    test(`the end of an answer is judged: ${evidence}, ${observation.probe}, ${identity}`, t => {
+    const { endedAfterData, endedTogether } = observation.ends;
+    const ends = `${endedTogether} ended, ${endedAfterData} after data`;
+    test(`the end of an answer is judged: ${evidence}, ${observation.probe}, ${identity}, ${ends}`, t => {
         t.is(endEvidence(observation), evidence);
         t.is(isCompleteBy(evidence), isComplete);
     });
--- a/packages/direct/src/shared/servers/answerEnds.ts
+++ b/packages/direct/src/shared/servers/answerEnds.ts
@@ -24,10 +24,14 @@
     | "silent"
     /** Other connections to the server stay open: its process has not ended. */
     | "othersOpen"
-    /** The server had stopped listening before and went on answering; it ends its answers one by one. */
+    /**
+     * The server had stopped listening before and went on answering. It ends its answers one by one, or several of them in the same
+     * moment, each right after its last data.
+     */
     | "stoppedBefore"
     /**
-     * All connections of the server have ended at once. It had stopped listening before, or nothing answers at its address although connections are accepted there.
+     * All connections of the server have ended at once. It had stopped listening before, and some ended apart from their last data;
+     * or nothing answers at its address although connections are accepted there.
      */
     | "endedTogether"
     /** The server accepts no connections, and nothing shows that its process ended the answer itself. */
@@ -78,7 +82,9 @@
     if (!hadStoppedListening) {
         return "refuses";
     }
-    return ends.endedTogether > 1 ? "endedTogether" : "stoppedBefore";
+    return ends.endedTogether > ends.endedAfterData && ends.endedTogether > 1
+        ? "endedTogether"
+        : "stoppedBefore";
 };
 
 /**
--- a/packages/direct/src/types/call.ts
+++ b/packages/direct/src/types/call.ts
@@ -173,6 +173,8 @@
     readonly stillAnswering: number;
     /** Number of connections that the server has ended in the same moment, the one in question included. */
     readonly endedTogether: number;
+    /** Number of those that ended right after their last data, as they do if the server ends an answer itself. */
+    readonly endedAfterData: number;
 }
 
 /** Observes the connections to a backend server from the end of one of them on. */
