--- a/packages/direct/src/shared/servers/__tests__/expectedVersion.spec.ts
+++ b/packages/direct/src/shared/servers/__tests__/expectedVersion.spec.ts
@@ -1,7 +1,7 @@
 /** Guards against servers that are given up because one caller expects weights that they do not have. */
 
 import test from "ava";
-import { DirectFixture, NAMES, ORDERS } from "../../__tests__/directFixture.ts";
+import { DirectFixture, DRAFTS, NAMES, ORDERS } from "../../__tests__/directFixture.ts";
 
 const EXPECTING = { [NAMES.expectedVersion]: "1" };
 
@@ -40,3 +40,20 @@
     const plain = await rejectAll({}, () => undefined);
     t.true(plain.after < plain.before);
 });
+
+test("a group stays in use when its server rejects a request for other weights", async t => {
+    const fixture = new DirectFixture();
+    fixture.addServers(DRAFTS, "a", "bb", "ccc");
+    const rejected = fixture.send("draft", EXPECTING);
+    for (let attempts = 0; attempts < 3 && rejected.reply.state === "open"; attempts++) {
+        const attempt = await fixture.latestAttempt();
+        attempt.respond(421, "", { [NAMES.serverId]: attempt.server, [NAMES.refusingServer]: "10.0.0.1:1" });
+    }
+    await fixture.runUntilSettled(rejected.done);
+    t.is(fixture.directory.candidates(DRAFTS).length, 3);
+    t.false(fixture.context.service(DRAFTS).groups.named(undefined).isDown);
+    const { done, reply } = fixture.send("draft");
+    (await fixture.latestAttempt()).startStream().sendEvents(1, 2).complete();
+    await fixture.runUntilSettled(done);
+    t.is(reply.state, "ended");
+});
