--- a/packages/direct/src/node/directEntry.ts
+++ b/packages/direct/src/node/directEntry.ts
@@ -301,6 +301,7 @@
     events.emit(directStopped, { unfinished, durationMs: Math.round(clock.nowMs() - startMs) });
 };
 
+/** Opens and connects the components of an entry; the scope owns them. */
 const assembleEntry = async (options: DirectEntryOptions, scope: ResourceScope): Promise<DirectEntry> => {
     const { headers, runtime, settings } = options;
     const { events } = runtime;
--- a/packages/direct/src/node/freshCalls.ts
+++ b/packages/direct/src/node/freshCalls.ts
@@ -1,5 +1,5 @@
 /**
- * Calls whose results several askers share.
+ * Calls whose results are shared by all who ask at the same time.
  *
  * @packageDocumentation
  */
@@ -7,13 +7,13 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
 
 /**
- * Runs at most one call for each key at a time. Who asks gets the result of a call that has begun after what he has seen: one that
- * begins in the same turn of the event loop, or the next one.
+ * Runs at most one call for each key at a time. A call that is under way serves only those who ask in the turn of the event loop in
+ * which it began; later ones share the next call, since the result of this one may be older than what they have observed.
  */
 export class FreshCalls<Key, Result> {
     private readonly running = new Map<Key, Promise<Result>>();
     private readonly waiting = new Map<Key, Promise<Result>>();
-    /** Keys whose call began in this turn of the event loop: whatever callers have seen happened before. */
+    /** Keys whose call began in this turn of the event loop. */
     private readonly fresh = new Set<Key>();
 
     /**
