refactor(direct): health checks and calls to peers share one way to send a request on its own connection

What callers see does not change.

Change: createGetOnOwnConnection in ownConnection.ts, with the limits of each caller as they were; freeSettings starts from SETTINGS.

--- a/packages/direct/src/node/__tests__/entryFixture.ts
+++ b/packages/direct/src/node/__tests__/entryFixture.ts
@@ -16,6 +16,7 @@
     route,
     serverEntry,
     serviceSpec,
+    SETTINGS,
 } from "../../shared/__tests__/directFixture.ts";
 import type { DirectSettings } from "../../types/directSettings.ts";
 import type { ItemContent, PublishedSource } from "../../types/publishedState.ts";
@@ -47,21 +48,10 @@
 
 /** Settings of an entry on free addresses. */
 export const freeSettings = async (): Promise<DirectSettings> => ({
-    instance: branded("entry-1"),
-    dataCentre: branded("here"),
+    ...SETTINGS,
     callers: await freeAddress(),
     readiness: await freeAddress(),
-    metrics: undefined,
     peers: await freeAddress(),
-    seeds: [],
-    bounds: {
-        retryRatio: 0.2,
-        retrySlack: 100,
-        retryWindowMs: 10_000,
-        coldOvershoot: 1.5,
-        coldSlack: 5,
-        graceMs: 8_000,
-    },
 });
 
 /**
--- a/packages/direct/src/node/peerClient.ts
+++ b/packages/direct/src/node/peerClient.ts
@@ -5,19 +5,12 @@
  * @packageDocumentation
  */
 
-import {
-    type Address,
-    createBoundedConnector,
-    ProtocolError,
-    readBounded,
-    splitAddress,
-    untilAborted,
-} from "@magnolialock/kernel";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Address, ProtocolError, readBounded, splitAddress } from "@magnolialock/kernel";
 import { decodeServerGroup } from "../shared/decodePeerAnswers.ts";
 import type { ReadServerGroup } from "../shared/groupDirectory.ts";
 import type { DirectSettings } from "../types/directSettings.ts";
 import { SERVER_GROUP_PATH } from "../types/publishedState.ts";
+import { createGetOnOwnConnection } from "./ownConnection.ts";
 
 /** Path of the published state that an instance knows. */
 export const STATE_PATH = "/state";
@@ -29,16 +22,7 @@
 const CONNECT_TIMEOUT_MS = 2_000;
 const HTTP_OK = 200;
 
-/** Rare calls get connections of their own: an idle one may have gone silent, which only their timeout would show. */
-const ON_OWN_CONNECTION = {
-    reset: true,
-    dispatcher: new Agent({
-        connect: createBoundedConnector({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_STATE_BYTES }),
-    }),
-};
-
-const get = (url: string, signal: AbortSignal): Promise<Dispatcher.ResponseData> =>
-    untilAborted(request(url, { signal, ...ON_OWN_CONNECTION }), signal);
+const get = createGetOnOwnConnection({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_STATE_BYTES });
 
 /**
  * Fetches the published state that another instance knows.
--- a/packages/direct/src/node/serverIdentities.ts
+++ b/packages/direct/src/node/serverIdentities.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 
-import { type Address, type Clock, createBoundedConnector, sleep, untilAborted } from "@magnolialock/kernel";
-import { Agent, request } from "undici";
+import { type Address, type Clock, sleep } from "@magnolialock/kernel";
 import type { ServerIdentity, ServerIdentityRequest } from "../types/call.ts";
 import { FreshCalls } from "./freshCalls.ts";
+import { createGetOnOwnConnection } from "./ownConnection.ts";
 import { CONNECT_TIMEOUT_MS } from "./serverConnection.ts";
 
 /** Time for the answer to a health check, in milliseconds. */
@@ -15,13 +15,7 @@
 /** Bytes of the body of an answer to a health check that may be read before it is discarded. */
 const MAX_BODY_BYTES = 4_096;
 
-/** Health checks go over connections of their own: one that was open before may belong to a process that has ended. */
-const ON_OWN_CONNECTION = {
-    reset: true,
-    dispatcher: new Agent({
-        connect: createBoundedConnector({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_BODY_BYTES }),
-    }),
-};
+const get = createGetOnOwnConnection({ timeoutMs: CONNECT_TIMEOUT_MS, maxBodyBytes: MAX_BODY_BYTES });
 
 /** Asks backend servers who they are; one health check at a time serves all who ask for the same server. */
 export class ServerIdentities {
@@ -44,11 +38,7 @@
         const timedOut = new AbortController();
         void sleep(this.clock, ANSWER_TIMEOUT_MS, ended.signal).then(() => timedOut.abort(), () => {});
         try {
-            const { signal } = timedOut;
-            const response = await untilAborted(
-                request(`http://${address}${healthPath}`, { signal, ...ON_OWN_CONNECTION }),
-                signal,
-            );
+            const response = await get(`http://${address}${healthPath}`, timedOut.signal);
             const id = response.headers[idHeader];
             // The identifier is in the head.
             response.body.on("error", () => {}).destroy();
